Add the thin whole path: nodes, operators' program, stand-ins, demo

Cause: the repository was empty. Change: a workspace of nine packages. A request enters at any node, is routed by section and key to the owner and reaches its target under a fence. Leases are renewed with witnesses; silent incarnations are sealed and taken over through the log. The demo loses a node, drains a target and publishes a section.

--- /dev/null
+++ b/features/steps/publish.py
@@ -0,0 +1,38 @@
+"""Steps of publish.feature; they run the real ``jujuberudderctl``."""
+
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+BASE = "service: jobs\nroutes: [{path_prefix: /jobs/}]\n"
+
+
+@given('a section file with "{line}"')
+def write_section(context, line):
+    """Write a section file with one more line."""
+    folder = tempfile.mkdtemp()
+    context.path = Path(folder, "jobs.yaml")
+    context.path.write_text(BASE + line + "\n", encoding="utf-8")
+
+
+@when("an operator checks it")
+def check(context):
+    """Run ``jujuberudderctl check``."""
+    context.done = subprocess.run(
+        [sys.executable, "-m", "jujuberudderctl", "check", str(context.path)],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@then('the exit code is {code:d} and the message names "{path}"')
+def compare(context, code, path):
+    """Compare exit code and message; a traceback is never shown."""
+    output = context.done.stdout + context.done.stderr
+    assert context.done.returncode == code, output
+    assert path in output, output
+    assert "Traceback" not in output, output
--- /dev/null
+++ b/packages/clients/src/jujuberudder_clients/__init__.py
@@ -0,0 +1,7 @@
+"""Clients as peers: parsing, routing, forwarding and outcomes."""
+
+from ._app import make_app
+from ._context import RouteContext
+from ._listener import listen
+
+__all__ = ["RouteContext", "listen", "make_app"]
--- /dev/null
+++ b/packages/clients/src/jujuberudder_clients/_context.py
@@ -0,0 +1,43 @@
+"""What routing needs to know of its node."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+
+class RouteContext(NamedTuple):
+    """Collaborators of the routing code.
+
+    Parameters
+    ----------
+    incarnation, node, service, availability_zone, target : str
+    ownership : Ownership
+    sections : Sections
+    serving : callable
+        Returns the Serving state of the current incarnation, or None between two.
+    admission : Admission
+    target_pool, node_pool : httpcore.AsyncConnectionPool
+    health : TargetHealth
+    in_flight : dict of str to int
+        Requests that this node has in flight at each node, by incarnation.
+    wait_changed : async callable
+        Returns when ownership or configuration changed.
+    overrides : dict of str to str
+    log : callable
+    """
+
+    incarnation: Callable[[], str]
+    node: str
+    service: str
+    availability_zone: str
+    target: str
+    ownership: Any
+    sections: Any
+    serving: Callable
+    admission: Any
+    target_pool: Any
+    node_pool: Any
+    health: Any
+    in_flight: dict
+    wait_changed: Callable
+    overrides: dict
+    log: Callable
--- /dev/null
+++ b/packages/core/src/jujuberudder_core/_ownership.py
@@ -0,0 +1,348 @@
+"""The fold of the ownership stream: who is alive and who owns which shard.
+
+Every reader applies the same records in offset order and reaches the same state. A
+record whose base is superseded has no effect. ``docs/design.md`` section 4 gives the
+argument why two owners cannot arise.
+"""
+
+from typing import NamedTuple
+
+from . import _records as records
+from ._shards import covers_once, hash_bits, prefix_of
+
+
+class Incarnation(NamedTuple):
+    """A start of a node.
+
+    Parameters
+    ----------
+    admit : Admit
+        The record that admitted it.
+    version : int
+        Offset of the newest record about it.
+    witnesses : tuple of str
+        Incarnations that acknowledge its lease.
+    next_witnesses : tuple of str or None
+        Set by a ``witnesses`` record until its ``confirm``.
+    alive : bool
+    """
+
+    admit: records.Admit
+    version: int
+    witnesses: tuple[str, ...]
+    next_witnesses: tuple[str, ...] | None = None
+    alive: bool = True
+
+    @property
+    def witness_sets(self):
+        """Witness sets that a takeover must seal, each by majority."""
+        if self.next_witnesses is None:
+            return (self.witnesses,)
+        return (self.witnesses, self.next_witnesses)
+
+
+class Shard(NamedTuple):
+    """Assignment of a shard.
+
+    Parameters
+    ----------
+    owner : str
+        Incarnation, or ``""`` if the shard has no owner.
+    epoch : int
+        Offset of the record that gave the shard to its owner.
+    destination : str
+        Incarnation that the shard is moving to, or ``""``.
+    move_epoch : int
+        Epoch of the destination once the owner released.
+    """
+
+    owner: str
+    epoch: int
+    destination: str = ""
+    move_epoch: int = 0
+
+
+class Claimed(NamedTuple):
+    """The planner of a service; ``term`` is the offset of its claim."""
+
+    planner: str
+    term: int
+
+
+class Ownership:
+    """Fold of the ownership stream."""
+
+    def __init__(self):
+        self._incarnations = {}
+        self._by_node = {}
+        self._shards = {}
+        self._planners = {}
+        self._owned = {}
+        self._offset = -1
+        self._appliers = {
+            records.Admit: self._admit,
+            records.Keep: self._keep,
+            records.Witnesses: self._witnesses,
+            records.Confirm: self._confirm,
+            records.Dead: self._dead,
+            records.Leave: self._leave,
+            records.Claim: self._claim,
+            records.Assign: self._assign,
+            records.Move: self._move,
+            records.Release: self._release,
+            records.Cancel: self._cancel,
+            records.Split: self._split,
+            records.Merge: self._merge,
+        }
+
+    @property
+    def offset(self):
+        """Offset of the last record applied, -1 before the first."""
+        return self._offset
+
+    @property
+    def incarnations(self):
+        """Incarnations by id."""
+        return self._incarnations
+
+    @property
+    def planners(self):
+        """The planner of each service, by service name."""
+        return self._planners
+
+    def alive(self, incarnation):
+        """Return whether an incarnation is admitted and not dead."""
+        state = self._incarnations.get(incarnation)
+        return state is not None and state.alive
+
+    def live(self, service=None):
+        """Return the live incarnations, of one service or of all, sorted by id."""
+        return sorted(
+            (
+                (key, state)
+                for key, state in self._incarnations.items()
+                if state.alive and service in (None, state.admit.service)
+            ),
+            key=lambda item: item[0],
+        )
+
+    def shards(self, service):
+        """Return the shards of a service by prefix."""
+        return self._shards.get(service, {})
+
+    def services(self):
+        """Return the names of the services that have shards."""
+        return list(self._shards)
+
+    def owned(self, incarnation):
+        """Return the set of ``(service, prefix)`` that an incarnation owns."""
+        return self._owned.get(incarnation, frozenset())
+
+    def locate(self, service, key):
+        """Return ``(prefix, Shard)`` for a key, or None if no shard covers it."""
+        shards = self.shards(service)
+        prefix = prefix_of(hash_bits(key), shards)
+        return None if prefix is None else (prefix, shards[prefix])
+
+    def apply(self, offset, record):
+        """Apply a record.
+
+        Parameters
+        ----------
+        offset : int
+        record : NamedTuple
+
+        Returns
+        -------
+        effect : bool
+            False if the record was superseded or offsets went back.
+        """
+        if offset <= self._offset:
+            return False
+        self._offset = offset
+        applier = self._appliers.get(type(record))
+        return bool(applier and applier(offset, record))
+
+    def _admit(self, offset, record):
+        holder = self._by_node.get(record.node)
+        if record.incarnation in self._incarnations or self.alive(holder):
+            return False
+        self._by_node[record.node] = record.incarnation
+        self._incarnations[record.incarnation] = Incarnation(
+            record, offset, record.witnesses
+        )
+        return True
+
+    def _based(self, incarnation, base):
+        state = self._incarnations.get(incarnation)
+        if state is None or not state.alive or state.version != base:
+            return None
+        return state
+
+    def _keep(self, offset, record):
+        state = self._based(record.incarnation, record.base)
+        if state is None:
+            return False
+        self._incarnations[record.incarnation] = state._replace(version=offset)
+        return True
+
+    def _witnesses(self, offset, record):
+        state = self._based(record.incarnation, record.base)
+        if state is None or not all(map(self.alive, record.witnesses)):
+            return False
+        if state.next_witnesses is not None:
+            return False
+        self._incarnations[record.incarnation] = state._replace(
+            version=offset, next_witnesses=record.witnesses
+        )
+        return True
+
+    def _confirm(self, offset, record):
+        state = self._based(record.incarnation, record.base)
+        if state is None or state.next_witnesses is None:
+            return False
+        self._incarnations[record.incarnation] = state._replace(
+            version=offset, witnesses=state.next_witnesses, next_witnesses=None
+        )
+        return True
+
+    def _dead(self, offset, record):
+        ended = [base for base in record.bases if self._based(*base)]
+        self._end([base.incarnation for base in ended], offset, record.shards)
+        return bool(ended)
+
+    def _leave(self, offset, record):
+        if self._based(record.incarnation, record.base) is None:
+            return False
+        self._end([record.incarnation], offset, record.shards)
+        return True
+
+    def _end(self, ended, offset, shards):
+        for incarnation in ended:
+            state = self._incarnations[incarnation]
+            self._incarnations[incarnation] = state._replace(
+                version=offset, alive=False
+            )
+        wanted = {(s.service, s.prefix): s for s in shards}
+        for incarnation in ended:
+            for name in sorted(self.owned(incarnation)):
+                self._hand_over(name, offset, wanted.get(name))
+
+    def _hand_over(self, name, offset, entry):
+        # A moving shard goes to its destination only: the destination may already
+        # serve on the owner's direct word.
+        service, prefix = name
+        shard = self._shards[service][prefix]
+        if shard.destination and self.alive(shard.destination):
+            self._put(service, prefix, Shard(shard.destination, shard.move_epoch))
+        elif entry and entry.epoch == shard.epoch and self.alive(entry.owner):
+            self._put(service, prefix, Shard(entry.owner, offset))
+        else:
+            self._put(service, prefix, Shard("", offset))
+
+    def _put(self, service, prefix, shard):
+        shards = self._shards.setdefault(service, {})
+        self._disown(service, prefix, shards.get(prefix))
+        shards[prefix] = shard
+        if shard.owner:
+            self._owned.setdefault(shard.owner, set()).add((service, prefix))
+
+    def _drop(self, service, prefix):
+        self._disown(service, prefix, self._shards[service].pop(prefix))
+
+    def _disown(self, service, prefix, shard):
+        if shard is None or not shard.owner:
+            return
+        names = self._owned[shard.owner]
+        names.discard((service, prefix))
+        if not names:
+            del self._owned[shard.owner]
+
+    def _claim(self, offset, record):
+        current = self._planners.get(record.service)
+        term = current.term if current else 0
+        if term != record.base or not self.alive(record.planner):
+            return False
+        self._planners[record.service] = Claimed(record.planner, offset)
+        return True
+
+    def _assign(self, offset, record):
+        return any([self._assign_one(offset, s, record) for s in record.shards])
+
+    def _assign_one(self, offset, entry, record):
+        shards = self.shards(entry.service)
+        if not self.alive(entry.owner):
+            return False
+        if not shards:
+            return self._first(offset, entry.service, record.shards)
+        shard = shards.get(entry.prefix)
+        if shard is None or shard.owner or shard.epoch != entry.epoch:
+            return False
+        self._put(entry.service, entry.prefix, Shard(entry.owner, offset))
+        return True
+
+    def _first(self, offset, service, entries):
+        entries = [entry for entry in entries if entry.service == service]
+        if not covers_once([entry.prefix for entry in entries]):
+            return False
+        for entry in entries:
+            owner = entry.owner if self.alive(entry.owner) else ""
+            self._put(service, entry.prefix, Shard(owner, offset))
+        return True
+
+    def _held(self, service, prefix, epoch):
+        shard = self.shards(service).get(prefix)
+        if shard is None or not shard.owner or shard.epoch != epoch:
+            return None
+        return shard
+
+    def _move(self, offset, record):
+        return any([self._move_one(offset, entry) for entry in record.shards])
+
+    def _move_one(self, offset, entry):
+        shard = self._held(entry.service, entry.prefix, entry.epoch)
+        if shard is None or shard.destination or not self.alive(entry.owner):
+            return False
+        if entry.owner == shard.owner:
+            return False
+        moving = shard._replace(destination=entry.owner, move_epoch=offset)
+        self._put(entry.service, entry.prefix, moving)
+        return True
+
+    def _release(self, offset, record):
+        shard = self._held(record.service, record.prefix, record.epoch)
+        if shard is None or not shard.destination:
+            return False
+        owner = shard.destination if self.alive(shard.destination) else ""
+        epoch = shard.move_epoch if owner else offset
+        self._put(record.service, record.prefix, Shard(owner, epoch))
+        return True
+
+    def _cancel(self, offset, record):
+        shard = self._held(record.service, record.prefix, record.epoch)
+        if shard is None or not shard.destination:
+            return False
+        self._put(record.service, record.prefix, Shard(shard.owner, shard.epoch))
+        return True
+
+    def _split(self, offset, record):
+        shard = self._held(record.service, record.prefix, record.epoch)
+        if shard is None or shard.destination:
+            return False
+        self._drop(record.service, record.prefix)
+        for digit in "01":
+            child = Shard(shard.owner, offset)
+            self._put(record.service, record.prefix + digit, child)
+        return True
+
+    def _merge(self, offset, record):
+        names = [record.prefix + digit for digit in "01"]
+        pair = [self._held(record.service, *n) for n in zip(names, record.epochs)]
+        if None in pair or any(shard.destination for shard in pair):
+            return False
+        if pair[0].owner != pair[1].owner:
+            return False
+        for name in names:
+            self._drop(record.service, name)
+        self._put(record.service, record.prefix, Shard(pair[0].owner, offset))
+        return True
--- /dev/null
+++ b/packages/ctl/src/jujuberudderctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' program."""
--- /dev/null
+++ b/packages/logservice/src/jujuberudder_logservice/_follower.py
@@ -0,0 +1,97 @@
+"""Follows a stream and hands each record to a handler, in offset order."""
+
+import random
+
+import trio
+
+from jujuberudder_core import decode
+
+WAIT_S = 5.0
+BACKOFF_MIN_S = 0.05
+BACKOFF_MAX_S = 2.0
+
+
+class Follower:
+    """Reader of one stream.
+
+    Parameters
+    ----------
+    client : LogClient
+    stream : str
+    handle : callable
+        Called with ``(position, record)`` for each decoded record; the position is the
+        offset plus one.
+    log : callable
+        ``log(event, **fields)``.
+    """
+
+    def __init__(self, client, stream, handle, log):
+        self._client = client
+        self._stream = stream
+        self._handle = handle
+        self._log = log
+        self._next = 0
+        self._reads = 0
+        self._changed = trio.Event()
+        self._failing = False
+
+    @property
+    def next(self):
+        """Offset of the next record to read."""
+        return self._next
+
+    @property
+    def failing(self):
+        """Whether the last read failed."""
+        return self._failing
+
+    async def wait_changed(self):
+        """Wait until further records were handled."""
+        await self._changed.wait()
+
+    async def catch_up(self):
+        """Read until the end of the stream as it is now.
+
+        Returns
+        -------
+        done : bool
+            False if the log service could not be read.
+        """
+        while True:
+            batch = await self._client.read(self._stream, self._next)
+            if batch.is_err():
+                return False
+            self._take(batch.ok_value)
+            if self._next >= batch.ok_value.next:
+                return True
+
+    async def run(self):
+        """Follow the stream for ever."""
+        backoff = BACKOFF_MIN_S
+        while True:
+            batch = await self._client.read(self._stream, self._next, WAIT_S)
+            if batch.is_ok():
+                self._failing = False
+                backoff = BACKOFF_MIN_S
+                self._take(batch.ok_value)
+                continue
+            if not self._failing:
+                self._log("log_read_failed", stream=self._stream, error=batch.err_value)
+            self._failing = True
+            await trio.sleep(backoff * random.uniform(0.5, 1.0))
+            backoff = min(backoff * 2, BACKOFF_MAX_S)
+
+    def _take(self, batch):
+        for entry in batch.records:
+            if entry.offset < self._next:
+                continue
+            self._next = entry.offset + 1
+            record = decode(entry.data)
+            if record.is_err():
+                self._log("record_skipped", offset=entry.offset, error=record.err_value)
+                continue
+            # Positions start at 1, so that 0 can stand for "no version yet".
+            self._handle(entry.offset + 1, record.ok_value)
+        if batch.records:
+            self._changed.set()
+            self._changed = trio.Event()
--- /dev/null
+++ b/packages/node/src/jujuberudder/_node.py
@@ -0,0 +1,289 @@
+"""Assembles a node from its peers and runs one incarnation after the other."""
+
+from typing import NamedTuple
+
+import trio
+
+from jujuberudder_clients import RouteContext, listen, make_app
+from jujuberudder_core import Ownership, Sections, make_logger
+from jujuberudder_logservice import Follower, LogClient, Writer
+from jujuberudder_operators import make_operator_app
+from jujuberudder_peers import Channel, ControlServer, Refused, Released, Renew, Seal
+from jujuberudder_targets import Admission, TargetHealth, make_pool, run_probes
+
+from ._life import Life, run_life
+
+NODE_CONNECTIONS = 400
+RESTART_PAUSE_S = 0.2
+STREAMS = ("ownership", "sections")
+
+
+class Addresses(NamedTuple):
+    """Addresses that a node listens on, ``host:port`` each."""
+
+    client: str
+    request: str
+    control: str
+    operator: str
+
+
+class NodeCore:
+    """What outlives an incarnation: folds, log access and the channel to nodes.
+
+    Parameters
+    ----------
+    settings : Settings
+    """
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._log = make_logger(node=settings.node)
+        self._ownership = Ownership()
+        self._sections = Sections()
+        self._read_at = {}
+        self._life = None
+        self._changed = trio.Event()
+        self._client = LogClient(settings.log_address)
+        streams = [f"{settings.deployment}.{name}" for name in STREAMS]
+        self._follower = Follower(
+            self._client, streams[0], self._apply_ownership, self._log
+        )
+        self._section_follower = Follower(
+            self._client, streams[1], self._apply_section, self._log
+        )
+        self._writer = Writer(self._client, self._follower, streams[0])
+        self._channel = Channel(settings.address_overrides)
+
+    @property
+    def settings(self):
+        """Settings of the node."""
+        return self._settings
+
+    @property
+    def log(self):
+        """Function ``log(event, **fields)``."""
+        return self._log
+
+    @property
+    def ownership(self):
+        """Fold of the ownership stream."""
+        return self._ownership
+
+    @property
+    def sections(self):
+        """Fold of the configuration stream."""
+        return self._sections
+
+    @property
+    def read_at(self):
+        """When the newest record about an incarnation was read, by incarnation."""
+        return self._read_at
+
+    @property
+    def follower(self):
+        """Follower of the ownership stream."""
+        return self._follower
+
+    @property
+    def followers(self):
+        """All followers."""
+        return (self._follower, self._section_follower)
+
+    @property
+    def writer(self):
+        """Writer of the ownership stream."""
+        return self._writer
+
+    @property
+    def channel(self):
+        """Channel to other nodes."""
+        return self._channel
+
+    @property
+    def life(self):
+        """The current incarnation, or None between two."""
+        return self._life
+
+    def start_life(self):
+        """Begin a new incarnation."""
+        self._life = Life(self)
+        return self._life
+
+    def section_bodies(self):
+        """Return the bodies of the sections in force, by service."""
+        return {s.body["service"]: s.body for s in self._sections.all.values()}
+
+    async def wait_changed(self):
+        """Wait until a record was applied or a shard was received."""
+        await self._changed.wait()
+
+    def touch(self):
+        """Wake all that wait for a change."""
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _apply_ownership(self, offset, record):
+        effect = self._ownership.apply(offset, record)
+        if effect:
+            for incarnation in _about(record):
+                self._read_at[incarnation] = trio.current_time()
+            if self._life is not None:
+                self._life.observe(offset, record)
+        else:
+            kind = type(record).__name__.lower()
+            self._log("record_superseded", offset=offset, kind=kind)
+        self._writer.observe(offset, record, effect)
+        self.touch()
+
+    def _apply_section(self, offset, record):
+        outcome = self._sections.apply(offset, record)
+        if outcome.is_err():
+            self._log("section_rejected", offset=offset, error=outcome.err_value)
+        else:
+            self._log(
+                "section_applied",
+                section=record.name,
+                version=offset,
+                effect=outcome.ok_value,
+            )
+        self.touch()
+
+    async def aclose(self):
+        """Close the connections."""
+        self._channel.close()
+        with trio.move_on_after(1, shield=True):
+            await self._client.aclose()
+
+
+def _about(record):
+    """Return the incarnations whose version a record raises."""
+    if hasattr(record, "bases"):
+        return [base.incarnation for base in record.bases]
+    incarnation = getattr(record, "incarnation", None)
+    return [incarnation] if incarnation else []
+
+
+async def run_node(settings, stopping, task_status=trio.TASK_STATUS_IGNORED):
+    """Run a node until ``stopping`` is set and its work in flight has finished.
+
+    Parameters
+    ----------
+    settings : Settings
+    stopping : trio.Event
+    task_status : trio.TaskStatus
+        Started with the Addresses once all listeners are open.
+    """
+    core = NodeCore(settings)
+    try:
+        async with trio.open_nursery() as nursery:
+            await _run(core, stopping, nursery, task_status)
+            nursery.cancel_scope.cancel()
+    finally:
+        await core.aclose()
+
+
+async def _run(core, stopping, nursery, task_status):
+    settings = core.settings
+    health = TargetHealth()
+    context = _route_context(core, health)
+    closing = trio.Event()
+    control = ControlServer(settings.control_address, _handlers(core), core.log)
+    nursery.start_soon(control.run)
+    listeners = (
+        (make_app(context, False), settings.client_address),
+        (make_app(context, True), settings.request_address),
+        (make_operator_app(_views(core, context)), settings.operator_address),
+    )
+    async with trio.open_nursery() as serving:
+        bound = [await serving.start(listen, *one, closing) for one in listeners]
+        addresses = Addresses(bound[0], bound[1], control.address, bound[2])
+        core.log("listening", **addresses._asdict())
+        task_status.started(addresses)
+        nursery.start_soon(run_probes, settings.target.address, health, core.log)
+        for follower in core.followers:
+            nursery.start_soon(follower.run)
+        await _run_lives(core, health, addresses, stopping)
+        closing.set()
+
+
+async def _run_lives(core, health, addresses, stopping):
+    """Run incarnations while the target is up, until the node stops."""
+    while not stopping.is_set():
+        while not health.up and not stopping.is_set():
+            with trio.move_on_after(RESTART_PAUSE_S):
+                await health.wait_changed()
+        if stopping.is_set():
+            return
+        leaving = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_leave_on, leaving, stopping.wait)
+            nursery.start_soon(_leave_on, leaving, health.wait_changed)
+            await run_life(core.start_life(), addresses, leaving)
+            nursery.cancel_scope.cancel()
+        await trio.sleep(RESTART_PAUSE_S)
+
+
+async def _leave_on(leaving, wait):
+    await wait()
+    leaving.set()
+
+
+def _handlers(core):
+    def to_life(kind):
+        async def handle(message):
+            if core.life is None:
+                return Refused("no incarnation")
+            return await core.life.handlers()[kind](message)
+
+        return handle
+
+    return {kind: to_life(kind) for kind in (Renew, Seal, Released)}
+
+
+def _route_context(core, health):
+    settings = core.settings
+
+    def limits():
+        section = core.section_bodies().get(settings.service)
+        return (section["slots"], section["queue"]) if section else (1, 0)
+
+    return RouteContext(
+        incarnation=lambda: core.life.incarnation if core.life else "",
+        node=settings.node,
+        service=settings.service,
+        availability_zone=settings.availability_zone,
+        target=settings.target.address,
+        ownership=core.ownership,
+        sections=core.sections,
+        serving=lambda: core.life.serving if core.life else None,
+        admission=Admission(limits),
+        target_pool=make_pool(100),
+        node_pool=make_pool(NODE_CONNECTIONS),
+        health=health,
+        in_flight={},
+        wait_changed=core.wait_changed,
+        overrides=settings.address_overrides,
+        log=core.log,
+    )
+
+
+def _views(core, context):
+    def status():
+        life = core.life
+        return {
+            "node": core.settings.node,
+            "availability_zone": core.settings.availability_zone,
+            "incarnation": life.incarnation if life else None,
+            "lease_held": bool(life and life.holds_lease()),
+            "sections": {n: s.version for n, s in core.sections.all.items()},
+            "slots_used": context.admission.used,
+        }
+
+    def owners():
+        ownership = core.ownership
+        return {
+            service: {p: s._asdict() for p, s in ownership.shards(service).items()}
+            for service in ownership.services()
+        }
+
+    return {"/v1/status": status, "/v1/owners": owners}
--- /dev/null
+++ b/packages/peers/src/jujuberudder_peers/__init__.py
@@ -0,0 +1,39 @@
+"""Other nodes as peers: control messages, leases, witnesses and takeover."""
+
+from ._channel import Channel, ControlServer
+from ._lease import LEASE_S, Lease, run_renewals
+from ._messages import (
+    Granted,
+    Refused,
+    Released,
+    Renew,
+    Report,
+    Seal,
+    Sealed,
+    Summary,
+    Understood,
+)
+from ._takeover import TakeoverContext, run_takeovers
+from ._witness import DRIFT, GRANT_S, Witness
+
+__all__ = [
+    "Channel",
+    "ControlServer",
+    "DRIFT",
+    "GRANT_S",
+    "Granted",
+    "LEASE_S",
+    "Lease",
+    "Refused",
+    "Released",
+    "Renew",
+    "Report",
+    "Seal",
+    "Sealed",
+    "Summary",
+    "TakeoverContext",
+    "Understood",
+    "Witness",
+    "run_renewals",
+    "run_takeovers",
+]
--- /dev/null
+++ b/packages/peers/src/jujuberudder_peers/_messages.py
@@ -0,0 +1,101 @@
+"""Control messages between nodes, encoded as msgpack arrays ``[kind, field, ...]``."""
+
+from typing import NamedTuple
+
+import msgspec
+from result import Err, Ok
+
+from jujuberudder_core import Failure
+
+
+class Renew(NamedTuple):
+    """Ask a witness to acknowledge the lease of an incarnation."""
+
+    deployment: str
+    incarnation: str
+
+
+class Granted(NamedTuple):
+    """The witness promised not to be sealed before the grant runs out."""
+
+
+class Refused(NamedTuple):
+    """The request was not granted."""
+
+    reason: str
+
+
+class Seal(NamedTuple):
+    """Ask a witness never to acknowledge an incarnation again."""
+
+    deployment: str
+    incarnation: str
+
+
+class Sealed(NamedTuple):
+    """The incarnation is sealed; its last grant may run for ``remaining_s`` more."""
+
+    remaining_s: float
+
+
+class Released(NamedTuple):
+    """The owner of a moving shard stopped serving it."""
+
+    deployment: str
+    service: str
+    prefix: str
+    move_epoch: int
+
+
+class Report(NamedTuple):
+    """Load of a target, from its node to the planner of its service."""
+
+    deployment: str
+    service: str
+    incarnation: str
+    in_flight: int
+    rate: float
+    shards: list[tuple[str, float]]
+
+
+class Summary(NamedTuple):
+    """Load of all targets of a service: ``(incarnation, in_flight, rate)`` each."""
+
+    loads: list[tuple[str, int, float]]
+
+
+class Understood(NamedTuple):
+    """The message was taken in."""
+
+
+KINDS = {
+    cls.__name__.lower(): cls
+    for cls in (
+        Renew,
+        Granted,
+        Refused,
+        Seal,
+        Sealed,
+        Released,
+        Report,
+        Summary,
+        Understood,
+    )
+}
+
+
+def encode_message(message):
+    """Return a message as bytes."""
+    return msgspec.msgpack.encode([type(message).__name__.lower(), *message])
+
+
+def decode_message(data, peer):
+    """Return ``Result[message, Failure]`` from bytes received from ``peer``."""
+    try:
+        fields = msgspec.msgpack.decode(data, type=list)
+        cls = KINDS.get(fields[0]) if fields else None
+        if cls is None:
+            return Err(Failure("decode", peer, f"unknown message {fields[:1]!r}"))
+        return Ok(msgspec.convert(fields[1:], cls))
+    except (msgspec.MsgspecError, TypeError) as error:
+        return Err(Failure("decode", peer, str(error)))
--- /dev/null
+++ b/packages/standins/src/jujuberudder_standins/_logservice.py
@@ -0,0 +1,90 @@
+"""Stand-in of the platform's append-only log service."""
+
+from urllib.parse import parse_qs
+
+import trio
+
+from ._http import answer, read_body
+
+
+class LogStandin:
+    """Streams in memory, with faults that tests switch on.
+
+    Parameters
+    ----------
+    retention : int or None
+        Records kept per stream; all if None.
+    """
+
+    def __init__(self, retention=None):
+        self._retention = retention
+        self._streams = {}
+        self._first = {}
+        self._changed = trio.Event()
+        self.down = False
+        self.delay_s = 0.0
+        self.lose_answers = 0
+        self.appends = 0
+
+    def stream(self, name):
+        """Return the records of a stream as ``(offset, data)``."""
+        first = self._first.get(name, 0)
+        return list(enumerate(self._streams.get(name, []), first))
+
+    def put(self, name, data):
+        """Append a record and return its offset."""
+        records = self._streams.setdefault(name, [])
+        records.append(data)
+        first = self._first.setdefault(name, 0)
+        offset = first + len(records) - 1
+        if self._retention is not None and len(records) > self._retention:
+            excess = len(records) - self._retention
+            del records[:excess]
+            self._first[name] = first + excess
+        self.appends += 1
+        self._changed.set()
+        self._changed = trio.Event()
+        return offset
+
+    async def app(self, scope, receive, send):
+        """ASGI application."""
+        if scope["type"] != "http":
+            raise ValueError("only HTTP is served")
+        await trio.sleep(self.delay_s)
+        if self.down:
+            await answer(send, 503, {"error": "down"})
+            return
+        name = scope["path"].split("/")[3]
+        if scope["method"] == "POST":
+            await self._append(name, receive, send)
+        else:
+            await self._read(name, scope, send)
+
+    async def _append(self, name, receive, send):
+        body = await read_body(receive)
+        if body is None:
+            return
+        offset = self.put(name, body.decode())
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return
+        await answer(send, 200, {"offset": offset})
+
+    async def _read(self, name, scope, send):
+        query = parse_qs(scope["query_string"].decode())
+        start, limit, wait_ms = (
+            int(query[field][0]) for field in ("offset", "limit", "wait_ms")
+        )
+        with trio.move_on_after(wait_ms / 1000):
+            while self._end(name) <= start and not self.down:
+                await self._changed.wait()
+        records = [item for item in self.stream(name) if item[0] >= start][:limit]
+        content = {
+            "first": self._first.get(name, 0),
+            "next": self._end(name),
+            "records": [{"offset": offset, "data": data} for offset, data in records],
+        }
+        await answer(send, 200, content)
+
+    def _end(self, name):
+        return self._first.get(name, 0) + len(self._streams.get(name, []))
--- /dev/null
+++ b/packages/standins/src/jujuberudder_standins/_target.py
@@ -0,0 +1,101 @@
+"""Stand-in of a target that keeps a record of all that it ran."""
+
+import hashlib
+from typing import NamedTuple
+
+import trio
+
+from ._http import answer, header, read_body
+
+WORK_S = 0.005
+
+
+class Run(NamedTuple):
+    """A request that the target ran. Times are in the runtime's clock.
+
+    Parameters
+    ----------
+    sha256 : str
+        Hash of the body as the target received it.
+    """
+
+    request: str
+    target: str
+    method: str
+    path: str
+    fence: int
+    started: float
+    ended: float
+    sha256: str
+
+
+class TargetStandin:
+    """One target.
+
+    Parameters
+    ----------
+    name : str
+    checks_fences : bool
+    work_s : float
+        Time that a request takes.
+    """
+
+    def __init__(self, name, checks_fences=True, work_s=WORK_S):
+        self._name = name
+        self._checks_fences = checks_fences
+        self._work_s = work_s
+        self._fences = {}
+        self.runs = []
+        self.up = True
+
+    @property
+    def name(self):
+        """Name of the target."""
+        return self._name
+
+    async def app(self, scope, receive, send):
+        """ASGI application."""
+        if scope["type"] != "http":
+            raise ValueError("only HTTP is served")
+        if scope["path"] == "/health":
+            await answer(send, 200 if self.up else 503, {"up": self.up})
+            return
+        started = trio.current_time()
+        fence = int(header(scope, b"jujuberudder-fence") or 0)
+        if not self._accepts(scope["path"], fence):
+            await answer(send, 409, {"error": "stale fence"})
+            return
+        body = await read_body(receive)
+        if body is None:
+            return
+        await trio.sleep(self._work_s)
+        await self._finish(scope, send, started, fence, body)
+
+    def _accepts(self, key, fence):
+        if not self._checks_fences:
+            return True
+        if fence < self._fences.get(key, 0):
+            return False
+        self._fences[key] = fence
+        return True
+
+    async def _finish(self, scope, send, started, fence, body):
+        request = header(scope, b"jujuberudder-request-id") or ""
+        run = Run(
+            request,
+            self._name,
+            scope["method"],
+            scope["path"],
+            fence,
+            started,
+            trio.current_time(),
+            hashlib.sha256(body).hexdigest(),
+        )
+        self.runs.append(run)
+        content = {
+            "target": self._name,
+            "request": request,
+            "path": scope["path"],
+            "sha256": run.sha256,
+        }
+        await answer(send, 200, content)
--- /dev/null
+++ b/tests/test_shards.py
@@ -0,0 +1,31 @@
+"""Shards cover the hash space exactly once."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jujuberudder_core import covers_once, hash_bits, prefix_of, uniform_prefixes
+
+
+@pytest.mark.parametrize(
+    "prefixes, expected",
+    [
+        ([""], True),
+        (["0", "1"], True),
+        (["0", "10", "11"], True),
+        (["0"], False),
+        (["0", "1", "10"], False),
+        ([], False),
+    ],
+)
+def test_covers_once(prefixes, expected):
+    """Guards against first assignments that leave a gap or overlap."""
+    assert covers_once(prefixes) is expected
+
+
+@given(key=st.text(), bits=st.integers(0, 6))
+def test_each_key_has_one_shard(key, bits):
+    """Guards against a key that two shards or none would cover."""
+    prefixes = uniform_prefixes(bits)
+    found = [prefix for prefix in prefixes if hash_bits(key).startswith(prefix)]
+    assert found == [prefix_of(hash_bits(key), prefixes)]
