Close holes in the ownership protocol and walk whole nodes through faults

Change: control messages name the incarnation they are for; witnesses answer only for what is alive in their fold and refuse to seal what renews; leases count from the send time that the writer reports; `withdraw` starts all moves of a leaving node; deaths are collected and appended in batches; writers back off with jitter; a section's `destroyed` list counts lost witnesses as sealed. tests/test_protocol.py runs the real tasks of six nodes over a log and a network in memory under trio's MockClock.

--- a/packages/core/src/jujuberudder_core/_ownership.py
+++ b/packages/core/src/jujuberudder_core/_ownership.py
@@ -25,6 +25,8 @@
     next_witnesses : tuple of str or None
         Set by a ``witnesses`` record until its ``confirm``.
     alive : bool
+    leaving : bool
+        It takes no further shards.
     """
 
     admit: records.Admit
@@ -32,6 +34,7 @@
     witnesses: tuple[str, ...]
     next_witnesses: tuple[str, ...] | None = None
     alive: bool = True
+    leaving: bool = False
 
     @property
     def witness_sets(self):
@@ -86,6 +89,7 @@
             records.Confirm: self._confirm,
             records.Dead: self._dead,
             records.Leave: self._leave,
+            records.Withdraw: self._withdraw,
             records.Claim: self._claim,
             records.Assign: self._assign,
             records.Move: self._move,
@@ -110,11 +114,21 @@
         """The planner of each service, by service name."""
         return self._planners
 
+    @property
+    def complete(self):
+        """Whether no record is missing before the last one applied."""
+        return True
+
     def alive(self, incarnation):
         """Return whether an incarnation is admitted and not dead."""
         state = self._incarnations.get(incarnation)
         return state is not None and state.alive
 
+    def takes_shards(self, incarnation):
+        """Return whether an incarnation may be given shards."""
+        state = self._incarnations.get(incarnation)
+        return state is not None and state.alive and not state.leaving
+
     def live(self, service=None):
         """Return the live incarnations, of one service or of all, sorted by id."""
         return sorted(
@@ -140,9 +154,12 @@
 
     def locate(self, service, key):
         """Return ``(prefix, Shard)`` for a key, or None if no shard covers it."""
-        shards = self.shards(service)
-        prefix = prefix_of(hash_bits(key), shards)
-        return None if prefix is None else (prefix, shards[prefix])
+        prefix = self.find(service, hash_bits(key))
+        return None if prefix is None else (prefix, self._shards[service][prefix])
+
+    def find(self, service, bits):
+        """Return the prefix of the shard that covers a hash, or None."""
+        return prefix_of(bits, self.shards(service))
 
     def apply(self, offset, record):
         """Apply a record.
@@ -167,6 +184,8 @@
         holder = self._by_node.get(record.node)
         if record.incarnation in self._incarnations or self.alive(holder):
             return False
+        if not self._witnesses_fit(record.incarnation, record.witnesses):
+            return False
         self._by_node[record.node] = record.incarnation
         self._incarnations[record.incarnation] = Incarnation(
             record, offset, record.witnesses
@@ -179,6 +198,12 @@
             return None
         return state
 
+    def _witnesses_fit(self, incarnation, witnesses):
+        # A witness that no reader knows could never be sealed.
+        distinct = len(set(witnesses)) == len(witnesses)
+        others = incarnation not in witnesses
+        return distinct and others and all(map(self.alive, witnesses))
+
     def _keep(self, offset, record):
         state = self._based(record.incarnation, record.base)
         if state is None:
@@ -188,9 +213,9 @@
 
     def _witnesses(self, offset, record):
         state = self._based(record.incarnation, record.base)
-        if state is None or not all(map(self.alive, record.witnesses)):
+        if state is None or state.next_witnesses is not None:
             return False
-        if state.next_witnesses is not None:
+        if not self._witnesses_fit(record.incarnation, record.witnesses):
             return False
         self._incarnations[record.incarnation] = state._replace(
             version=offset, next_witnesses=record.witnesses
@@ -217,6 +242,22 @@
         self._end([record.incarnation], offset, record.shards)
         return True
 
+    def _withdraw(self, offset, record):
+        state = self._based(record.incarnation, record.base)
+        if state is None:
+            return False
+        self._incarnations[record.incarnation] = state._replace(
+            version=offset, leaving=True
+        )
+        own = [
+            entry
+            for entry in record.shards
+            if (entry.service, entry.prefix) in self.owned(record.incarnation)
+        ]
+        for entry in own:
+            self._move_one(offset, entry)
+        return True
+
     def _end(self, ended, offset, shards):
         for incarnation in ended:
             state = self._incarnations[incarnation]
@@ -271,7 +312,7 @@
 
     def _assign_one(self, offset, entry, record):
         shards = self.shards(entry.service)
-        if not self.alive(entry.owner):
+        if not self.takes_shards(entry.owner):
             return False
         if not shards:
             return self._first(offset, entry.service, record.shards)
@@ -301,7 +342,7 @@
 
     def _move_one(self, offset, entry):
         shard = self._held(entry.service, entry.prefix, entry.epoch)
-        if shard is None or shard.destination or not self.alive(entry.owner):
+        if shard is None or shard.destination or not self.takes_shards(entry.owner):
             return False
         if entry.owner == shard.owner:
             return False
@@ -322,6 +363,8 @@
         shard = self._held(record.service, record.prefix, record.epoch)
         if shard is None or not shard.destination:
             return False
+        if shard.move_epoch != record.move_epoch:
+            return False
         self._put(record.service, record.prefix, Shard(shard.owner, shard.epoch))
         return True
 
--- a/packages/core/src/jujuberudder_core/_records.py
+++ b/packages/core/src/jujuberudder_core/_records.py
@@ -33,7 +33,11 @@
 
 
 class Admit(NamedTuple):
-    """A new incarnation of a node is alive."""
+    """A new incarnation of a node is alive.
+
+    ``sections`` is the position up to which it had read the configuration stream: an
+    operator's later word that the node is destroyed concerns this incarnation.
+    """
 
     id: str
     incarnation: str
@@ -44,6 +48,7 @@
     request_address: str
     client_address: str
     witnesses: tuple[str, ...] = ()
+    sections: int = 0
 
 
 class Keep(NamedTuple):
@@ -89,6 +94,18 @@
     shards: tuple[ShardOwner, ...]
 
 
+class Withdraw(NamedTuple):
+    """The incarnation is about to leave: it takes no shards and its own start moving.
+
+    ``owner`` of each entry is the destination.
+    """
+
+    id: str
+    incarnation: str
+    base: int
+    shards: tuple[ShardOwner, ...]
+
+
 class Claim(NamedTuple):
     """An incarnation becomes the planner of a service."""
 
@@ -124,12 +141,16 @@
 
 
 class Cancel(NamedTuple):
-    """The owner keeps a shard that it has not released."""
+    """The owner keeps a shard that it has not released.
+
+    ``move_epoch`` names the move: a cancel that arrives late must not end another one.
+    """
 
     id: str
     service: str
     prefix: str
     epoch: int
+    move_epoch: int = 0
 
 
 class Split(NamedTuple):
@@ -169,6 +190,7 @@
         Confirm,
         Dead,
         Leave,
+        Withdraw,
         Claim,
         Assign,
         Move,
--- a/packages/core/src/jujuberudder_core/_sections.py
+++ b/packages/core/src/jujuberudder_core/_sections.py
@@ -38,6 +38,7 @@
     connections: int
     queue: int
     drain: list[str]
+    destroyed: list[str]
     initial_shard_bits: int
 
 
@@ -51,6 +52,7 @@
     connections=100,
     queue=100,
     drain=[],
+    destroyed=[],
     initial_shard_bits=5,
 )
 KEY_SOURCES = ("header", "path_segment", "query")
--- a/packages/logservice/src/jujuberudder_logservice/_writer.py
+++ b/packages/logservice/src/jujuberudder_logservice/_writer.py
@@ -1,5 +1,6 @@
 """Appends records and learns their effect by reading them back."""
 
+import random
 from typing import NamedTuple
 
 import trio
@@ -9,13 +10,21 @@
 
 READ_BACK_S = 3.0
 READ_RETRY_S = 0.02
+BACKOFF_MIN_S = 0.1
+# 4,500 nodes that all wait to write then append 4,500 / 6 s = 750 times a second when
+# the log returns; each node alone, once in 4 to 8 s.
+BACKOFF_MAX_S = 8.0
 
 
 class Applied(NamedTuple):
-    """A record that was read back; ``effect`` is False if it was superseded."""
+    """A record that was read back; ``effect`` is False if it was superseded.
+
+    ``sent_at`` is the time in the runtime's clock at which the append was sent.
+    """
 
     offset: int
     effect: bool
+    sent_at: float = float("-inf")
 
 
 class Writer:
@@ -33,6 +42,7 @@
         self._follower = follower
         self._stream = stream
         self._waiting = {}
+        self._backoff_s = 0.0
 
     def observe(self, offset, record, effect):
         """Tell the writer that a record was read and applied."""
@@ -53,8 +63,11 @@
             After a failure with ``maybe_done`` the append may still arrive later; the
             caller decides anew from the state read.
         """
+        await trio.sleep(self._backoff_s * random.uniform(0.5, 1.0))
         seen = self._waiting.setdefault(record.id, [])
+        sent_at = trio.current_time()
         appended = await self._client.append(self._stream, encode(record))
+        self._note(appended.is_ok())
         with trio.move_on_after(READ_BACK_S):
             while not seen:
                 read = await self._follower.catch_up()
@@ -63,7 +76,14 @@
                 await trio.sleep(READ_RETRY_S)
         self._waiting.pop(record.id, None)
         if seen:
-            return Ok(seen[0])
+            return Ok(seen[0]._replace(sent_at=sent_at))
         if appended.is_err():
             return appended
         return Err(Failure("read back", self._client.address, "timed out", True))
+
+    def _note(self, succeeded):
+        if succeeded:
+            self._backoff_s = 0.0
+        else:
+            doubled = max(BACKOFF_MIN_S, self._backoff_s * 2)
+            self._backoff_s = min(doubled, BACKOFF_MAX_S)
--- a/packages/node/src/jujuberudder/_admission.py
+++ b/packages/node/src/jujuberudder/_admission.py
@@ -1,18 +1,27 @@
 """Admission of an incarnation and the records that keep its lease alive."""
 
+import random
+
 import trio
 
 from jujuberudder_core import hash_bits, new_id, records
-from jujuberudder_peers import LEASE_S, run_renewals
+from jujuberudder_peers import LEASE_S, Ping, Understood, run_renewals
 
 WITNESS_COUNT = 3
+ASKED_PER_ZONE = 2
+ASKED_ZONES = 5
+# With fewer availability zones in reach, others could hardly reach this node either.
+REACHED_ZONES = 2
 KEEP_MARGIN_S = LEASE_S * 0.6
 TICK_S = 0.1
 RETRY_S = 0.3
+# The loss of an availability zone leaves a third of 4,500 nodes with a dead witness.
+# They replace it at this rate, two appends each, while the other two serve.
+REPLACED_PER_S = 50
 
 
-def choose_witnesses(ownership, me, node):
-    """Return three live incarnations in different availability zones, or ().
+def rank_witnesses(ownership, me, node):
+    """Return the incarnations that could be witnesses, by availability zone.
 
     Parameters
     ----------
@@ -21,85 +30,190 @@
         The incarnation that needs witnesses; ranks the choice so that load spreads.
     node : str
         Its node; earlier incarnations of it are not chosen.
+
+    Returns
+    -------
+    ranked : list of list of str
+        Best first, both the availability zones and the incarnations of each.
     """
-    by_zone = {}
-    live = [item for item in ownership.live() if item[1].admit.node != node]
-    for incarnation, state in sorted(live, key=lambda item: hash_bits(me + item[0])):
-        by_zone.setdefault(state.admit.availability_zone, incarnation)
-    chosen = sorted(by_zone.values(), key=lambda item: hash_bits(me + item))
+    zones = {}
+    for incarnation, state in ownership.incarnations.items():
+        if state.alive and not state.leaving and state.admit.node != node:
+            zones.setdefault(state.admit.availability_zone, []).append(incarnation)
+    ordered = sorted(zones, key=lambda zone: hash_bits(me + zone))
+    return [sorted(zones[zone], key=lambda w: hash_bits(me + w)) for zone in ordered]
+
+
+async def answering(life):
+    """Return one incarnation per availability zone that answers, best first."""
+    ranked = rank_witnesses(life.ownership, life.incarnation, life.settings.node)
+    found = {}
+
+    async def ask(zone, rank, incarnation):
+        address = life.control_address(incarnation)
+        if address is None:
+            return
+        message = Ping(life.settings.deployment, incarnation)
+        reply = await life.call(address, message)
+        if isinstance(reply.ok(), Understood):
+            found[zone, rank] = incarnation
+
+    async with trio.open_nursery() as nursery:
+        for zone, incarnations in enumerate(ranked[:ASKED_ZONES]):
+            for rank, incarnation in enumerate(incarnations[:ASKED_PER_ZONE]):
+                nursery.start_soon(ask, zone, rank, incarnation)
+    best = {}
+    for (zone, _), incarnation in sorted(found.items()):
+        best.setdefault(zone, incarnation)
+    return list(best.values())
+
+
+async def choose_witnesses(life):
+    """Return three answering incarnations in different availability zones, or ()."""
+    ranked = rank_witnesses(life.ownership, life.incarnation, life.settings.node)
+    if len(ranked) < WITNESS_COUNT:
+        return ()
+    chosen = await answering(life)
     return tuple(chosen[:WITNESS_COUNT]) if len(chosen) >= WITNESS_COUNT else ()
 
 
+def obstacle(ownership, node, control_address):
+    """Return why a node cannot be admitted yet, or None.
+
+    A node whose last incarnation still counts as alive waits for its end. A second
+    node with the same name or address would wait for ever, and the reason says so.
+    """
+    for incarnation, state in ownership.incarnations.items():
+        if not state.alive:
+            continue
+        if state.admit.node == node:
+            return f"incarnation {incarnation} of node {node} is alive"
+        if state.admit.control_address == control_address:
+            return f"node {state.admit.node} is alive at address {control_address}"
+    return None
+
+
 async def admit(life, addresses):
     """Append the admission of an incarnation until it takes effect."""
-    settings = life.settings
     while True:
-        await life.catch_up()
-        witnesses = choose_witnesses(life.ownership, life.incarnation, settings.node)
-        record = records.Admit(
-            new_id(),
-            life.incarnation,
-            settings.node,
-            settings.service,
-            settings.availability_zone,
-            addresses.control,
-            addresses.request,
-            addresses.client,
-            witnesses,
-        )
-        sent_at = trio.current_time()
+        if not await _may_be_admitted(life, addresses):
+            with trio.move_on_after(RETRY_S):
+                await life.wait_changed()
+            continue
+        record = await _admission(life, addresses)
         applied = await life.write(record)
         if life.ownership.alive(life.incarnation):
-            life.lease.extend(sent_at)
-            life.log("admitted", incarnation=life.incarnation, witnesses=len(witnesses))
+            # An earlier attempt with a lost answer may be what took effect. Its lease
+            # counts from its own send time, so this one grants none; ``keep`` follows.
+            if applied.is_ok() and applied.ok_value.effect:
+                life.lease.extend(applied.ok_value.sent_at)
+            life.log(
+                "admitted",
+                incarnation=life.incarnation,
+                witnesses=",".join(life.state().witnesses),
+            )
             return
-        life.log("admission_waits", result=applied)
-        await trio.sleep(RETRY_S)
+        life.log("admission_waits", reason="no effect", result=applied)
+        await trio.sleep(RETRY_S * random.uniform(0.5, 1.0))
+
+
+async def _may_be_admitted(life, addresses):
+    read = await life.catch_up()
+    reason = obstacle(life.ownership, life.settings.node, addresses.control)
+    if not read:
+        reason = "log service cannot be read"
+    elif life.declared_destroyed():
+        reason = "a section declares this node destroyed"
+    elif not life.ownership.complete:
+        reason = "no snapshot read yet"
+    if reason is not None:
+        life.log_once("admission_waits", reason=reason)
+    return reason is None
+
+
+async def _admission(life, addresses):
+    settings = life.settings
+    return records.Admit(
+        new_id(),
+        life.incarnation,
+        settings.node,
+        settings.service,
+        settings.availability_zone,
+        addresses.control,
+        addresses.request,
+        addresses.client,
+        await choose_witnesses(life),
+        life.sections_read(),
+    )
 
 
 async def renew_lease(life):
-    """Renew with the witness set in force, following its changes."""
+    """Renew with the witness sets in force, following their changes.
+
+    During a change only the new set extends the lease; the old set is renewed so that
+    its members do not find the incarnation silent while ``confirm`` is on its way.
+    """
     while True:
-        state = life.state()
-        renewed = state.witness_sets[-1]
+        sets = life.state().witness_sets
         async with trio.open_nursery() as nursery:
-            if renewed:
+            for witnesses in sets:
                 nursery.start_soon(
                     run_renewals,
                     life.lease,
                     life.incarnation,
-                    renewed,
+                    witnesses,
                     life.settings.deployment,
                     life.call,
                     life.control_address,
+                    witnesses == sets[-1],
                 )
-            while life.state().witness_sets[-1] == renewed:
+            while life.state().witness_sets == sets:
                 await life.wait_changed()
             nursery.cancel_scope.cancel()
 
 
+def watched(life, state):
+    """Whether a majority of the witnesses to renew with is alive in the log."""
+    witnesses = state.witness_sets[-1]
+    live = sum(map(life.ownership.alive, witnesses))
+    return live > len(witnesses) // 2
+
+
 async def keep_lease(life):
-    """Append ``keep`` records while there are no witnesses or the lease lapsed."""
-    while True:
+    """Append ``keep`` records while no majority of witnesses can hold the lease.
+
+    A node that reaches the log but hardly any node appends none, so that it is taken
+    over instead of serving a second at a time.
+    """
+    while not life.lease.ended:
         await trio.sleep(TICK_S)
         state = life.state()
-        now = trio.current_time()
-        remaining = life.lease.remaining(now)
-        if life.lease.ended or not state.alive:
+        if not state.alive:
             continue
-        if remaining > (0 if state.witness_sets[-1] else KEEP_MARGIN_S):
+        by_witnesses = watched(life, state)
+        margin_s = 0 if by_witnesses else KEEP_MARGIN_S
+        if life.lease.remaining(trio.current_time()) > margin_s:
             continue
-        record = records.Keep(new_id(), life.incarnation, state.version)
-        applied = await life.write(record)
-        if applied.is_ok() and applied.ok_value.effect:
-            life.lease.extend(now)
-        elif applied.is_err():
-            life.log("keep_failed", error=applied.err_value)
-            await trio.sleep(RETRY_S)
+        if by_witnesses and len(await answering(life)) < REACHED_ZONES:
+            life.log_once("keep_withheld", reason="no nodes answer")
+            continue
+        await _keep(life)
+
+
+async def _keep(life):
+    if life.lease.ended:
+        return
+    record = records.Keep(new_id(), life.incarnation, life.state().version)
+    applied = await life.write(record)
+    if applied.is_ok() and applied.ok_value.effect:
+        life.lease.extend(applied.ok_value.sent_at)
+    elif applied.is_err():
+        life.log("keep_failed", error=applied.err_value)
+        await trio.sleep(RETRY_S)
 
 
 async def maintain_witnesses(life):
-    """Replace a witness set that is missing or has dead members."""
+    """Replace a witness set that is missing, or of which a member no longer helps."""
     while True:
         await trio.sleep(TICK_S)
         state = life.state()
@@ -107,19 +221,39 @@
             continue
         if state.next_witnesses is not None:
             await _confirm(life, state)
-        elif not state.witnesses or not all(map(life.ownership.alive, state.witnesses)):
-            await _replace(life, state)
+            continue
+        reason = _replace_reason(life, state)
+        if reason is None:
+            continue
+        if reason == "member dead" and watched(life, state):
+            live = len(life.ownership.live())
+            await trio.sleep(random.uniform(0, live / REPLACED_PER_S))
+        if life.state() == state:
+            await _replace(life, state, reason)
+
+
+def _replace_reason(life, state):
+    if not state.witnesses:
+        return "none named"
+    if not all(map(life.ownership.alive, state.witnesses)):
+        return "member dead"
+    if life.lease.sealed_by & set(state.witnesses):
+        return "member sealed"
+    if not life.lease.held_from(state.witnesses, trio.current_time()):
+        return "no majority answers"
+    return None
 
 
-async def _replace(life, state):
-    node = life.settings.node
-    chosen = choose_witnesses(life.ownership, life.incarnation, node)
-    if not chosen:
+async def _replace(life, state, reason):
+    chosen = await choose_witnesses(life)
+    if chosen == state.witnesses or (not chosen and watched(life, state)):
         await trio.sleep(RETRY_S)
         return
     record = records.Witnesses(new_id(), life.incarnation, state.version, chosen)
     applied = await life.write(record)
-    life.log("witnesses_named", witnesses=",".join(chosen), result=applied)
+    life.log(
+        "witnesses_named", witnesses=",".join(chosen), reason=reason, result=applied
+    )
 
 
 async def _confirm(life, state):
--- a/packages/node/src/jujuberudder/_life.py
+++ b/packages/node/src/jujuberudder/_life.py
@@ -2,9 +2,12 @@
 
 import trio
 
-from jujuberudder_core import Serving, new_id, records
+from jujuberudder_core import Incarnation, Serving, new_id, records
 from jujuberudder_peers import (
+    Ended,
+    Endings,
     Lease,
+    Ping,
     Refused,
     Released,
     Renew,
@@ -21,6 +24,10 @@
 from ._release import run_releases
 
 RELEASE_READ_S = 0.4
+RETRY_S = 0.3
+# A leaving target gets no new work after 2 s; what is admitted last still has to reach
+# the target.
+HAND_OVER_S = 1.5
 
 
 class Life:
@@ -36,7 +43,9 @@
         self._core = core
         self._incarnation = new_id()
         self._lease = Lease()
-        self._witness = Witness(self._lease)
+        self._witness = Witness(self._lease, core.ownership.alive)
+        self._endings = Endings(core.ownership)
+        self._logged = {}
         self._serving = Serving(self._incarnation, core.ownership, self._lease)
 
     @property
@@ -64,6 +73,11 @@
         """Grants given to other incarnations."""
         return self._witness
 
+    @property
+    def endings(self):
+        """Ended incarnations whose deaths this node is to append."""
+        return self._endings
+
     @property
     def serving(self):
         """Shards served and requests in flight."""
@@ -79,8 +93,17 @@
         return self._lease.held(trio.current_time())
 
     def state(self):
-        """Return the fold's state of this incarnation."""
-        return self.ownership.incarnations[self._incarnation]
+        """Return the fold's state of this incarnation, dead if it was pruned."""
+        state = self.ownership.incarnations.get(self._incarnation)
+        return state or Incarnation(None, 0, (), alive=False)
+
+    def owned(self):
+        """Return the names of the shards that the log gives to this incarnation."""
+        return self.ownership.owned(self._incarnation)
+
+    def destination(self, name):
+        """Return where a shard is moving to, or ``""``."""
+        return self.ownership.shards(name[0])[name[1]].destination
 
     def section(self):
         """Return the body of the section of this node's service, or None."""
@@ -95,6 +118,24 @@
         """Log an event of this incarnation."""
         self._core.log(event, **fields)
 
+    def log_once(self, event, **fields):
+        """Log an event unless the last one of its name had the same fields."""
+        if self._logged.get(event) != fields:
+            self._logged[event] = fields
+            self.log(event, **fields)
+
+    def destroyed_at(self, incarnation):
+        """Return when an operator's word on an incarnation was read, or None."""
+        return self._core.destroyed_at(incarnation)
+
+    def sections_read(self):
+        """Return the position up to which the configuration stream was read."""
+        return self._core.sections_read()
+
+    def declared_destroyed(self):
+        """Return whether a section in force lists this node as destroyed."""
+        return self._core.declared_destroyed(self.settings.node)
+
     async def call(self, *args):
         """Send a control message."""
         return await self._core.channel.call(*args)
@@ -104,8 +145,9 @@
         return await self._core.writer.write(record)
 
     async def catch_up(self):
-        """Read the ownership stream to its end."""
-        return await self._core.follower.catch_up()
+        """Read both streams to their ends; return whether both could be read."""
+        read = [await follower.catch_up() for follower in self._core.followers]
+        return all(read)
 
     async def wait_changed(self):
         """Wait until records were applied."""
@@ -123,16 +165,33 @@
 
     async def answer_renew(self, message):
         """Answer a renewal."""
-        if message.deployment != self.settings.deployment:
+        if not self._is_addressed(message):
             return self._foreign(message)
         return self._witness.renew(message.incarnation, trio.current_time())
 
     async def answer_seal(self, message):
         """Answer a seal request."""
-        if message.deployment != self.settings.deployment:
+        if not self._is_addressed(message):
             return self._foreign(message)
-        self.log("sealed", incarnation=message.incarnation)
-        return self._witness.seal(message.incarnation, trio.current_time())
+        reply = self._witness.seal(message.incarnation, trio.current_time())
+        self.log("seal", incarnation=message.incarnation, reply=reply)
+        return reply
+
+    async def answer_ping(self, message):
+        """Answer a node that looks for witnesses."""
+        if not self._is_addressed(message) or self._lease.ended:
+            return self._foreign(message)
+        return Understood()
+
+    async def answer_ended(self, message):
+        """Take in an incarnation whose death another coordinator prepared."""
+        if not self._is_addressed(message) or not self.holds_lease():
+            return self._foreign(message)
+        return self._endings.answer(message)
+
+    def _is_addressed(self, message):
+        here = (self.settings.deployment, self._incarnation)
+        return (message.deployment, message.to) == here
 
     async def answer_released(self, message):
         """Take the word of a former owner once the move itself was read."""
@@ -162,14 +221,20 @@
         )
 
     def _foreign(self, message):
-        self.log("message_refused", reason="other deployment", got=message.deployment)
-        return Refused("other deployment")
+        reason = "other deployment"
+        if message.deployment == self.settings.deployment:
+            reason = "other incarnation"
+        kind = type(message).__name__.lower()
+        self.log_once("message_refused", reason=reason, kind=kind)
+        return Refused(reason)
 
     def handlers(self):
         """Return the handlers of control messages by type."""
         return {
             Renew: self.answer_renew,
             Seal: self.answer_seal,
+            Ping: self.answer_ping,
+            Ended: self.answer_ended,
             Released: self.answer_released,
         }
 
@@ -185,6 +250,14 @@
         Asks for a graceful leave.
     """
     await admit(life, addresses)
+    try:
+        await _serve(life, stopping)
+    finally:
+        life.lease.end()
+    life.log("incarnation_ended", incarnation=life.incarnation)
+
+
+async def _serve(life, stopping):
     async with trio.open_nursery() as nursery:
         for task in (
             renew_lease,
@@ -192,15 +265,14 @@
             maintain_witnesses,
             run_planner,
             run_releases,
+            _give_up_when_sealed,
         ):
             nursery.start_soon(task, life)
         nursery.start_soon(run_takeovers, _takeover_context(life))
         nursery.start_soon(_leave_when, life, stopping, nursery.cancel_scope)
         while life.state().alive:
             await life.wait_changed()
-        life.lease.end()
         nursery.cancel_scope.cancel()
-    life.log("incarnation_ended", incarnation=life.incarnation)
 
 
 def _takeover_context(life):
@@ -209,21 +281,63 @@
         life.incarnation,
         life.ownership,
         life.witness,
+        life.endings,
         life.read_at,
         life.call,
         life.write,
         life.successors,
         life.holds_lease,
+        life.destroyed_at,
         life.log,
     )
 
 
+async def _give_up_when_sealed(life):
+    """Leave once a majority of witnesses refuses for good.
+
+    The lease has ended, so that the shards need not wait for a takeover.
+    """
+    await life.lease.wait_ended()
+    life.log("sealed_by_majority", incarnation=life.incarnation)
+    while not await _append_leave(life):
+        await trio.sleep(RETRY_S)
+
+
 async def _leave_when(life, stopping, cancel_scope):
-    """Leave gracefully: finish what is in flight, then hand the shards over."""
+    """Leave gracefully: hand the shards over one by one, then finish what remains."""
     await stopping.wait()
-    life.serving.leave()
     life.log("leaving", in_flight=life.serving.in_flight())
+    with trio.move_on_after(HAND_OVER_S):
+        await _withdraw(life)
+        while any(not life.destination(name) for name in life.owned()):
+            await life.wait_changed()
+    life.serving.leave()
     await life.serving.wait_idle()
+    # A witness that the log records as dead counts as sealed: no grants after this.
+    life.lease.end()
+    await _append_leave(life)
+    cancel_scope.cancel()
+
+
+async def _withdraw(life):
+    """Start moving all shards in one record."""
+    while not life.state().leaving:
+        shards = tuple(
+            entry
+            for entry in life.successors(life.ownership, {life.incarnation})
+            if not life.destination((entry.service, entry.prefix))
+        )
+        record = records.Withdraw(
+            new_id(), life.incarnation, life.state().version, shards
+        )
+        applied = await life.write(record)
+        life.log("withdrawn", shards=len(shards), result=applied)
+        if applied.is_err():
+            await trio.sleep(RETRY_S)
+
+
+async def _append_leave(life):
+    """Append ``leave`` until it has an effect; return False if the log fails."""
     while life.state().alive:
         shards = life.successors(life.ownership, {life.incarnation})
         version = life.state().version
@@ -231,5 +345,5 @@
         applied = await life.write(record)
         life.log("left", shards=len(shards), result=applied)
         if applied.is_err():
-            break
-    cancel_scope.cancel()
+            return False
+    return True
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -1,5 +1,6 @@
 """Assembles a node from its peers and runs one incarnation after the other."""
 
+import random
 from typing import NamedTuple
 
 import trio
@@ -8,13 +9,25 @@
 from jujuberudder_core import Ownership, Sections, make_logger
 from jujuberudder_logservice import Follower, LogClient, Writer
 from jujuberudder_operators import make_operator_app
-from jujuberudder_peers import Channel, ControlServer, Refused, Released, Renew, Seal
+from jujuberudder_peers import (
+    Channel,
+    ControlServer,
+    Ended,
+    Ping,
+    Refused,
+    Released,
+    Renew,
+    Seal,
+)
 from jujuberudder_targets import Admission, TargetHealth, make_pool, run_probes
 
 from ._life import Life, run_life
 
 NODE_CONNECTIONS = 400
 RESTART_PAUSE_S = 0.2
+RESTART_PAUSE_MAX_S = 10.0
+# An incarnation that lasted this long ends the series of quick failures.
+STEADY_S = 30.0
 STREAMS = ("ownership", "sections")
 
 
@@ -33,17 +46,21 @@
     Parameters
     ----------
     settings : Settings
+    client : LogClient or None
+    channel : Channel or None
+        Made from the settings if None.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, client=None, channel=None):
         self._settings = settings
         self._log = make_logger(node=settings.node)
         self._ownership = Ownership()
         self._sections = Sections()
         self._read_at = {}
+        self._section_read_at = {}
         self._life = None
         self._changed = trio.Event()
-        self._client = LogClient(settings.log_address)
+        self._client = client or LogClient(settings.log_address)
         streams = [f"{settings.deployment}.{name}" for name in STREAMS]
         self._follower = Follower(
             self._client, streams[0], self._apply_ownership, self._log
@@ -52,7 +69,7 @@
             self._client, streams[1], self._apply_section, self._log
         )
         self._writer = Writer(self._client, self._follower, streams[0])
-        self._channel = Channel(settings.address_overrides)
+        self._channel = channel or Channel(settings.address_overrides)
 
     @property
     def settings(self):
@@ -113,6 +130,31 @@
         """Return the bodies of the sections in force, by service."""
         return {s.body["service"]: s.body for s in self._sections.all.values()}
 
+    def sections_read(self):
+        """Return the position up to which the configuration stream was read."""
+        return self._section_follower.next
+
+    def declared_destroyed(self, node):
+        """Return whether a section in force lists a node as destroyed."""
+        return any(node in s.body["destroyed"] for s in self._sections.all.values())
+
+    def destroyed_at(self, incarnation):
+        """Return when an operator's word that its VM is destroyed was read, or None.
+
+        The word concerns only incarnations that were admitted before they could read
+        it; a node that reads it is not admitted while it stands.
+        """
+        state = self._ownership.incarnations.get(incarnation)
+        if state is None:
+            return None
+        times = [
+            self._section_read_at[section.name]
+            for section in self._sections.all.values()
+            if state.admit.node in section.body["destroyed"]
+            and state.admit.sections < section.version
+        ]
+        return min(times, default=None)
+
     async def wait_changed(self):
         """Wait until a record was applied or a shard was received."""
         await self._changed.wait()
@@ -140,6 +182,8 @@
         if outcome.is_err():
             self._log("section_rejected", offset=offset, error=outcome.err_value)
         else:
+            if outcome.ok_value:
+                self._section_read_at[record.name] = trio.current_time()
             self._log(
                 "section_applied",
                 section=record.name,
@@ -208,7 +252,9 @@
 
 async def _run_lives(core, health, addresses, stopping):
     """Run incarnations while the target is up, until the node stops."""
+    pause_s = RESTART_PAUSE_S
     while not stopping.is_set():
+        started_at = trio.current_time()
         while not health.up and not stopping.is_set():
             with trio.move_on_after(RESTART_PAUSE_S):
                 await health.wait_changed()
@@ -220,7 +266,11 @@
             nursery.start_soon(_leave_on, leaving, health.wait_changed)
             await run_life(core.start_life(), addresses, leaving)
             nursery.cancel_scope.cancel()
-        await trio.sleep(RESTART_PAUSE_S)
+        if trio.current_time() - started_at > STEADY_S:
+            pause_s = RESTART_PAUSE_S
+        with trio.move_on_after(pause_s * random.uniform(0.5, 1.0)):
+            await stopping.wait()
+        pause_s = min(pause_s * 2, RESTART_PAUSE_MAX_S)
 
 
 async def _leave_on(leaving, wait):
@@ -237,7 +287,7 @@
 
         return handle
 
-    return {kind: to_life(kind) for kind in (Renew, Seal, Released)}
+    return {kind: to_life(kind) for kind in (Renew, Seal, Ping, Ended, Released)}
 
 
 def _route_context(core, health):
--- a/packages/peers/src/jujuberudder_peers/__init__.py
+++ b/packages/peers/src/jujuberudder_peers/__init__.py
@@ -3,7 +3,9 @@
 from ._channel import Channel, ControlServer
 from ._lease import LEASE_S, Lease, run_renewals
 from ._messages import (
+    Ended,
     Granted,
+    Ping,
     Refused,
     Released,
     Renew,
@@ -13,17 +15,20 @@
     Summary,
     Understood,
 )
-from ._takeover import TakeoverContext, run_takeovers
+from ._takeover import Endings, TakeoverContext, run_takeovers
 from ._witness import DRIFT, GRANT_S, Witness
 
 __all__ = [
     "Channel",
     "ControlServer",
     "DRIFT",
+    "Ended",
+    "Endings",
     "GRANT_S",
     "Granted",
     "LEASE_S",
     "Lease",
+    "Ping",
     "Refused",
     "Released",
     "Renew",
--- a/packages/peers/src/jujuberudder_peers/_lease.py
+++ b/packages/peers/src/jujuberudder_peers/_lease.py
@@ -15,7 +15,8 @@
     def __init__(self):
         self._until = float("-inf")
         self._until_by_set = {}
-        self._ended = False
+        self._ended = trio.Event()
+        self._sealed_by = set()
 
     @property
     def until(self):
@@ -25,15 +26,20 @@
     @property
     def ended(self):
         """Whether the incarnation is dead or sealed and never holds a lease again."""
-        return self._ended
+        return self._ended.is_set()
+
+    @property
+    def sealed_by(self):
+        """Witnesses that refuse the incarnation for good."""
+        return self._sealed_by
 
     def held(self, now):
         """Return whether the lease is held."""
-        return not self._ended and now < self._until
+        return not self.ended and now < self._until
 
     def remaining(self, now):
         """Return the seconds left, 0 if it is not held."""
-        return max(0.0, self._until - now) if not self._ended else 0.0
+        return max(0.0, self._until - now) if not self.ended else 0.0
 
     def extend(self, sent_at, witnesses=()):
         """Extend the lease to ``LEASE_S`` after the send time of what was granted.
@@ -50,11 +56,15 @@
 
     def held_from(self, witnesses, now):
         """Return whether the lease is held on the word of a witness set."""
-        return not self._ended and now < self._until_by_set.get(witnesses, now)
+        return not self.ended and now < self._until_by_set.get(witnesses, now)
 
     def end(self):
         """End the lease for good."""
-        self._ended = True
+        self._ended.set()
+
+    async def wait_ended(self):
+        """Wait until the lease has ended for good."""
+        await self._ended.wait()
 
 
 def majority_sent(sent_by_witness, witnesses):
@@ -77,7 +87,9 @@
     return sorted(times, reverse=True)[needed - 1]
 
 
-async def run_renewals(lease, incarnation, witnesses, deployment, call, address_of):
+async def run_renewals(
+    lease, incarnation, witnesses, deployment, call, address_of, counts=True
+):
     """Renew the lease with a set of witnesses until a majority refuses for good.
 
     Parameters
@@ -85,22 +97,25 @@
     lease : Lease
     incarnation : str
     witnesses : tuple of str
+    counts : bool
+        False for the old set during a change of witnesses: its members must not find
+        the incarnation silent, but only the new set extends the lease.
     call : async callable
         ``call(address, message)`` returning ``Result[reply, Failure]``.
     address_of : callable
         Control address of a witness, or None if it is dead.
     """
     sent_by_witness = {}
-    sealed = set()
 
     async def renew(witness):
-        while True:
+        while not lease.ended:
             sent_at = trio.current_time()
             address = address_of(witness)
             if address is not None:
-                message = Renew(deployment, incarnation)
+                message = Renew(deployment, witness, incarnation)
                 reply = await call(address, message, RENEW_TIMEOUT_S)
-                take(witness, sent_at, reply.ok())
+                if counts:
+                    take(witness, sent_at, reply.ok())
             await trio.sleep_until(sent_at + RENEW_INTERVAL_S)
 
     def take(witness, sent_at, reply):
@@ -110,8 +125,8 @@
             if acknowledged is not None:
                 lease.extend(acknowledged, witnesses)
         elif reply == Refused("sealed"):
-            sealed.add(witness)
-            if len(sealed) > len(witnesses) // 2:
+            lease.sealed_by.add(witness)
+            if len(lease.sealed_by & set(witnesses)) > len(witnesses) // 2:
                 lease.end()
 
     async with trio.open_nursery() as nursery:
--- a/packages/peers/src/jujuberudder_peers/_messages.py
+++ b/packages/peers/src/jujuberudder_peers/_messages.py
@@ -9,12 +9,24 @@
 
 
 class Renew(NamedTuple):
-    """Ask a witness to acknowledge the lease of an incarnation."""
+    """Ask a witness to acknowledge the lease of an incarnation.
+
+    ``to`` is the incarnation of the witness: a later incarnation at the same address
+    has not sealed what the earlier one sealed and must not answer for it.
+    """
 
     deployment: str
+    to: str
     incarnation: str
 
 
+class Ping(NamedTuple):
+    """Ask whether a node could act as a witness."""
+
+    deployment: str
+    to: str
+
+
 class Granted(NamedTuple):
     """The witness promised not to be sealed before the grant runs out."""
 
@@ -29,6 +41,7 @@
     """Ask a witness never to acknowledge an incarnation again."""
 
     deployment: str
+    to: str
     incarnation: str
 
 
@@ -38,6 +51,15 @@
     remaining_s: float
 
 
+class Ended(NamedTuple):
+    """An incarnation is sealed and its grants have run out; append its death."""
+
+    deployment: str
+    to: str
+    incarnation: str
+    version: int
+
+
 class Released(NamedTuple):
     """The owner of a moving shard stopped serving it."""
 
@@ -72,6 +94,8 @@
     cls.__name__.lower(): cls
     for cls in (
         Renew,
+        Ping,
+        Ended,
         Granted,
         Refused,
         Seal,
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,230 @@
+"""A log service and a network in memory, with faults, under a simulated clock."""
+
+import random
+
+import trio
+from result import Err, Ok
+
+from jujuberudder import Addresses
+from jujuberudder._node import NodeCore, _handlers, _run_lives
+from jujuberudder_core import Failure, Settings, TargetSettings, decode, encode
+from jujuberudder_logservice import Batch, Entry
+from jujuberudder_peers._messages import decode_message, encode_message
+from jujuberudder_targets import TargetHealth
+
+LOG = "log"
+DELAY_S = 0.004
+LATE_S = 3.0
+APPEND_TIMEOUT_S = 1.0
+POLL_S = 0.02
+
+
+class FakeLog:
+    """Streams; ``first`` is the oldest offset kept of each."""
+
+    def __init__(self):
+        self.streams = {}
+        self.first = {}
+        self.appends = 0
+
+    def put(self, stream, data):
+        """Append a record."""
+        self.streams.setdefault(stream, []).append(data)
+        self.appends += 1
+        return len(self.streams[stream]) - 1
+
+    def expire(self, stream, keep=0):
+        """Remove all but the newest records, as retention does."""
+        self.first[stream] = max(0, len(self.streams[stream]) - keep)
+
+    def batch(self, stream, offset):
+        """Return the records from an offset on."""
+        data, first = self.streams.get(stream, []), self.first.get(stream, 0)
+        start = max(first, offset)
+        entries = [Entry(n, d) for n, d in enumerate(data[start:], start)]
+        return Batch(first, len(data), entries)
+
+
+class Host:
+    """A VM: what its node sees of the log and the network."""
+
+    def __init__(self, cluster, name, zone):
+        self.cluster = cluster
+        self.name = name
+        self.zone = zone
+        self.core = None
+        self.scope = None
+        self.stopping = None
+        self.thawed = trio.Event()
+        self.thawed.set()
+
+    async def pass_to(self, peer):
+        """Wait as a message to or from a peer does; return whether it arrives."""
+        await self.thawed.wait()
+        delay = self.cluster.delay_s()
+        await trio.sleep(delay)
+        return not self.cluster.is_cut(self.name, peer)
+
+    async def append(self, stream, data):
+        """Append through the faults of the log service."""
+        log = self.cluster.log
+        if not await self.pass_to(LOG):
+            return Err(Failure("append", LOG, "cut"))
+        outcome = self.cluster.append_outcome()
+        if outcome == "late":
+            self.cluster.start(self._append_late, stream, data)
+        elif outcome != "refused":
+            offset = log.put(stream, data)
+        answered = await self.pass_to(LOG)
+        await self.thawed.wait()
+        if outcome == "done" and answered:
+            return Ok(offset)
+        await trio.sleep(APPEND_TIMEOUT_S)
+        return Err(Failure("append", LOG, "no answer", True))
+
+    async def _append_late(self, stream, data):
+        await trio.sleep(random.uniform(0, LATE_S))
+        self.cluster.log.put(stream, data)
+
+    async def read(self, stream, offset, wait_s=0.0):
+        """Read through the faults of the log service."""
+        if not await self.pass_to(LOG):
+            return Err(Failure("read", LOG, "cut"))
+        batch = self.cluster.log.batch(stream, offset)
+        until = trio.current_time() + wait_s
+        while not batch.records and trio.current_time() < until:
+            await trio.sleep(POLL_S)
+            batch = self.cluster.log.batch(stream, offset)
+        if self.cluster.faulty and random.random() < 0.1:
+            stale = random.randint(0, len(batch.records))
+            batch = Batch(batch.first, offset + stale, batch.records[:stale])
+        if not await self.pass_to(LOG):
+            return Err(Failure("read", LOG, "cut"))
+        await self.thawed.wait()
+        return Ok(batch)
+
+    async def call(self, address, message, timeout_s=0.5):
+        """Send a control message through the faults of the network."""
+        replies = []
+        arrived = trio.Event()
+        copies = 1 + (self.cluster.faulty and random.random() < 0.05)
+        for _ in range(copies):
+            self.cluster.start(self._deliver, address, message, replies, arrived)
+        with trio.move_on_after(timeout_s):
+            await arrived.wait()
+        await self.thawed.wait()
+        return replies[0] if replies else Err(Failure("call", address, "no reply"))
+
+    async def _deliver(self, address, message, replies, arrived):
+        host = self.cluster.hosts.get(address.split(":")[0])
+        if not await self.pass_to(host.name):
+            return
+        await host.thawed.wait()
+        if host.core is None or host.core.life is None:
+            return
+        data = decode_message(encode_message(message), self.name).ok_value
+        reply = await _handlers(host.core)[type(data)](data)
+        if await host.pass_to(self.name):
+            replies.append(Ok(reply))
+            arrived.set()
+
+    async def aclose(self):
+        """Close nothing."""
+
+    def close(self):
+        """Close nothing."""
+
+    async def run(self):
+        """Run a node until it is killed or has left."""
+        settings = Settings(
+            "sim", self.name, self.zone, "jobs", TargetSettings("t:1"), LOG
+        )
+        self.core = NodeCore(settings, self, self)
+        self.scope, self.stopping = trio.CancelScope(), trio.Event()
+        health = TargetHealth()
+        health.note(True)
+        addresses = Addresses(*(f"{self.name}:{port}" for port in range(4)))
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                for follower in self.core.followers:
+                    nursery.start_soon(follower.run)
+                await _run_lives(self.core, health, addresses, self.stopping)
+                nursery.cancel_scope.cancel()
+        self.core = None
+
+
+class Cluster:
+    """Hosts, a log and the faults between them."""
+
+    def __init__(self, nursery, zones, section):
+        self._nursery = nursery
+        self.log = FakeLog()
+        self.faulty = False
+        self.cuts = set()
+        self.hosts = {}
+        self.log.put("sim.sections", encode(section))
+        for number, zone in enumerate(zones):
+            host = Host(self, f"n{number}", zone)
+            self.hosts[host.name] = host
+            self.start(host.run)
+
+    def start(self, *task):
+        """Start a task."""
+        self._nursery.start_soon(*task)
+
+    def is_cut(self, one, other):
+        """Return whether messages between two peers are lost now."""
+        lost = self.faulty and LOG not in (one, other) and random.random() < 0.03
+        return lost or frozenset((one, other)) in self.cuts
+
+    def delay_s(self):
+        """Return the delay of one message."""
+        if self.faulty and random.random() < 0.02:
+            return random.uniform(0, LATE_S)
+        return random.uniform(0, DELAY_S)
+
+    def append_outcome(self):
+        """Return what becomes of an append."""
+        outcomes = ["done"] * 16 + ["late", "lost answer", "refused"]
+        return random.choice(outcomes) if self.faulty else "done"
+
+    def running(self):
+        """Return the hosts whose node has an incarnation."""
+        hosts = self.hosts.values()
+        return [h for h in hosts if h.core is not None and h.core.life is not None]
+
+    def serving(self, bits):
+        """Return ``(host, epoch)`` of all nodes that serve a hash now."""
+        found = []
+        for host in self.running():
+            prefix = host.core.ownership.find("jobs", bits)
+            if prefix is None:
+                continue
+            epoch = host.core.life.serving.finishing("jobs", prefix)
+            if epoch is not None:
+                found.append((host.name, epoch))
+        return found
+
+    def heal(self):
+        """End all faults."""
+        self.faulty = False
+        self.cuts.clear()
+        for host in self.hosts.values():
+            host.thawed.set()
+            if host.core is None:
+                self.start(host.run)
+
+    def newest(self):
+        """Return the fold of the node that has read the most."""
+        cores = [host.core for host in self.running()]
+        return max(cores, key=lambda core: core.follower.next, default=None)
+
+    def records(self):
+        """Return the decoded records of the ownership stream."""
+        return [decode(d).ok_value for d in self.log.streams.get("sim.ownership", [])]
+
+
+def simulate(main, *args):
+    """Run an async function under a clock that jumps to the next deadline."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(main, *args, clock=clock)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -57,7 +57,7 @@
         + [
             move(3, "b"),
             records.Release("x", "jobs", "", 3),
-            records.Cancel("y", "jobs", "", 3),
+            records.Cancel("y", "jobs", "", 3, 4),
         ],
         False,
     ),
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,188 @@
+"""Random walks of whole nodes through faults: one owner per key, and recovery."""
+
+import random
+import secrets
+
+import pytest
+import trio
+from fakes import LOG, Cluster, simulate
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from jujuberudder_core import encode, new_id, records
+
+ZONES = ("a", "b", "c", "a", "b", "c")
+SECTION = records.Section(
+    "s",
+    "jobs",
+    0,
+    "{service: jobs, routes: [{path_prefix: /}], initial_shard_bits: 2, "
+    "key: {source: query, name: k}}",
+)
+LEAVES = [format(n, "04b").ljust(64, "0") for n in range(16)]
+CHECK_S = 0.02
+RECOVERY_S = 30.0
+ACTIONS = (
+    "cut",
+    "cut log",
+    "cut zone",
+    "log down",
+    "heal",
+    "faults",
+    "freeze",
+    "thaw",
+    "kill",
+    "start",
+    "stop",
+    "move",
+    "split",
+    "merge",
+    "request",
+    "renew witnesses",
+)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(ACTIONS),
+        st.integers(0, len(ZONES) - 1),
+        st.integers(0, len(ZONES) - 1),
+        st.floats(0.01, 1.2),
+    ),
+    min_size=30,
+    max_size=60,
+)
+
+
+@pytest.fixture(autouse=True)
+def repeatable_ids(monkeypatch):
+    """Draw ids from the random source that hypothesis seeds."""
+    monkeypatch.setattr(secrets, "token_hex", lambda n: random.randbytes(n).hex())
+
+
+class Checker:
+    """Watches that no key has two owners and that epochs only rise."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self._epochs = dict.fromkeys(LEAVES, (0, None))
+
+    def check(self):
+        """Raise if a key has two owners or its epoch fell."""
+        for bits in LEAVES:
+            found = self._cluster.serving(bits)
+            assert len(found) <= 1, f"two owners of {bits[:4]}: {found}"
+            for host, epoch in found:
+                last, holder = self._epochs[bits]
+                assert epoch >= last, f"epoch {epoch} at {host} after {last}"
+                assert epoch > last or holder in (None, host), f"epoch of {holder}"
+                self._epochs[bits] = (epoch, host)
+
+    async def run(self):
+        """Check for ever."""
+        while True:
+            self.check()
+            await trio.sleep(CHECK_S)
+
+    def served(self):
+        """Return whether all keys are served."""
+        return all(self._cluster.serving(bits) for bits in LEAVES)
+
+
+def act(cluster, action, one, other):
+    """Inject one fault or change."""
+    host, peer = cluster.hosts[f"n{one}"], cluster.hosts[f"n{other}"]
+    if action == "cut":
+        cluster.cuts.add(frozenset((host.name, peer.name)))
+    elif action == "cut log":
+        cluster.cuts.add(frozenset((host.name, LOG)))
+    elif action == "cut zone":
+        inside = [h.name for h in cluster.hosts.values() if h.zone == host.zone]
+        outside = [h.name for h in cluster.hosts.values() if h.zone != host.zone]
+        cluster.cuts |= {frozenset((a, b)) for a in inside for b in outside}
+    elif action == "log down":
+        cluster.cuts |= {frozenset((name, LOG)) for name in cluster.hosts}
+    elif action == "heal":
+        cluster.cuts.clear()
+    elif action == "faults":
+        cluster.faulty = not cluster.faulty
+    elif action == "freeze" and host.thawed.is_set():
+        host.thawed = trio.Event()
+    elif action == "thaw":
+        host.thawed.set()
+    elif action == "kill" and host.core is not None:
+        host.scope.cancel()
+    elif action == "start" and host.core is None:
+        cluster.start(host.run)
+    elif action == "stop" and host.core is not None:
+        host.stopping.set()
+    elif action == "request":
+        cluster.start(hold_request, host, one + other)
+    else:
+        change(cluster, action, host, one + other)
+
+
+async def hold_request(host, number):
+    """Hold a request in flight at a node that admits it."""
+    if host.core is None or host.core.life is None:
+        return
+    serving = host.core.life.serving
+    prefix = host.core.ownership.find("jobs", LEAVES[number])
+    if prefix is None or serving.admitting("jobs", prefix) is None:
+        return
+    serving.enter("jobs", prefix)
+    await trio.sleep(random.uniform(0, 2))
+    serving.exit("jobs", prefix)
+
+
+def change(cluster, action, host, number):
+    """Append a change of shards or witnesses, as another node would."""
+    core = cluster.newest()
+    if core is None or frozenset((host.name, LOG)) in cluster.cuts:
+        return
+    ownership = core.ownership
+    shards = sorted(ownership.shards("jobs").items())
+    if not shards:
+        return
+    prefix, shard = shards[number % len(shards)]
+    life = host.core.life if host.core else None
+    record = None
+    if action == "move" and life:
+        entry = records.ShardOwner("jobs", prefix, shard.epoch, life.incarnation)
+        record = records.Move(new_id(), "p", (entry,))
+    elif action == "split" and len(prefix) < 4:
+        record = records.Split(new_id(), "jobs", prefix, shard.epoch)
+    elif action == "merge" and prefix:
+        pair = [ownership.shards("jobs").get(prefix[:-1] + d) for d in "01"]
+        if None not in pair:
+            epochs = (pair[0].epoch, pair[1].epoch)
+            record = records.Merge(new_id(), "jobs", prefix[:-1], epochs)
+    elif action == "renew witnesses" and life:
+        life.lease.sealed_by.update(life.state().witnesses[:1])
+    if record is not None:
+        cluster.log.put("sim.ownership", encode(record))
+
+
+async def walk(steps):
+    """Start a deployment, take the steps, then end all faults and wait."""
+    async with trio.open_nursery() as nursery:
+        cluster = Cluster(nursery, ZONES, SECTION)
+        checker = Checker(cluster)
+        cluster.start(checker.run)
+        await trio.sleep(3)
+        assert checker.served(), "the deployment did not start"
+        for action, one, other, pause_s in steps:
+            act(cluster, action, one, other)
+            checker.check()
+            await trio.sleep(pause_s)
+        cluster.heal()
+        with trio.move_on_after(RECOVERY_S):
+            while not checker.served():
+                await trio.sleep(CHECK_S)
+        assert checker.served(), "keys stayed unserved after the faults ended"
+        nursery.cancel_scope.cancel()
+
+
+@settings(max_examples=10, phases=[Phase.generate])
+@given(steps=STEPS)
+def test_one_owner_through_faults(steps):
+    """Guards against two owners of a key, falling epochs and lost recovery."""
+    simulate(walk, steps)
