Refuse sections and settings with path and line

Cause: the schema accepted unknown nested keys, named no line, and let two sections claim one route; a wrong listener address ended the node with a traceback. Change: documents carry the line of each path; the schema covers limits, retries, destroyed VMs, weights and dashboards; the fold and the check refuse collisions; the binary checks its addresses and the log service before it starts.

--- a/packages/clients/src/jujuberudder_clients/_route.py
+++ b/packages/clients/src/jujuberudder_clients/_route.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 from urllib.parse import parse_qs
 
+from jujuberudder_core import match_section
+
 from . import _headers as headers
 
 ZONE_CROSSING_COST = 0.5
@@ -33,16 +35,7 @@
 def find_section(sections, scope):
     """Return the section whose route matches best, or None."""
     host = headers.get(scope["headers"], b"host") or ""
-    path = scope["path"]
-    best = None
-    for section in sections.all.values():
-        for route in section.body["routes"]:
-            if route.get("host") not in (None, host):
-                continue
-            prefix = route.get("path_prefix", "")
-            if path.startswith(prefix) and (best is None or len(prefix) > best[0]):
-                best = (len(prefix), section)
-    return best[1] if best else None
+    return match_section(sections.all, host, scope["path"])
 
 
 def find_key(source, scope):
--- a/packages/core/src/jujuberudder_core/__init__.py
+++ b/packages/core/src/jujuberudder_core/__init__.py
@@ -2,11 +2,19 @@
 
 from . import _records as records
 from ._clock import BoottimeClock
+from ._documents import Document, Problem, convert, read_document
 from ._errors import Failure, UserError
 from ._logging import format_line, make_logger, start_logging
 from ._ownership import Claimed, Incarnation, Ownership, Shard
 from ._records import decode, encode, new_id
-from ._sections import PublishedSection, SectionBody, Sections, parse_section
+from ._sections import (
+    DEFAULTS,
+    PublishedSection,
+    SectionBody,
+    Sections,
+    match_section,
+    parse_section,
+)
 from ._serving import Serving
 from ._settings import Settings, TargetSettings, load_settings, parse_settings
 from ._shards import covers_once, hash_bits, prefix_of, uniform_prefixes
@@ -14,9 +22,12 @@
 __all__ = [
     "BoottimeClock",
     "Claimed",
+    "DEFAULTS",
+    "Document",
     "Failure",
     "Incarnation",
     "Ownership",
+    "Problem",
     "PublishedSection",
     "SectionBody",
     "Sections",
@@ -25,6 +36,7 @@
     "Shard",
     "TargetSettings",
     "UserError",
+    "convert",
     "covers_once",
     "decode",
     "encode",
@@ -32,10 +44,12 @@
     "hash_bits",
     "load_settings",
     "make_logger",
+    "match_section",
     "new_id",
     "parse_section",
     "parse_settings",
     "prefix_of",
+    "read_document",
     "records",
     "start_logging",
     "uniform_prefixes",
--- /dev/null
+++ b/packages/core/src/jujuberudder_core/_instruments.py
@@ -0,0 +1,168 @@
+"""The instruments that a node serves on ``/metrics`` and checks of their renames."""
+
+from typing import NamedTuple
+
+# Labels of all series of a node.
+COMMON_LABELS = ("node", "availability_zone")
+TIME_BOUNDS_S = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+)
+
+
+class Instrument(NamedTuple):
+    """One instrument.
+
+    Parameters
+    ----------
+    name : str
+        As on ``/metrics``; Prometheus appends ``_bucket``, ``_sum`` and ``_count`` to
+        histograms.
+    kind : str
+        ``"counter"``, ``"gauge"`` or ``"histogram"``.
+    labels : tuple of str
+        Besides `COMMON_LABELS`.
+    question : str
+        What it answers.
+    bounds : tuple of float
+        Bucket bounds of a histogram.
+    """
+
+    name: str
+    kind: str
+    labels: tuple[str, ...]
+    question: str
+    bounds: tuple[float, ...] = ()
+
+
+def _counter(name, labels, question):
+    return Instrument(f"jujuberudder_{name}_total", "counter", labels, question)
+
+
+def _gauge(name, labels, question):
+    return Instrument(f"jujuberudder_{name}", "gauge", labels, question)
+
+
+def _seconds(name, labels, question):
+    name = f"jujuberudder_{name}_seconds"
+    return Instrument(name, "histogram", labels, question, TIME_BOUNDS_S)
+
+
+SERVICE = ("service",)
+ALL = (
+    _counter(
+        "requests",
+        ("service", "outcome", "reason"),
+        "How many requests were answered, and why were the others refused?",
+    ),
+    _seconds("request", SERVICE, "How long did requests take at this node?"),
+    _counter("retries", SERVICE, "How many requests were sent again?"),
+    _gauge("retry_budget", SERVICE, "How many retries are left in the budget?"),
+    _gauge("slots", SERVICE, "How many slots does the target have?"),
+    _gauge("slots_used", SERVICE, "How many slots of the target are in use?"),
+    _gauge("queue_limit", SERVICE, "How many requests may wait for a slot?"),
+    _gauge("queue_waiting", SERVICE, "How many requests wait for a slot?"),
+    _gauge("target_up", SERVICE, "Do probes reach the target?"),
+    _gauge("imbalance", SERVICE, "How much more shards than the mean has the fullest?"),
+    _gauge("shards_owned", SERVICE, "How many shards does this node own?"),
+    _gauge("shards_unserved", SERVICE, "How many shards have no live owner?"),
+    _counter(
+        "shard_owner_changes",
+        ("service", "cause"),
+        "How many shards changed owner, and why (churn)?",
+    ),
+    _gauge("churn_ratio", SERVICE, "Which share of ownership changed since the start?"),
+    _counter(
+        "unavailable_seconds",
+        ("service", "owner_availability_zone"),
+        "For how many shard-seconds were shards without a live owner?",
+    ),
+    _gauge("lease_held", (), "Does this node hold its lease?"),
+    _gauge("lease_remaining_seconds", (), "How long does its lease still run?"),
+    _counter(
+        "lease_renewals", ("result",), "Do the witnesses acknowledge the renewals?"
+    ),
+    _seconds("lease_margin", (), "How much of the lease was left at each renewal?"),
+    _seconds("takeover_step", ("step",), "Which step of takeovers took how long?"),
+    _counter("takeovers", ("result",), "How many takeovers did this node carry out?"),
+    _counter("moves", ("service", "step"), "How many shards were moved?"),
+    _counter(
+        "log_appends", ("stream", "result"), "How many records were appended or failed?"
+    ),
+    _gauge("log_read_age_seconds", ("stream",), "When was the log last read?"),
+    _gauge("log_position", ("stream",), "Up to which offset was the log read?"),
+    _gauge("section_version", ("section",), "Which version is in force here?"),
+    _counter("sections_rejected", (), "How many invalid sections are in the log?"),
+)
+BY_NAME = {instrument.name: instrument for instrument in ALL}
+
+
+def check_renames(dashboards):
+    """Return ``(path, reason)`` of what is wrong with renames, or None.
+
+    Parameters
+    ----------
+    dashboards : Dashboards
+    """
+    names = {}
+    for name, rename in dashboards["instruments"].items():
+        found = _rename_problem(name, rename)
+        if found:
+            return f".instruments.{name}{found[0]}", found[1]
+    renamed = dashboards["instruments"]
+    kept = set(BY_NAME)
+    if not dashboards.get("keep_both"):
+        kept -= {name for name, rename in renamed.items() if "name" in rename}
+    for name, rename in renamed.items():
+        new = rename.get("name", name)
+        if new in names or (new in kept and new != name):
+            return f".instruments.{name}.name", f"{new!r} is already in use"
+        names[new] = name
+    return None
+
+
+def _rename_problem(name, rename):
+    instrument = BY_NAME.get(name)
+    if instrument is None:
+        return "", "no such instrument"
+    if instrument.kind == "counter" and not rename.get("name", name).endswith("_total"):
+        return ".name", "the name of a counter ends with `_total`"
+    labels = instrument.labels + COMMON_LABELS
+    for label in rename.get("labels", {}):
+        if label not in labels:
+            return f".labels.{label}", f"expected one of {', '.join(labels)}"
+    result = [rename.get("labels", {}).get(label, label) for label in labels]
+    for label in rename.get("labels", {}):
+        if result.count(rename["labels"][label]) > 1:
+            return f".labels.{label}", f"two labels named {rename['labels'][label]!r}"
+        if rename["labels"][label] in ("le", "quantile"):
+            return f".labels.{label}", "the name is reserved"
+    return _buckets_problem(instrument, rename)
+
+
+def _buckets_problem(instrument, rename):
+    buckets = rename.get("buckets")
+    if buckets is None:
+        return None
+    if instrument.kind != "histogram":
+        return ".buckets", f"a {instrument.kind} has no buckets"
+    if buckets != sorted(set(buckets)):
+        return ".buckets", "expected rising bounds"
+    for index, bound in enumerate(buckets):
+        if bound not in instrument.bounds:
+            known = ", ".join(f"{known:g}" for known in instrument.bounds)
+            return f".buckets[{index}]", f"expected some of {known}"
+    return None
--- a/packages/core/src/jujuberudder_core/_sections.py
+++ b/packages/core/src/jujuberudder_core/_sections.py
@@ -1,63 +1,121 @@
 """Sections of the configuration document: schema, checks and the fold of versions."""
 
-from typing import NamedTuple, NotRequired, Required, TypedDict, get_type_hints
+from typing import Annotated, Literal, NamedTuple, Required, TypedDict
 
-import msgspec
-import yaml
+from msgspec import Meta
 from result import Err, Ok
 
+from ._documents import Problem, convert, read_document
 from ._errors import Failure
+from ._instruments import check_renames
+
+DASHBOARDS = "dashboards"
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]*$", max_length=63)]
+Method = Annotated[str, Meta(pattern=r"^[A-Z]+$")]
+Count = Annotated[int, Meta(ge=1)]
+Millis = Annotated[int, Meta(ge=1, le=3_600_000)]
+Percent = Annotated[int, Meta(ge=0, le=100)]
+Weight = Annotated[float, Meta(ge=0)]
+Host = Annotated[str, Meta(pattern=r"^[A-Za-z0-9.:\[\]-]+$")]
+PathPrefix = Annotated[str, Meta(pattern=r"^/")]
+PrometheusName = Annotated[str, Meta(pattern=r"^[a-zA-Z_][a-zA-Z0-9_]*$")]
 
 
 class Route(TypedDict, total=False):
     """Selects a service by host, path prefix or both."""
 
-    host: str
-    path_prefix: str
+    host: Host
+    path_prefix: PathPrefix
 
 
 class KeySource(TypedDict, total=False):
     """Where the key of a request is: ``header``, ``path_segment`` or ``query``."""
 
-    source: Required[str]
-    name: str
-    index: int
+    source: Required[Literal["header", "path_segment", "query"]]
+    name: Annotated[str, Meta(min_length=1)]
+    index: Annotated[int, Meta(ge=0)]
+
+
+class PlacementWeights(TypedDict, total=False):
+    """How much each measure counts when shards are placed; only ratios matter."""
+
+    unavailable_time: Weight
+    churn: Weight
+    imbalance: Weight
+
+
+class Rename(TypedDict, total=False):
+    """New name, labels and histogram bounds of one instrument."""
+
+    name: PrometheusName
+    labels: dict[str, PrometheusName]
+    buckets: Annotated[list[float], Meta(min_length=1)]
+
+
+class Dashboards(TypedDict, total=False):
+    """Renames of instruments, by name as on ``/metrics``."""
+
+    keep_both: bool
+    instruments: Required[dict[str, Rename]]
 
 
 class SectionBody(TypedDict, total=False):
-    """A section of one service. Times are in milliseconds, sizes in bytes."""
+    """A section of one service. Times are in milliseconds, sizes in bytes.
+
+    The defaults are in `DEFAULTS`; ``docs/configuration.md`` describes each key.
+    """
 
-    service: Required[str]
-    team: NotRequired[str]
-    routes: Required[list[Route]]
+    service: Required[Name]
+    team: str
+    routes: Annotated[list[Route], Meta(min_length=1)]
     key: KeySource
-    idempotent_methods: list[str]
-    deadline_ms: int
-    max_body_bytes: int
-    slots: int
-    connections: int
-    queue: int
-    drain: list[str]
-    initial_shard_bits: int
+    idempotent_methods: list[Method]
+    deadline_ms: Millis
+    max_body_bytes: Count
+    retries: Annotated[int, Meta(ge=0, le=10)]
+    retry_budget_percent: Percent
+    slots: Count
+    connections: Count
+    queue: Annotated[int, Meta(ge=0)]
+    client_slots_percent: Annotated[int, Meta(ge=1, le=100)]
+    key_slots_percent: Annotated[int, Meta(ge=1, le=100)]
+    service_call_slots_percent: Annotated[int, Meta(ge=1, le=100)]
+    slow_start_ms: Annotated[int, Meta(ge=0, le=3_600_000)]
+    drain: list[Name]
+    destroyed: list[Name]
+    availability_zone_weights: dict[Name, Weight]
+    placement_weights: PlacementWeights
+    initial_shard_bits: Annotated[int, Meta(ge=0, le=16)]
+    dashboards: Dashboards
 
 
 DEFAULTS = SectionBody(
     service="",
+    team="",
     routes=[],
     idempotent_methods=[],
     deadline_ms=10_000,
     max_body_bytes=128 * 1024 * 1024,
+    retries=2,
+    retry_budget_percent=10,
     slots=20,
     connections=100,
     queue=100,
+    client_slots_percent=50,
+    key_slots_percent=50,
+    service_call_slots_percent=50,
+    slow_start_ms=5_000,
     drain=[],
+    destroyed=[],
+    availability_zone_weights={},
+    placement_weights=PlacementWeights(unavailable_time=1.0, churn=1.0, imbalance=1.0),
     initial_shard_bits=5,
 )
-KEY_SOURCES = ("header", "path_segment", "query")
 
 
 class PublishedSection(NamedTuple):
-    """A section in force; ``version`` is the offset of its record."""
+    """A section in force; ``version`` is the offset of its record plus one."""
 
     name: str
     version: int
@@ -78,55 +136,168 @@
     Returns
     -------
     body : Result[SectionBody, Failure]
+        The reason of a failure is ``line N: PATH: what is expected``.
+    """
+    document = read_document(text)
+    if document.is_err():
+        return Err(Failure("parse", name, str(document.err_value)))
+    converted = convert(document.ok_value, SectionBody)
+    if converted.is_err():
+        return Err(Failure("check", name, str(converted.err_value)))
+    body = _with_defaults(converted.ok_value)
+    found = _find_problem(converted.ok_value)
+    if found:
+        path, reason = found
+        problem = Problem(path, document.ok_value.line(path), reason)
+        return Err(Failure("check", name, str(problem)))
+    return Ok(body)
+
+
+def _with_defaults(body):
+    weights = DEFAULTS["placement_weights"] | body.get("placement_weights", {})
+    return DEFAULTS | body | {"placement_weights": weights}
+
+
+def _find_problem(body):
+    """Return ``(path, reason)`` of what the types do not express, or None."""
+    if body["service"] == DASHBOARDS:
+        return _dashboards_problem(body)
+    if "dashboards" in body:
+        return "$.dashboards", f"only allowed in the section of service {DASHBOARDS!r}"
+    if "routes" not in body:
+        return "$.routes", "missing"
+    for index, route in enumerate(body["routes"]):
+        if not route:
+            return f"$.routes[{index}]", "expected `host`, `path_prefix` or both"
+        if route in body["routes"][:index]:
+            return f"$.routes[{index}]", "the same route twice"
+    return _key_problem(body.get("key")) or _weights_problem(body)
+
+
+def _key_problem(key):
+    if key is None:
+        return None
+    by_index = key["source"] == "path_segment"
+    needed, unused = ("index", "name") if by_index else ("name", "index")
+    if needed not in key:
+        return f"$.key.{needed}", f"missing, needed for source {key['source']!r}"
+    if unused in key:
+        return f"$.key.{unused}", f"not used for source {key['source']!r}"
+    return None
+
+
+def _weights_problem(body):
+    weights = _with_defaults(body)["placement_weights"]
+    if not any(weights.values()):
+        return "$.placement_weights", "expected at least one weight above 0"
+    for zone, weight in body.get("availability_zone_weights", {}).items():
+        if weight > 0:
+            return None
+        path = f"$.availability_zone_weights.{zone}"
+    if body.get("availability_zone_weights"):
+        return path, "expected at least one weight above 0"
+    return None
+
+
+def _dashboards_problem(body):
+    for name in body:
+        if name not in ("service", "team", "dashboards"):
+            return f"$.{name}", f"not allowed in the section of service {DASHBOARDS!r}"
+    if "dashboards" not in body:
+        return "$.dashboards", "missing"
+    found = check_renames(body["dashboards"])
+    return (f"$.dashboards{found[0]}", found[1]) if found else None
+
+
+def find_collision(sections, name, body):
+    """Return the route that a section shares with another one.
+
+    Routes collide if host and path prefix are equal: of different ones the longer path
+    prefix wins, and of equal path prefixes the route that names a host.
+
+    Parameters
+    ----------
+    sections : dict of str to PublishedSection
+    name : str
+        Name of the section that ``body`` belongs to.
+    body : SectionBody
+
+    Returns
+    -------
+    collision : tuple of (int, str) or None
+        Index of the route in ``body`` and name of the other section.
     """
-    try:
-        data = yaml.safe_load(text)
-        body = msgspec.convert(data, SectionBody)
-    except yaml.YAMLError as error:
-        return Err(Failure("parse", name, " ".join(str(error).split())))
-    except msgspec.ValidationError as error:
-        return Err(Failure("check", name, str(error)))
-    problem = _unknown_key(data) or _problem(body)
-    if problem:
-        return Err(Failure("check", name, problem))
-    return Ok(DEFAULTS | body)
-
-
-def _unknown_key(data):
-    unknown = sorted(set(data) - set(get_type_hints(SectionBody)))
-    return f"unknown key `$.{unknown[0]}`" if unknown else None
-
-
-def _problem(body):
-    key = body.get("key")
-    if key and key["source"] not in KEY_SOURCES:
-        return f"expected one of {', '.join(KEY_SOURCES)} - at `$.key.source`"
-    if key and key["source"] == "path_segment" and key.get("index", -1) < 0:
-        return "expected an index of 0 or more - at `$.key.index`"
-    if key and key["source"] != "path_segment" and not key.get("name"):
-        return "expected a name - at `$.key.name`"
-    for field in ("deadline_ms", "max_body_bytes", "slots", "connections"):
-        if body.get(field, 1) < 1:
-            return f"expected 1 or more - at `$.{field}`"
+    taken = {
+        _route_id(route): other.name
+        for other in sections.values()
+        if other.name != name
+        for route in other.body["routes"]
+    }
+    for index, route in enumerate(body["routes"]):
+        if _route_id(route) in taken:
+            return index, taken[_route_id(route)]
     return None
 
 
+def _route_id(route):
+    return route.get("host", "").lower(), route.get("path_prefix", "")
+
+
+def match_section(sections, host, path):
+    """Return the section whose route matches a request best, or None.
+
+    Parameters
+    ----------
+    sections : dict of str to PublishedSection
+    host : str
+        Value of the Host header.
+    path : str
+    """
+    best_rank, best = None, None
+    for section in sections.values():
+        for route in section.body["routes"]:
+            route_host, prefix = _route_id(route)
+            if route_host not in ("", host.lower()) or not path.startswith(prefix):
+                continue
+            rank = (len(prefix), bool(route_host))
+            if best_rank is None or rank > best_rank:
+                best_rank, best = rank, section
+    return best
+
+
 class Sections:
     """Fold of the configuration stream."""
 
     def __init__(self):
         self._sections = {}
         self._offset = -1
+        self._rejected = 0
 
     @property
     def all(self):
         """Sections in force, by name."""
         return self._sections
 
+    @property
+    def rejected(self):
+        """Number of records read whose section was invalid."""
+        return self._rejected
+
+    @property
+    def renames(self):
+        """Renames of instruments in force."""
+        section = self._sections.get(DASHBOARDS)
+        return section.body["dashboards"] if section else Dashboards(instruments={})
+
     def get(self, name):
         """Return the section in force, or None."""
         return self._sections.get(name)
 
+    def version(self, name):
+        """Return the version in force, 0 if there is none."""
+        section = self._sections.get(name)
+        return section.version if section else 0
+
     def apply(self, offset, record):
         """Apply a ``section`` record.
 
@@ -138,19 +309,50 @@
         Returns
         -------
         outcome : Result[bool, Failure]
-            Ok(False) if the base is superseded; Err if the section fails the schema, in
+            Ok(False) if the base is superseded; Err if the section is invalid, in
             which case the last good one stays in force.
         """
         if offset <= self._offset:
             return Ok(False)
         self._offset = offset
-        current = self._sections.get(record.name)
-        if record.base != (current.version if current else 0):
+        if record.base != self.version(record.name):
             return Ok(False)
-        parsed = parse_section(record.text, record.name)
-        if parsed.is_err():
-            return parsed
+        checked = self.check(record.name, record.text)
+        if checked.is_err():
+            self._rejected += 1
+            return checked
         self._sections[record.name] = PublishedSection(
-            record.name, offset, parsed.ok_value, record.text
+            record.name, offset, checked.ok_value, record.text
         )
         return Ok(True)
+
+    def check(self, name, text):
+        """Return the body of a section that may come into force beside the others.
+
+        Parameters
+        ----------
+        name : str
+        text : str
+
+        Returns
+        -------
+        body : Result[SectionBody, Failure]
+        """
+        parsed = parse_section(text, name)
+        if parsed.is_err():
+            return parsed
+        body = parsed.ok_value
+        if body["service"] != name:
+            reason = f"expected service {name!r}, got {body['service']!r}"
+            return _refuse(name, text, "$.service", reason)
+        collision = find_collision(self._sections, name, body)
+        if collision:
+            index, other = collision
+            reason = f"collides with a route of section {other!r}"
+            return _refuse(name, text, f"$.routes[{index}]", reason)
+        return parsed
+
+
+def _refuse(name, text, path, reason):
+    line = read_document(text).ok_value.line(path)
+    return Err(Failure("check", name, str(Problem(path, line, reason))))
--- a/packages/core/src/jujuberudder_core/_settings.py
+++ b/packages/core/src/jujuberudder_core/_settings.py
@@ -1,12 +1,16 @@
 """Settings of a node, read from one YAML file."""
 
-from typing import NamedTuple, TypedDict
+import ipaddress
+from typing import Annotated, NamedTuple, Required, TypedDict
 
-import msgspec
-import yaml
+from msgspec import Meta
+from result import Err
 
+from ._documents import Document, Problem, convert, read_document
 from ._errors import UserError
 
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]*$", max_length=63)]
+
 
 class TargetSettings(NamedTuple):
     """The target beside the node."""
@@ -38,17 +42,17 @@
 
 
 class _TargetFile(TypedDict, total=False):
-    address: str
+    address: Required[str]
     checks_fences: bool
 
 
 class _SettingsFile(TypedDict, total=False):
-    deployment: str
-    node: str
-    availability_zone: str
-    service: str
-    target: _TargetFile
-    log_address: str
+    deployment: Required[Name]
+    node: Required[Name]
+    availability_zone: Required[Name]
+    service: Required[Name]
+    target: Required[_TargetFile]
+    log_address: Required[str]
     client_address: str
     request_address: str
     control_address: str
@@ -56,7 +60,12 @@
     address_overrides: dict[str, str]
 
 
-_REQUIRED = ("deployment", "node", "availability_zone", "service", "target")
+LISTEN_ADDRESSES = (
+    "client_address",
+    "request_address",
+    "control_address",
+    "operator_address",
+)
 
 
 def load_settings(path):
@@ -73,43 +82,62 @@
     Raises
     ------
     UserError
-        One line with file, path in the file and what is expected.
+        One line with file, line, path in the file and what is expected.
     """
     try:
         with open(path, encoding="utf-8") as file:
-            data = yaml.safe_load(file)
+            text = file.read()
     except OSError as error:
         raise UserError(f"{path}: {error.strerror}") from error
-    except yaml.YAMLError as error:
-        raise UserError(f"{path}: {' '.join(str(error).split())}") from error
-    return parse_settings(data, path)
+    except UnicodeDecodeError as error:
+        raise UserError(f"{path}: expected UTF-8 text") from error
+    document = read_document(text)
+    if document.is_err():
+        raise UserError(f"{path}: {document.err_value}")
+    return _settings(document.ok_value, path)
 
 
 def parse_settings(data, path="settings"):
     """Return checked settings from decoded YAML; errors as in `load_settings`."""
+    return _settings(Document(data, {}), path)
+
+
+def _settings(document, path):
+    checked = convert(document, _SettingsFile)
+    if checked.is_ok():
+        problem = _address_problem(document, checked.ok_value)
+        checked = Err(problem) if problem else checked
+    if checked.is_err():
+        raise UserError(f"{path}: {checked.err_value}")
+    fields = dict(checked.ok_value)
+    target = TargetSettings(**fields.pop("target"))
+    return Settings(target=target, **fields)
+
+
+def _address_problem(document, data):
+    addresses = {name: data[name] for name in LISTEN_ADDRESSES if name in data}
+    peers = {"log_address": data["log_address"]}
+    peers["target.address"] = data["target"]["address"]
+    for old, new in data.get("address_overrides", {}).items():
+        peers[f"address_overrides.{old}"] = new
+    for name, value in (addresses | peers).items():
+        port = _port(value)
+        if port is None or (port == 0 and name in peers):
+            reason = f"expected an IP address and port, host:port, got {value!r}"
+            return Problem(f"$.{name}", document.line(f"$.{name}"), reason)
+    fixed = [value for value in addresses.values() if _port(value)]
+    for name, value in addresses.items():
+        if fixed.count(value) > 1:
+            reason = f"{value} is used by two listeners"
+            return Problem(f"$.{name}", document.line(f"$.{name}"), reason)
+    return None
+
+
+def _port(address):
+    """Return the port of an address, or None if it is not ``IP:port``."""
+    host, _, port = address.rpartition(":")
     try:
-        checked = msgspec.convert(data, _SettingsFile)
-    except msgspec.ValidationError as error:
-        raise UserError(f"{path}: {error}") from error
-    _check_keys(data, path)
-    target = TargetSettings(**checked.pop("target"))
-    return Settings(target=target, **checked)
-
-
-def _check_keys(data, path):
-    for name in _REQUIRED + ("log_address",):
-        if name not in data:
-            raise UserError(f"{path}: $.{name}: missing")
-    if "address" not in data["target"]:
-        raise UserError(f"{path}: $.target.address: missing")
-    known = {"$.": _SettingsFile, "$.target.": _TargetFile}
-    for prefix, names in (("$.", data), ("$.target.", data["target"])):
-        for name in names:
-            if name not in known[prefix].__annotations__:
-                raise UserError(f"{path}: {prefix}{name}: unknown key")
-    addresses = [(k, v) for k, v in data.items() if k.endswith("_address")]
-    addresses.append(("target.address", data["target"]["address"]))
-    for name, value in addresses:
-        host, _, port = value.rpartition(":")
-        if not host or not port.isdigit() or int(port) > 65535:
-            raise UserError(f"{path}: $.{name}: expected host:port, got {value!r}")
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return None
+    return int(port) if port.isdecimal() and int(port) <= 65535 else None
--- a/packages/node/src/jujuberudder/__main__.py
+++ b/packages/node/src/jujuberudder/__main__.py
@@ -14,6 +14,9 @@
 )
 
 from ._node import run_node
+from ._start import check_listeners, check_log_service
+
+EXIT_SYSTEM = 1
 
 
 def node(settings: str):
@@ -25,15 +28,17 @@
         Path of the YAML settings file.
     """
     checked = load_settings(settings)
+    check_listeners(checked, settings)
     start_logging()
-    trio.run(_until_signal, checked, clock=BoottimeClock())
+    trio.run(_until_signal, checked, settings, clock=BoottimeClock())
 
 
-async def _until_signal(settings):
+async def _until_signal(settings, path):
     stopping = trio.Event()
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_wait_signal, signals, stopping)
+            await check_log_service(settings, path, stopping)
             await run_node(settings, stopping)
             nursery.cancel_scope.cancel()
 
@@ -48,9 +53,19 @@
     try:
         defopt.run(node, cli_options="has_default")
     except* UserError as group:
-        for error in group.exceptions:
-            print(f"jujuberudder: {error}", file=sys.stderr)
-        sys.exit(group.exceptions[0].exit_code)
+        error = _first(group)
+        print(f"jujuberudder: {error}", file=sys.stderr)
+        sys.exit(error.exit_code)
+    except* OSError as group:
+        # Another process may take an address after it was checked.
+        print(f"jujuberudder: {_first(group)}", file=sys.stderr)
+        sys.exit(EXIT_SYSTEM)
+
+
+def _first(group):
+    while isinstance(group, BaseExceptionGroup):
+        group = group.exceptions[0]
+    return group
 
 
 if __name__ == "__main__":
