Let nodes answer sections, nodes and explain to operators

Cause: operators could read status and shard owners only, and could not learn the operator addresses of the other nodes. Change: admissions carry the operator address; views over the folds are shared by nodes and the operators' program; queries with a mistake are answered with 400, 404 or 405.

--- a/packages/core/src/jujuberudder_core/__init__.py
+++ b/packages/core/src/jujuberudder_core/__init__.py
@@ -18,6 +18,7 @@
 from ._serving import Serving
 from ._settings import Settings, TargetSettings, load_settings, parse_settings
 from ._shards import covers_once, hash_bits, prefix_of, uniform_prefixes
+from ._views import explain_view, nodes_view, owners_view, sections_view
 
 __all__ = [
     "BoottimeClock",
@@ -40,17 +41,21 @@
     "covers_once",
     "decode",
     "encode",
+    "explain_view",
     "format_line",
     "hash_bits",
     "load_settings",
     "make_logger",
     "match_section",
     "new_id",
+    "nodes_view",
+    "owners_view",
     "parse_section",
     "parse_settings",
     "prefix_of",
     "read_document",
     "records",
+    "sections_view",
     "start_logging",
     "uniform_prefixes",
 ]
--- a/packages/core/src/jujuberudder_core/_records.py
+++ b/packages/core/src/jujuberudder_core/_records.py
@@ -44,6 +44,7 @@
     request_address: str
     client_address: str
     witnesses: tuple[str, ...] = ()
+    operator_address: str = ""
 
 
 class Keep(NamedTuple):
--- a/packages/node/src/jujuberudder/_admission.py
+++ b/packages/node/src/jujuberudder/_admission.py
@@ -46,6 +46,7 @@
             addresses.request,
             addresses.client,
             witnesses,
+            operator_address=addresses.operator,
         )
         sent_at = trio.current_time()
         applied = await life.write(record)
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -12,6 +12,7 @@
 from jujuberudder_targets import Admission, TargetHealth, make_pool, run_probes
 
 from ._life import Life, run_life
+from ._views import make_views
 
 NODE_CONNECTIONS = 400
 RESTART_PAUSE_S = 0.2
@@ -192,7 +193,7 @@
     listeners = (
         (make_app(context, False), settings.client_address),
         (make_app(context, True), settings.request_address),
-        (make_operator_app(_views(core, context)), settings.operator_address),
+        (make_operator_app(make_views(core, context)), settings.operator_address),
     )
     async with trio.open_nursery() as serving:
         bound = [await serving.start(listen, *one, closing) for one in listeners]
@@ -265,25 +266,3 @@
         overrides=settings.address_overrides,
         log=core.log,
     )
-
-
-def _views(core, context):
-    def status():
-        life = core.life
-        return {
-            "node": core.settings.node,
-            "availability_zone": core.settings.availability_zone,
-            "incarnation": life.incarnation if life else None,
-            "lease_held": bool(life and life.holds_lease()),
-            "sections": {n: s.version for n, s in core.sections.all.items()},
-            "slots_used": context.admission.used,
-        }
-
-    def owners():
-        ownership = core.ownership
-        return {
-            service: {p: s._asdict() for p, s in ownership.shards(service).items()}
-            for service in ownership.services()
-        }
-
-    return {"/v1/status": status, "/v1/owners": owners}
--- /dev/null
+++ b/packages/node/src/jujuberudder/_views.py
@@ -0,0 +1,50 @@
+"""What a node answers to operators, by path."""
+
+from jujuberudder_core import explain_view, nodes_view, owners_view, sections_view
+
+
+def make_views(core, context):
+    """Return the views of a node.
+
+    Parameters
+    ----------
+    core : NodeCore
+    context : RouteContext
+        Routes by the same sections that the views report, so that a version reported
+        is the version used for requests.
+
+    Returns
+    -------
+    views : dict of str to callable
+    """
+
+    def explain(query):
+        service, key = query["service"], query["key"]
+        return explain_view(core.ownership, core.sections, service, key)
+
+    return {
+        "/v1/status": lambda query: _status(core, context),
+        "/v1/owners": lambda query: owners_view(core.ownership),
+        "/v1/sections": lambda query: sections_view(core.sections),
+        "/v1/nodes": lambda query: nodes_view(core.ownership),
+        "/v1/explain": explain,
+    }
+
+
+def _status(core, context):
+    settings, life = core.settings, core.life
+    return {
+        "deployment": settings.deployment,
+        "node": settings.node,
+        "availability_zone": settings.availability_zone,
+        "service": settings.service,
+        "log_address": settings.log_address,
+        "log_failing": any(follower.failing for follower in core.followers),
+        "incarnation": life.incarnation if life else None,
+        "lease_held": bool(life and life.holds_lease()),
+        "target_up": context.health.up,
+        "sections": {n: s.version for n, s in context.sections.all.items()},
+        "sections_rejected": context.sections.rejected,
+        "slots_used": context.admission.used,
+        "queue_waiting": context.admission.waiting,
+    }
--- a/packages/operators/src/jujuberudder_operators/_app.py
+++ b/packages/operators/src/jujuberudder_operators/_app.py
@@ -1,29 +1,56 @@
 """The ASGI application for operators: reads only."""
 
+from typing import NamedTuple
+from urllib.parse import parse_qsl
+
 import msgspec
 
 
+class Text(NamedTuple):
+    """A view's answer that is not JSON."""
+
+    content_type: str
+    body: bytes
+
+
 def make_operator_app(views):
     """Return an ASGI application.
 
     Parameters
     ----------
     views : dict of str to callable
-        By path; each returns what is answered as JSON.
+        By path; each is called with the query as a dict of str to str and returns a
+        `Text` or what is answered as JSON. A KeyError names a missing parameter.
     """
 
     async def app(scope, receive, send):
         if scope["type"] != "http":
             raise ValueError("only HTTP is served")
-        view = views.get(scope["path"])
-        status = 200 if view else 404
-        body = msgspec.json.encode(view() if view else {"error": "no such path"})
+        status, text = _answer(views, scope)
         headers = [
-            (b"content-type", b"application/json"),
-            (b"content-length", b"%d" % len(body)),
+            (b"content-type", text.content_type.encode()),
+            (b"content-length", b"%d" % len(text.body)),
         ]
         start = {"type": "http.response.start", "status": status, "headers": headers}
         await send(start)
-        await send({"type": "http.response.body", "body": body})
+        await send({"type": "http.response.body", "body": text.body})
 
     return app
+
+
+def _answer(views, scope):
+    if scope["method"] not in ("GET", "HEAD"):
+        return 405, _json({"error": "only reads are served"})
+    view = views.get(scope["path"])
+    if view is None:
+        return 404, _json({"error": "no such path", "paths": sorted(views)})
+    query = dict(parse_qsl(scope["query_string"].decode("latin-1")))
+    try:
+        content = view(query)
+    except KeyError as error:
+        return 400, _json({"error": f"missing parameter {error}"})
+    return 200, content if isinstance(content, Text) else _json(content)
+
+
+def _json(content):
+    return Text("application/json", msgspec.json.encode(content))
