--- a/packages/ctl/src/jujuberudderctl/__main__.py
+++ b/packages/ctl/src/jujuberudderctl/__main__.py
@@ -1,5 +1,6 @@
 """Entry of the ``jujuberudderctl`` binary."""
 
+import argparse
 import sys
 
 import defopt
@@ -7,19 +8,42 @@
 from jujuberudder_core import UserError
 
 from ._check import check
+from ._diff import diff
+from ._exits import EXIT_CODES, EXIT_INTERRUPTED
+from ._explain import explain
+from ._owners import owners
 from ._publish import publish
 from ._show import show
+from ._status import status
 
-COMMANDS = [check, publish, show]
+COMMANDS = [check, publish, show, diff, owners, explain, status]
 
 
 def main():
     """Run a command and report a user's mistake in one line."""
     try:
-        sys.exit(defopt.run(COMMANDS, cli_options="has_default") or 0)
+        sys.exit(
+            defopt.run(
+                COMMANDS,
+                cli_options="kwonly",
+                argparse_kwargs={
+                    "prog": "jujuberudderctl",
+                    "description": "The operators' program of jujuberudder.",
+                    "epilog": EXIT_CODES,
+                    "formatter_class": argparse.RawDescriptionHelpFormatter,
+                },
+            )
+            or 0
+        )
     except UserError as error:
         print(f"jujuberudderctl: {error}", file=sys.stderr)
         sys.exit(error.exit_code)
+    except KeyboardInterrupt:
+        sys.exit(EXIT_INTERRUPTED)
+    except BrokenPipeError:
+        # The reader of standard output went away, e.g. `head`.
+        sys.stderr.close()
+        sys.exit(0)
 
 
 if __name__ == "__main__":
