Test that versions in force only rise

Cause: nothing showed what nodes do on old reads, lagging followers, restarts of all nodes, retention and invalid sections in the log. Change: tests make each happen with real nodes and the real jujuberudderctl.

--- /dev/null
+++ b/tests/test_in_force.py
@@ -0,0 +1,245 @@
+"""Versions in force on nodes: they only rise, whatever the log service does."""
+
+import json
+import sys
+
+import httpcore
+import msgspec
+import pytest
+import trio
+
+from jujuberudder_core import start_logging
+from jujuberudder_standins import Deployment, LogStandin, serve_app
+
+JOBS = "service: jobs\nroutes: [{path_prefix: /jobs/}]\n"
+ZONES = ("dar-a", "dar-b", "dar-c")
+SETTLE_S = 20
+
+
+async def ctl(*args):
+    """Run the real ``jujuberudderctl``; return exit code, output and errors."""
+    command = [sys.executable, "-m", "jujuberudderctl", *map(str, args)]
+    process = await trio.run_process(
+        command, capture_stdout=True, capture_stderr=True, check=False
+    )
+    return process.returncode, process.stdout.decode(), process.stderr.decode()
+
+
+@pytest.fixture
+async def deployment(nursery):
+    """Start a deployment of three nodes without sections."""
+    started = Deployment("lango", nursery)
+    await started.start_log()
+    await start_all(started)
+    return started
+
+
+async def start_all(deployment):
+    """Start one node of the service ``jobs`` in each availability zone."""
+    for zone in ZONES:
+        await deployment.start_member("jobs", zone)
+
+
+async def status(member):
+    """Return the status that a node reports."""
+    async with httpcore.AsyncConnectionPool() as pool:
+        url = f"http://{member.addresses.operator}/v1/status"
+        return msgspec.json.decode((await pool.request("GET", url)).content)
+
+
+async def version(member):
+    """Return the version of the section ``jobs`` in force on a node."""
+    return (await status(member))["sections"].get("jobs", 0)
+
+
+async def until(condition):
+    """Wait until an async condition holds."""
+    with trio.fail_after(SETTLE_S):
+        while not await condition():
+            await trio.sleep(0.02)
+
+
+async def admitted(deployment, count=3):
+    """Wait until the first node knows the nodes."""
+
+    async def known():
+        member = next(iter(deployment.members.values()))
+        code, out, _ = await ctl("status", "--node", member.addresses.operator)
+        return code == 0 and out.count("held") == count
+
+    await until(known)
+
+
+async def publish(deployment, path, text, *args):
+    """Publish through the first node; return what `ctl` returns."""
+    path.write_text(text, encoding="utf-8")
+    node = next(iter(deployment.members.values())).addresses.operator
+    return await ctl("publish", path, "--node", node, *args)
+
+
+async def test_wait_tells_when_each_availability_zone_uses_a_version(
+    deployment, tmp_path
+):
+    """Guards against a publish that is reported in force before nodes use it."""
+    await admitted(deployment)
+    code, out, error = await publish(deployment, tmp_path / "s", JOBS, "--wait")
+    assert (code, error) == (0, "")
+    for zone in ZONES:
+        assert f"{zone}: version 1 in force on 1 of 1 nodes after" in out
+    assert [await version(m) for m in deployment.members.values()] == [1, 1, 1]
+
+
+async def test_wait_names_the_node_that_lags(deployment, tmp_path, nursery):
+    """Guards against a success that hides a node that still uses the old version."""
+    lagging = trio.Event()
+
+    async def lag(scope, receive, send):
+        if scope["path"].endswith("lango.sections/records"):
+            await lagging.wait()
+        await deployment.log.app(scope, receive, send)
+
+    deployment.log_address = await nursery.start(serve_app, lag)
+    late = await deployment.start_member("dispatch", "dar-a")
+    await admitted(deployment, 4)
+    waiting = ("--wait", "--wait-s", "1", "--json")
+    code, out, error = await publish(deployment, tmp_path / "s", JOBS, *waiting)
+    zones = json.loads(out)["availability_zones"]
+    assert code == 5
+    assert zones["dar-a"]["missing"] == {"dispatch-dar-a": "version 0"}
+    assert [zone["in_force"] for _, zone in sorted(zones.items())] == [0, 1, 1]
+    assert "dar-a: version 1 in force on 1 of 2 nodes; missing: dispatch-dar-a" in error
+    lagging.set()
+    code, _, error = await publish(deployment, tmp_path / "s", JOBS, "--wait")
+    assert (code, await version(late)) == (0, 1)
+
+
+async def test_versions_only_rise_while_reads_are_old(nursery):
+    """Guards against a node that goes back when the log service answers old reads."""
+    deployment = Deployment("lango", nursery)
+    await deployment.start_log()
+    reads = [0]
+
+    async def old_read(scope, receive, send):
+        reads[0] += 1
+        if scope["method"] == "GET" and reads[0] % 2:
+            await stale.app(scope | {"query_string": FROM_START}, receive, send)
+        else:
+            await deployment.log.app(scope, receive, send)
+
+    stale = LogStandin()
+    deployment.log_address = await nursery.start(serve_app, old_read)
+    member = await deployment.start_member("jobs", "dar-a")
+    seen = []
+    for number in range(8):
+        deployment.publish("jobs", JOBS + f"slots: {number + 1}\n", number)
+        if number < 3:
+            stale.put("lango.sections", deployment.log.stream("lango.sections")[-1][1])
+
+        async def reached(expected=number + 1):
+            seen.append(await version(member))
+            return seen[-1] >= expected
+
+        await until(reached)
+    assert seen == sorted(seen)
+    assert seen[-1] == 8
+
+
+FROM_START = b"offset=0&limit=500&wait_ms=0"
+
+
+async def test_restart_of_all_nodes_keeps_the_newest_version(deployment, tmp_path):
+    """Guards against a section that reverts when no node remembers it."""
+    for number in range(3):
+        text = JOBS + f"slots: {number + 1}\n"
+        base = ("--base", number)
+        code, _, error = await publish(deployment, tmp_path / "s", text, *base)
+        assert code == 0, error
+    for name in list(deployment.members):
+        deployment.lose(name)
+    await start_all(deployment)
+    for member in deployment.members.values():
+
+        async def reached(member=member):
+            return await version(member) == 3
+
+        await until(reached)
+
+
+async def test_running_nodes_keep_versions_that_retention_removed(nursery):
+    """Guards against a node that drops a section whose record the log removed."""
+    deployment = Deployment("lango", nursery)
+    deployment.log = LogStandin(retention=2)
+    await deployment.start_log()
+    member = await deployment.start_member("jobs", "dar-a")
+    deployment.publish("jobs", JOBS)
+
+    async def reached(expected):
+        return await version(member) == expected
+
+    await until(lambda: reached(1))
+    for number in range(4):
+        name = f"other-{number}"
+        deployment.publish(name, f"service: {name}\nroutes: [{{host: '{name}'}}]")
+
+        async def other(name=name):
+            return name in (await status(member))["sections"]
+
+        await until(other)
+    assert await version(member) == 1
+    deployment.publish("jobs", JOBS + "slots: 3\n", 1)
+    await until(lambda: reached(6))
+
+
+INVALID = {
+    "not yaml": "service: [",
+    "unknown key": JOBS + "slotz: 1",
+    "another service": JOBS.replace("service: jobs", "service: other"),
+    "route of another section": JOBS.replace("/jobs/", "/other/"),
+}
+
+
+@pytest.mark.parametrize("text", INVALID.values(), ids=INVALID)
+async def test_invalid_section_in_the_log(deployment, tmp_path, text):
+    """Guards against an invalid section that comes into force or ends a node."""
+    lines = []
+
+    class Lines:
+        write = lines.append
+
+    stop = start_logging(Lines())
+    other = "service: other\nroutes: [{path_prefix: /other/}]"
+    deployment.publish("other", other)
+    deployment.publish("jobs", JOBS)
+    deployment.publish("jobs", text, 2)
+
+    async def rejected():
+        states = [await status(member) for member in deployment.members.values()]
+        return all(state["sections_rejected"] == 1 for state in states)
+
+    await until(rejected)
+    stop()
+    assert [await version(m) for m in deployment.members.values()] == [2, 2, 2]
+    assert any("event=section_rejected" in line for line in lines)
+    text = JOBS + "slots: 9\n"
+    code, _, error = await publish(deployment, tmp_path / "s", text, "--base", "2")
+    assert (code, error) == (0, "")
+
+
+async def test_explain_names_the_record_that_placed_a_key(deployment, tmp_path):
+    """Guards against an answer that does not say why a key is where it is."""
+    keyed = JOBS + "key: {source: path_segment, index: 1}\n"
+    await publish(deployment, tmp_path / "s", keyed)
+    member = deployment.members["jobs-dar-a"]
+    node = ("--node", member.addresses.operator)
+    log = ("--log-address", deployment.log_address, "--deployment", "lango")
+
+    async def owned():
+        code, out, _ = await ctl("owners", "jobs", *node, "--json")
+        return code == 0 and len(json.loads(out)["jobs"]) == 32
+
+    await until(owned)
+    for where in (node, log):
+        code, out, error = await ctl("explain", "gate-7", *where)
+        assert (code, error) == (0, "")
+        assert "owner:       jobs-dar-" in out
+        assert "because:     assigned by planner" in out
