--- a/packages/core/src/jujuberudder_core/_records.py
+++ b/packages/core/src/jujuberudder_core/_records.py
@@ -49,6 +49,7 @@
     client_address: str
     witnesses: tuple[str, ...] = ()
     sections: int = 0
+    operator_address: str = ""
 
 
 class Keep(NamedTuple):
--- a/packages/node/src/jujuberudder/_admission.py
+++ b/packages/node/src/jujuberudder/_admission.py
@@ -144,6 +144,7 @@
         addresses.client,
         await choose_witnesses(life),
         life.sections_read(),
+        addresses.operator,
     )
 
 
