Prove the outcome of each path to a misbehaving target

Cause: the first version waited for ever on a target that answers early, reused a connection on which more than the answer had arrived, took a close-delimited answer for whole, counted refused requests against the target's health, and left hypercorn's own refusals without outcome and request id.

Change: the clients' connection runs on hypercorn's HTTP/1.1 protocol with refusals, limits and shutdown of its own; the exchange watches for early answers and for 100 Continue; headers and deadline are set right before the first byte; repeats have a budget. Admission, choice, drain and Idempotency-Key get their modules; their tests follow.

--- a/packages/clients/src/jujuberudder_clients/__init__.py
+++ b/packages/clients/src/jujuberudder_clients/__init__.py
@@ -1,7 +1,19 @@
 """Clients as peers: parsing, routing, forwarding and outcomes."""
 
 from ._app import make_app
+from ._budget import RetryBudget
+from ._choice import Choice
 from ._context import RouteContext
+from ._drain import Drain
 from ._listener import listen
+from ._once import FirstAnswers
 
-__all__ = ["RouteContext", "listen", "make_app"]
+__all__ = [
+    "Choice",
+    "Drain",
+    "FirstAnswers",
+    "RetryBudget",
+    "RouteContext",
+    "listen",
+    "make_app",
+]
--- a/packages/clients/src/jujuberudder_clients/_body.py
+++ b/packages/clients/src/jujuberudder_clients/_body.py
@@ -1,7 +1,5 @@
 """The body of a request: its start is buffered so that it can be sent again."""
 
-import trio
-
 REPLAY_BYTES = 64 * 1024
 
 
@@ -21,11 +19,14 @@
     receive : async callable
     limit : int
         Maximum size in bytes.
+    invite : async callable or None
+        Asks a caller that sent ``Expect: 100-continue`` for the body.
     """
 
-    def __init__(self, receive, limit):
+    def __init__(self, receive, limit, invite=None):
         self._receive = receive
         self._limit = limit
+        self._invite = invite
         self._chunks = []
         self._size = 0
         self._complete = False
@@ -36,12 +37,30 @@
         """Whether the body can be sent again from the start."""
         return not self._streamed
 
+    @property
+    def complete(self):
+        """Whether the whole body was received."""
+        return self._complete
+
+    @property
+    def awaited(self):
+        """Whether the caller waits for an invitation to send the body."""
+        return self._invite is not None
+
+    @property
+    def buffered(self):
+        """The buffered start of the body."""
+        return b"".join(self._chunks)
+
     async def fill(self):
         """Buffer the start of the body, at most ``REPLAY_BYTES`` and one chunk."""
         while not self._complete and self._size < REPLAY_BYTES:
             self._chunks.append(await self._read())
 
     async def _read(self):
+        if self._invite is not None:
+            invite, self._invite = self._invite, None
+            await invite()
         message = await self._receive()
         if message["type"] == "http.disconnect":
             raise ClientGone
@@ -57,13 +76,11 @@
             if chunk:
                 yield chunk
         while not self._complete:
-            self._streamed = True
-            yield await self._read()
-
-    async def watch(self, cancel_scope):
-        """Cancel a scope when the client goes away after its body was read."""
-        while not self._complete:
-            await trio.sleep(0.05)
-        while (await self._receive())["type"] != "http.disconnect":
-            pass
-        cancel_scope.cancel()
+            chunk = await self._read()
+            if self._streamed or self._size > REPLAY_BYTES:
+                self._streamed = True
+                self._chunks.clear()
+            else:
+                self._chunks.append(chunk)
+            if chunk:
+                yield chunk
--- /dev/null
+++ b/packages/clients/src/jujuberudder_clients/_choice.py
@@ -0,0 +1,125 @@
+"""Chooses a target for a request without a key."""
+
+import math
+import random
+
+import trio
+
+from . import _headers as headers
+
+# Weight of the newest observation in a mean.
+OBSERVED_WEIGHT = 0.2
+FIRST_LATENCY_S = 0.01
+LATENCY_FLOOR_S = 0.001
+# A report says little after this time.
+REPORT_AGE_S = 0.5
+# Round trip between availability zones and its price, as a delay.
+CROSSING_S = 0.008
+# A target whose last requests all failed costs as much as this delay.
+FAILURE_S = 1.0
+# After a failure a target gets no request for a moment.
+AVOID_S = 0.5
+
+
+class Observed:
+    """What this node saw of one target and what the target's node reported."""
+
+    def __init__(self):
+        self.in_flight = 0
+        self.latency_s = FIRST_LATENCY_S
+        self.failures = 0.0
+        self.avoid_until = -math.inf
+        self.reported = 0.0
+        self.reported_at = -math.inf
+        self.slots = 1
+
+
+class Flight:
+    """A request in flight to a target; a context manager."""
+
+    def __init__(self, observed):
+        self._observed = observed
+        self._started = trio.current_time()
+        self.failed = False
+
+    def __enter__(self):
+        self._observed.in_flight += 1
+        return self
+
+    def answered(self, answer):
+        """Note the head of an answer: its delay and the load that it reports."""
+        observed, now = self._observed, trio.current_time()
+        _approach(observed, "latency_s", now - self._started)
+        load, _, slots = (headers.get(answer.headers, headers.LOAD) or "").partition(
+            "/"
+        )
+        if load.isdigit() and slots.isdigit():
+            observed.reported = int(load)
+            observed.slots = max(1, int(slots))
+            observed.reported_at = now
+
+    def __exit__(self, *error):
+        observed = self._observed
+        observed.in_flight -= 1
+        _approach(observed, "failures", float(self.failed))
+        if self.failed:
+            observed.avoid_until = trio.current_time() + AVOID_S
+
+
+def _approach(observed, name, value):
+    before = getattr(observed, name)
+    setattr(observed, name, before + (value - before) * OBSERVED_WEIGHT)
+
+
+class Choice:
+    """Chooses the target with the least expected delay.
+
+    Parameters
+    ----------
+    here : callable
+        Returns the incarnation of this node.
+    load : callable
+        Returns ``(requests, slots)`` of the target beside this node.
+    generator : random.Random, default=None
+        Breaks ties.
+    """
+
+    def __init__(self, here, load, generator=None):
+        self._here = here
+        self._load = load
+        self._random = generator or random.Random()
+        self._observed = {}
+
+    def observe(self, incarnation):
+        """Return the Flight of a request to a node."""
+        return Flight(self._observed.setdefault(incarnation, Observed()))
+
+    def choose(self, candidates):
+        """Return ``(incarnation, reason)``.
+
+        Parameters
+        ----------
+        candidates : dict of str to bool
+            Whether each incarnation is in the availability zone of this node.
+        """
+        for gone in self._observed.keys() - candidates.keys():
+            if not self._observed[gone].in_flight:
+                del self._observed[gone]
+        now = trio.current_time()
+        costs = {c: self._cost(c, same, now) for c, same in candidates.items()}
+        chosen = min(costs, key=lambda c: (costs[c], self._random.random()))
+        return chosen, f"least expected delay {costs[chosen] * 1000:.1f} ms"
+
+    def _cost(self, incarnation, same_zone, now):
+        observed = self._observed.setdefault(incarnation, Observed())
+        if incarnation == self._here():
+            queued, slots = self._load()
+        else:
+            age_s = now - observed.reported_at
+            reported = observed.reported * math.exp(-age_s / REPORT_AGE_S)
+            # What this node has in flight there is seen, so it beats the report.
+            queued, slots = max(observed.in_flight, reported), observed.slots
+        service_s = max(LATENCY_FLOOR_S, observed.latency_s)
+        cost = service_s * (1 + queued / slots) + observed.failures * FAILURE_S
+        cost += 0 if same_zone else CROSSING_S
+        return cost + (FAILURE_S if now < observed.avoid_until else 0)
--- a/packages/clients/src/jujuberudder_clients/_context.py
+++ b/packages/clients/src/jujuberudder_clients/_context.py
@@ -17,8 +17,12 @@
     admission : Admission
     target_pool, node_pool : httpcore.AsyncConnectionPool
     health : TargetHealth
-    in_flight : dict of str to int
-        Requests that this node has in flight at each node, by incarnation.
+    choice : Choice
+    budget : RetryBudget
+    first_answers : FirstAnswers
+    drain : Drain
+    spawn : callable
+        Starts a task that outlives the request.
     wait_changed : async callable
         Returns when ownership or configuration changed.
     overrides : dict of str to str
@@ -37,7 +41,11 @@
     target_pool: Any
     node_pool: Any
     health: Any
-    in_flight: dict
+    choice: Any
+    budget: Any
+    first_answers: Any
+    drain: Any
+    spawn: Callable
     wait_changed: Callable
     overrides: dict
     log: Callable
--- a/packages/clients/src/jujuberudder_clients/_listener.py
+++ b/packages/clients/src/jujuberudder_clients/_listener.py
@@ -1,15 +1,32 @@
-"""Serves an ASGI application with hypercorn inside the trio loop."""
+"""Listens for clients or nodes and limits the connections of one address."""
+
+from collections import Counter
 
 import trio
 from hypercorn.config import Config
-from hypercorn.trio import serve
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.utils import wrap_app
+
+from jujuberudder_core import new_id
+
+from ._connection import Connection
 
 GRACEFUL_TIMEOUT_S = 60.0
 HEAD_MAX_BYTES = 32 * 1024
 BACKLOG = 1024
+# Body messages of at most READ_BYTES that wait for the application.
+QUEUED_CHUNKS = 2
+TOO_MANY = (
+    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n"
+    "Retry-After: 1\r\nJujuberudder-Outcome: not-run\r\n"
+    "Jujuberudder-Reason: too many connections from this address\r\n"
+    "Jujuberudder-Request-Id: {}\r\n\r\n"
+)
 
 
-async def listen(app, address, stopping, task_status=trio.TASK_STATUS_IGNORED):
+async def listen(
+    app, address, stopping, per_client=None, task_status=trio.TASK_STATUS_IGNORED
+):
     """Serve until ``stopping`` is set, then finish the requests in flight.
 
     Parameters
@@ -18,27 +35,67 @@
     address : str
         ``host:port``; port 0 takes a free one.
     stopping : trio.Event
+    per_client : int or None
+        Most connections of one address at a time; no limit if None.
     task_status : trio.TaskStatus
         Started with the address that is listened on.
     """
     config = Config()
-    config.bind = [address]
-    config.backlog = BACKLOG
     config.errorlog = None
     config.accesslog = None
-    config.graceful_timeout = GRACEFUL_TIMEOUT_S
     config.h11_max_incomplete_size = HEAD_MAX_BYTES
+    config.max_app_queue_size = QUEUED_CHUNKS
     config.include_server_header = False
-    async with trio.open_nursery() as nursery:
-        binds = await nursery.start(_serve, app, config, stopping)
-        task_status.started(binds[0].removeprefix("http://"))
-
-
-async def _serve(app, config, stopping, task_status):
-    await serve(
-        app,
-        config,
-        shutdown_trigger=stopping.wait,
-        task_status=task_status,
-        mode="asgi",
-    )
+    wrapped = wrap_app(app, config.wsgi_max_body_size, "asgi")
+    context = WorkerContext(None)
+    connections = set()
+    counts = Counter()
+
+    async def serve(stream):
+        host = stream.socket.getpeername()[0]
+        if per_client is not None and counts[host] >= per_client:
+            await _turn_away(stream)
+            return
+        connection = Connection(stream, wrapped, config, context)
+        connections.add(connection)
+        counts[host] += 1
+        try:
+            await connection.run()
+        finally:
+            counts[host] -= 1
+            connections.discard(connection)
+
+    host, _, port = address.rpartition(":")
+    listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+    bound = listeners[0].socket.getsockname()
+    async with trio.open_nursery() as handlers:
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(_accept, serve, listeners, handlers)
+            task_status.started(f"{bound[0]}:{bound[1]}")
+            await stopping.wait()
+            accepting.cancel_scope.cancel()
+        await context.terminated.set()
+        for connection in connections:
+            connection.stop()
+        handlers.cancel_scope.deadline = trio.current_time() + GRACEFUL_TIMEOUT_S
+
+
+async def _accept(serve, listeners, handlers):
+    async def guarded(stream):
+        # One connection must not end the listener.
+        try:
+            await serve(stream)
+        except OSError:
+            await trio.aclose_forcefully(stream)
+
+    await trio.serve_listeners(guarded, listeners, handler_nursery=handlers)
+
+
+async def _turn_away(stream):
+    try:
+        with trio.move_on_after(1):
+            await stream.send_all(TOO_MANY.format(new_id()).encode())
+            await stream.send_eof()
+    except trio.BrokenResourceError:
+        pass
+    await trio.aclose_forcefully(stream)
--- a/packages/clients/src/jujuberudder_clients/_route.py
+++ b/packages/clients/src/jujuberudder_clients/_route.py
@@ -1,13 +1,10 @@
 """Selects the section, the key and the next hop of a request."""
 
-import random
 from typing import NamedTuple
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, unquote
 
 from . import _headers as headers
 
-ZONE_CROSSING_COST = 0.5
-
 
 class Hop(NamedTuple):
     """Where a request goes next.
@@ -52,26 +49,23 @@
     if source["source"] == "query":
         values = parse_qs(scope["query_string"].decode()).get(source["name"])
         return values[0] if values else None
-    segments = [part for part in scope["path"].split("/") if part]
+    # The path is split before it is decoded: a key may contain an escaped slash.
+    segments = [part for part in scope["raw_path"].decode().split("/") if part]
     index = source["index"]
-    return segments[index] if index < len(segments) else None
+    return unquote(segments[index]) if index < len(segments) else None
 
 
-def next_hop(context, section, key, hops):
+def next_hop(context, request):
     """Return the next hop.
 
     Parameters
     ----------
     context : RouteContext
-    section : PublishedSection
-    key : str or None
-        None for a service without keys.
-    hops : int
-        How often the request was forwarded already.
+    request : Request
     """
-    if key is None:
-        return _unkeyed(context, section, hops)
-    return _keyed(context, section.body["service"], key)
+    if request.key is None:
+        return _unkeyed(context, request.section, request.hops)
+    return _keyed(context, request.section.body["service"], request.key)
 
 
 def _keyed(context, service, key):
@@ -82,6 +76,8 @@
     serving = context.serving()
     if serving is not None:
         epoch = serving.admitting(service, prefix)
+        if epoch is not None and context.drain.over:
+            return Hop("wait", "draining", prefix=prefix)
         if epoch is not None:
             return Hop("local", "owner", prefix=prefix, epoch=epoch)
     me = context.incarnation()
@@ -98,29 +94,32 @@
     return Hop("forward", "owner", shard.owner, prefix, shard.epoch)
 
 
-def _unkeyed(context, section, hops):
-    service = section.body["service"]
-    me = context.incarnation()
+def usable(context, section):
+    """Return whether the target beside this node takes requests without a key."""
     serving = context.serving()
-    mine = service == context.service and context.node not in section.body["drain"]
-    usable = serving is not None and not serving.leaving and context.health.up
+    return (
+        section.body["service"] == context.service
+        and context.node not in section.body["drain"]
+        and serving is not None
+        and not serving.leaving
+        and context.health.up
+    )
+
+
+def _unkeyed(context, section, hops):
+    here = usable(context, section)
     if hops:
-        return Hop("local", "chosen") if mine and usable else Hop("wait", "not usable")
-    candidates = [
-        (_cost(context, incarnation, state), incarnation)
-        for incarnation, state in context.ownership.live(service)
-        if state.admit.node not in section.body["drain"]
-        and (incarnation != me or usable)
-    ]
+        return Hop("local", "chosen") if here else Hop("wait", "not usable")
+    me = context.incarnation()
+    drained = section.body["drain"]
+    candidates = {
+        incarnation: state.admit.availability_zone == context.availability_zone
+        for incarnation, state in context.ownership.live(section.body["service"])
+        if (here if incarnation == me else state.admit.node not in drained)
+    }
     if not candidates:
         return Hop("wait", "no target")
-    chosen = min(candidates)[1]
+    chosen, reason = context.choice.choose(candidates)
     if chosen == me:
-        return Hop("local", "least in flight")
-    return Hop("forward", "least in flight", chosen)
-
-
-def _cost(context, incarnation, state):
-    crossing = state.admit.availability_zone != context.availability_zone
-    in_flight = context.in_flight.get(incarnation, 0)
-    return in_flight + crossing * ZONE_CROSSING_COST + random.random() * 0.1
+        return Hop("local", reason)
+    return Hop("forward", reason, chosen)
--- a/packages/core/src/jujuberudder_core/_sections.py
+++ b/packages/core/src/jujuberudder_core/_sections.py
@@ -37,6 +37,7 @@
     slots: int
     connections: int
     queue: int
+    call_slots: int
     drain: list[str]
     initial_shard_bits: int
 
@@ -50,6 +51,7 @@
     slots=20,
     connections=100,
     queue=100,
+    call_slots=1,
     drain=[],
     initial_shard_bits=5,
 )
--- a/packages/core/src/jujuberudder_core/_serving.py
+++ b/packages/core/src/jujuberudder_core/_serving.py
@@ -75,6 +75,18 @@
         """Return whether this node released the shard at an epoch."""
         return self._released.get((service, prefix)) == epoch
 
+    def kept_since(self, service, prefix, epoch):
+        """Return whether a shard did not leave this incarnation since an epoch.
+
+        Splits and merges raise the epoch without a change of owner.
+        """
+        return not any(
+            name == service
+            and released >= epoch
+            and (other.startswith(prefix) or prefix.startswith(other))
+            for (name, other), released in self._released.items()
+        )
+
     def enter(self, service, prefix):
         """Count a request in flight."""
         self._in_flight[service, prefix] += 1
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -4,16 +4,34 @@
 
 import trio
 
-from jujuberudder_clients import RouteContext, listen, make_app
+from jujuberudder_clients import (
+    Choice,
+    Drain,
+    FirstAnswers,
+    RetryBudget,
+    RouteContext,
+    listen,
+    make_app,
+)
 from jujuberudder_core import Ownership, Sections, make_logger
 from jujuberudder_logservice import Follower, LogClient, Writer
 from jujuberudder_operators import make_operator_app
 from jujuberudder_peers import Channel, ControlServer, Refused, Released, Renew, Seal
-from jujuberudder_targets import Admission, TargetHealth, make_pool, run_probes
+from jujuberudder_targets import (
+    Admission,
+    Limits,
+    TargetHealth,
+    make_pool,
+    run_probes,
+)
 
 from ._life import Life, run_life
 
 NODE_CONNECTIONS = 400
+# Admission limits what reaches the target; the pool only bounds its own memory.
+TARGET_CONNECTIONS = 1000
+# Of one address at a time; one client must not take all file descriptors.
+CLIENT_CONNECTIONS = 512
 RESTART_PAUSE_S = 0.2
 STREAMS = ("ownership", "sections")
 
@@ -185,17 +203,21 @@
 async def _run(core, stopping, nursery, task_status):
     settings = core.settings
     health = TargetHealth()
-    context = _route_context(core, health)
+    context = _route_context(core, health, nursery)
     closing = trio.Event()
+    nursery.start_soon(context.drain.watch)
     control = ControlServer(settings.control_address, _handlers(core), core.log)
     nursery.start_soon(control.run)
     listeners = (
-        (make_app(context, False), settings.client_address),
-        (make_app(context, True), settings.request_address),
-        (make_operator_app(_views(core, context)), settings.operator_address),
+        (make_app(context, False), settings.client_address, CLIENT_CONNECTIONS),
+        (make_app(context, True), settings.request_address, None),
+        (make_operator_app(_views(core, context)), settings.operator_address, None),
     )
     async with trio.open_nursery() as serving:
-        bound = [await serving.start(listen, *one, closing) for one in listeners]
+        bound = [
+            await serving.start(listen, app, address, closing, limit)
+            for app, address, limit in listeners
+        ]
         addresses = Addresses(bound[0], bound[1], control.address, bound[2])
         core.log("listening", **addresses._asdict())
         task_status.started(addresses)
@@ -240,15 +262,13 @@
     return {kind: to_life(kind) for kind in (Renew, Seal, Released)}
 
 
-def _route_context(core, health):
+def _route_context(core, health, nursery):
     settings = core.settings
-
-    def limits():
-        section = core.section_bodies().get(settings.service)
-        return (section["slots"], section["queue"]) if section else (1, 0)
+    admission = Admission(_limits(core), lambda: health.up_since)
+    here = lambda: core.life.incarnation if core.life else ""
 
     return RouteContext(
-        incarnation=lambda: core.life.incarnation if core.life else "",
+        incarnation=here,
         node=settings.node,
         service=settings.service,
         availability_zone=settings.availability_zone,
@@ -256,17 +276,38 @@
         ownership=core.ownership,
         sections=core.sections,
         serving=lambda: core.life.serving if core.life else None,
-        admission=Admission(limits),
-        target_pool=make_pool(100),
+        admission=admission,
+        target_pool=make_pool(TARGET_CONNECTIONS),
         node_pool=make_pool(NODE_CONNECTIONS),
         health=health,
-        in_flight={},
+        choice=Choice(here, lambda: (admission.load, admission.capacity())),
+        budget=RetryBudget(),
+        first_answers=FirstAnswers(),
+        drain=Drain(lambda: _draining(core)),
+        spawn=nursery.start_soon,
         wait_changed=core.wait_changed,
         overrides=settings.address_overrides,
         log=core.log,
     )
 
 
+def _limits(core):
+    def limits():
+        section = core.section_bodies().get(core.settings.service)
+        if section is None:
+            return Limits(1, 0)
+        slots = min(section["slots"], section["connections"])
+        return Limits(slots, section["queue"], section["call_slots"])
+
+    return limits
+
+
+def _draining(core):
+    section = core.section_bodies().get(core.settings.service)
+    drained = section is not None and core.settings.node in section["drain"]
+    return drained or bool(core.life and core.life.serving.leaving)
+
+
 def _views(core, context):
     def status():
         life = core.life
--- a/packages/standins/src/jujuberudder_standins/_deployment.py
+++ b/packages/standins/src/jujuberudder_standins/_deployment.py
@@ -54,11 +54,24 @@
         record = records.Section(new_id(), name, base, text)
         return self.log.put(f"{self._name}.sections", encode(record)) + 1
 
-    async def start_member(self, service, availability_zone):
-        """Start a target and the node beside it."""
+    async def start_member(
+        self, service, availability_zone, target=None, target_address=None
+    ):
+        """Start a target and the node beside it.
+
+        Parameters
+        ----------
+        service, availability_zone : str
+        target : TargetStandin, default=None
+            A standard one if None.
+        target_address : str, default=None
+            Of a target that runs already, in place of ``target``.
+        """
         name = f"{service}-{availability_zone}"
-        target = TargetStandin(name)
-        address = await self._nursery.start(serve_app, target.app)
+        target = target or TargetStandin(name)
+        address = target_address
+        if address is None:
+            address = await self._nursery.start(serve_app, target.app)
         settings = Settings(
             deployment=self._name,
             node=name,
--- a/packages/targets/src/jujuberudder_targets/__init__.py
+++ b/packages/targets/src/jujuberudder_targets/__init__.py
@@ -1,12 +1,14 @@
-"""The local target as a peer: admission, exchanges and probes."""
+"""The local target as a peer: exchanges, admission and probes."""
 
-from ._admission import Admission
+from ._admission import Admission, Claim, Limits
 from ._exchange import Answer, Outgoing, exchange, make_pool
 from ._probe import TargetHealth, run_probes
 
 __all__ = [
     "Admission",
     "Answer",
+    "Claim",
+    "Limits",
     "Outgoing",
     "TargetHealth",
     "exchange",
--- a/packages/targets/src/jujuberudder_targets/_exchange.py
+++ b/packages/targets/src/jujuberudder_targets/_exchange.py
@@ -2,15 +2,26 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import httpcore
+import trio
 from result import Err, Ok
 
 from jujuberudder_core import Failure
 
+from ._network import Backend, Sending, use
+
 CONNECT_TIMEOUT_S = 1.0
-KEEPALIVE_S = 30.0
+# Shorter than common servers keep an idle connection, so that this side closes first.
+KEEPALIVE_S = 4.0
+BODILESS = (204, 304)
+ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.PoolTimeout,
+)
 
 
 class Outgoing(NamedTuple):
@@ -22,27 +33,38 @@
         ``host:port``.
     method, path : bytes
         ``path`` with its query string.
-    headers : list of (bytes, bytes)
     body : async iterator of bytes
+    whole : bool
+        Whether the body is at hand; otherwise the answer may come before its end.
+    expect : bool
+        Whether to wait for ``100 Continue`` before the body is read and sent.
     before_first_byte : callable
-        Called right before the first byte is sent; returns the reason why the request
-        must not be sent any more, or None.
+        Called right before the first byte is sent; returns the headers, or the reason
+        why the request must not be sent any more.
     """
 
     address: str
     method: bytes
     path: bytes
-    headers: list[tuple[bytes, bytes]]
     body: AsyncIterator[bytes]
-    before_first_byte: Callable[[], str | None] = lambda: None
+    before_first_byte: Callable[[], Any]
+    whole: bool = True
+    expect: bool = False
 
 
 class Answer(NamedTuple):
-    """Status, headers and body of an answer."""
+    """Status, headers and body of an answer.
+
+    Parameters
+    ----------
+    framed : bool
+        Whether the end of the body can be told from a lost connection.
+    """
 
     status: int
     headers: list[tuple[bytes, bytes]]
     body: AsyncIterator[bytes]
+    framed: bool
 
 
 class _Stopped(Exception):
@@ -52,7 +74,9 @@
 def make_pool(connections):
     """Return a connection pool with a limit on connections in total."""
     return httpcore.AsyncConnectionPool(
-        max_connections=connections, keepalive_expiry=KEEPALIVE_S
+        max_connections=connections,
+        keepalive_expiry=KEEPALIVE_S,
+        network_backend=Backend(),
     )
 
 
@@ -65,7 +89,7 @@
     pool : httpcore.AsyncConnectionPool
     outgoing : Outgoing
     step : str
-        Named in failures.
+        Named in failures; those of the check right before the first byte say "check".
 
     Yields
     ------
@@ -77,33 +101,93 @@
     async def trace(name, info):
         nonlocal sent
         if name.endswith("send_request_headers.started"):
-            reason = outgoing.before_first_byte()
-            if reason is not None:
-                raise _Stopped(reason)
+            ready = outgoing.before_first_byte()
+            if ready.is_err():
+                raise _Stopped(ready.err_value)
+            info["request"].headers = ready.ok_value
             sent = True
 
-    host, _, port = outgoing.address.rpartition(":")
-    request = httpcore.Request(
-        outgoing.method,
-        httpcore.URL(
-            scheme=b"http", host=host.encode(), port=int(port), target=outgoing.path
-        ),
-        headers=outgoing.headers,
-        content=outgoing.body,
-        extensions={"trace": trace, "timeout": {"connect": CONNECT_TIMEOUT_S}},
-    )
     try:
-        response = await pool.handle_async_request(request)
-    except (
-        _Stopped,
-        httpcore.NetworkError,
-        httpcore.ProtocolError,
-        httpcore.TimeoutException,
-        httpcore.PoolTimeout,
-    ) as error:
-        yield Err(Failure(step, outgoing.address, repr(error), sent))
+        response = await _send(pool, outgoing, trace)
+    except _Stopped as stopped:
+        yield Err(Failure("check", outgoing.address, str(stopped)))
+        return
+    except ERRORS as error:
+        yield Err(Failure(step, outgoing.address, _describe(error), sent))
         return
     try:
-        yield Ok(Answer(response.status, response.headers, response.stream))
+        yield Ok(_answer(outgoing.method, response))
     finally:
+        if _has_more(response):
+            response.extensions["network_stream"].doubt()
         await response.aclose()
+
+
+def _has_more(response):
+    """Return whether the peer sent more than its answer.
+
+    What follows would be taken for the answer to the next request. httpcore does not
+    tell, so this looks into its connection.
+    """
+    connection = response.stream._stream._connection
+    data, _ = connection._h11_state.trailing_data
+    return bool(data)
+
+
+def _describe(error):
+    return f"{type(error).__name__} {error}".strip()
+
+
+def _answer(method, response):
+    names = {name.lower() for name, _ in response.headers}
+    framed = bool(names & {b"content-length", b"transfer-encoding"})
+    bodiless = method == b"HEAD" or response.status in BODILESS
+    return Answer(
+        response.status, response.headers, response.stream, framed or bodiless
+    )
+
+
+async def _send(pool, outgoing, trace):
+    host, _, port = outgoing.address.rpartition(":")
+    target = httpcore.URL(
+        scheme=b"http", host=host.encode(), port=int(port), target=outgoing.path
+    )
+    extensions = {"trace": trace, "timeout": {"connect": CONNECT_TIMEOUT_S}}
+    if outgoing.whole:
+        request = httpcore.Request(
+            outgoing.method, target, content=outgoing.body, extensions=extensions
+        )
+        return await pool.handle_async_request(request)
+    sending = Sending(invited=not outgoing.expect)
+    body = _until_answered(outgoing.body, sending)
+    request = httpcore.Request(
+        outgoing.method, target, content=body, extensions=extensions
+    )
+    return await _send_watched(pool, request, sending)
+
+
+async def _until_answered(body, sending):
+    while True:
+        try:
+            yield await sending.unless_answered(sending.next_chunk, body)
+        except StopAsyncIteration:
+            return
+
+
+async def _send_watched(pool, request, sending):
+    """Send a request while its connection is watched for an early answer."""
+    use(sending)
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(sending.watch)
+            try:
+                return await pool.handle_async_request(request)
+            finally:
+                nursery.cancel_scope.cancel()
+    except* (_Stopped, *ERRORS) as group:
+        error = group
+        while isinstance(error, BaseExceptionGroup):
+            error = error.exceptions[0]
+    finally:
+        use(None)
+    raise error
--- a/packages/targets/src/jujuberudder_targets/_probe.py
+++ b/packages/targets/src/jujuberudder_targets/_probe.py
@@ -13,6 +13,7 @@
 
     def __init__(self):
         self._failures = FAILURES_TO_DOWN
+        self._up_since = 0.0
         self._changed = trio.Event()
 
     @property
@@ -20,11 +21,18 @@
         """Whether the target takes requests."""
         return self._failures < FAILURES_TO_DOWN
 
+    @property
+    def up_since(self):
+        """Time since which the target takes requests."""
+        return self._up_since
+
     def note(self, ok):
         """Note whether the target answered."""
         before = self.up
         self._failures = 0 if ok else self._failures + 1
         if self.up != before:
+            if self.up:
+                self._up_since = trio.current_time()
             self._changed.set()
             self._changed = trio.Event()
 
--- /dev/null
+++ b/tests/raw_http.py
@@ -0,0 +1,166 @@
+"""Raw TCP fakes: a target that follows a script, and a client that reads closely."""
+
+from typing import NamedTuple
+
+import h11
+import trio
+
+from jujuberudder_standins import Deployment
+
+JOBS = """\
+service: jobs
+routes: [{path_prefix: /jobs/}]
+key: {source: path_segment, index: 1}
+idempotent_methods: [GET, HEAD]
+max_body_bytes: 3000000
+"""
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Reply(NamedTuple):
+    """An answer as the client read it.
+
+    Parameters
+    ----------
+    whole : bool
+        Whether the answer ended as its head said.
+    """
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool
+
+    @property
+    def outcome(self):
+        """Outcome that was told."""
+        return self.headers.get("jujuberudder-outcome")
+
+
+class RawTarget:
+    """A target that answers its probes and follows a script for all else.
+
+    Parameters
+    ----------
+    script : async callable
+        Called as ``script(stream, head)`` for each request; returns whether the
+        connection is kept.
+    """
+
+    def __init__(self, script):
+        self._script = script
+        self.heads = []
+        self.connections = 0
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve for ever; started with the address."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        task_status.started(f"127.0.0.1:{port}")
+        await trio.serve_listeners(self._connection, listeners)
+
+    async def _connection(self, stream):
+        self.connections += 1
+        kept = True
+        try:
+            while kept:
+                head = await read_head(stream)
+                if head is None:
+                    break
+                if head.startswith(b"GET /health "):
+                    await stream.send_all(OK)
+                    continue
+                self.heads.append(head)
+                kept = await self._script(stream, head)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        await trio.aclose_forcefully(stream)
+
+
+async def read_head(stream):
+    """Return the head of a request or answer, or None at the end of the stream."""
+    head = b""
+    while not head.endswith(b"\r\n\r\n"):
+        byte = await stream.receive_some(1)
+        if not byte:
+            return None
+        head += byte
+    return head
+
+
+def header(head, name):
+    """Return a header of a raw head as str, or None."""
+    for line in head.decode().split("\r\n")[1:]:
+        key, _, value = line.partition(": ")
+        if key.lower() == name:
+            return value
+    return None
+
+
+async def connect(address):
+    """Return a TCP stream to an address."""
+    host, _, port = address.rpartition(":")
+    return await trio.open_tcp_stream(host, int(port))
+
+
+async def talk(address, method, path, headers=(), body=b""):
+    """Send one request on a connection of its own and return its Reply."""
+    async with await connect(address) as stream:
+        sent = [("Host", "test"), ("Content-Length", str(len(body))), *headers]
+        head = f"{method} {path} HTTP/1.1\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in sent) + "\r\n"
+        try:
+            await stream.send_all(head.encode() + body)
+        except trio.BrokenResourceError:
+            pass
+        return await read_reply(stream, method)
+
+
+async def read_reply(stream, method="GET"):
+    """Return the next Reply on a stream."""
+    reader = h11.Connection(h11.CLIENT)
+    reader.send(h11.Request(method=method, target="/", headers=[("Host", "test")]))
+    reader.send(h11.EndOfMessage())
+    status, headers, body, whole = 0, {}, b"", False
+    try:
+        while not whole:
+            event = reader.next_event()
+            if event is h11.NEED_DATA:
+                reader.receive_data(await stream.receive_some(65536))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+                headers = {k.decode(): v.decode() for k, v in event.headers}
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                whole = True
+            elif isinstance(event, h11.ConnectionClosed):
+                break
+    except (h11.RemoteProtocolError, trio.BrokenResourceError):
+        pass
+    return Reply(status, headers, body, whole)
+
+
+async def start_raw(nursery, script, section=JOBS):
+    """Start a node with a raw target and one beside another service.
+
+    Returns
+    -------
+    target : RawTarget
+    addresses : list of str
+        Client addresses: of the owner, and of a node that has to forward.
+    deployment : Deployment
+    """
+    target = RawTarget(script)
+    deployment = Deployment("lango", nursery)
+    await deployment.start_log()
+    deployment.publish("jobs", section)
+    address = await nursery.start(target.serve)
+    await deployment.start_member("jobs", "dar-a", target_address=address)
+    await deployment.start_member("dispatch", "dar-b")
+    addresses = [member.addresses.client for member in deployment.members.values()]
+    for one in addresses:
+        while (await talk(one, "GET", "/jobs/ready")).status != 200:
+            await trio.sleep(0.02)
+    target.heads.clear()
+    return target, addresses, deployment
