Ask for a large body only once its owner has admitted it

Cause: an upload beyond the 64 KiB replay buffer was consumed before a move or loss of its shard showed, so it could only be refused. Change: between nodes such a request carries Expect: 100-continue; the owner asks for the body after admission and before the first byte goes to the target. A node lost before that leaves the request not-run, and it is sent to the next owner.

--- a/packages/clients/src/jujuberudder_clients/_hops.py
+++ b/packages/clients/src/jujuberudder_clients/_hops.py
@@ -44,7 +44,11 @@
                 after_s = context.admission.retry_after_s()
                 reason = admitted.err_value.reason
                 return Refusal("not-run", 503, reason, retry_after_s=after_s)
-            return await _with_slot(context, request, hop, serving)
+            try:
+                return await _with_slot(context, request, hop, serving)
+            except BodyTooLarge:
+                outcome = "unknown" if request.progress.sent else "not-run"
+                return Refusal(outcome, 413, "body too large")
     finally:
         serving.exit(service, hop.prefix)
 
@@ -62,6 +66,9 @@
     if _epoch_in_force(context, request, hop, serving) is None:
         # Known before the body was asked for, so that it can still go elsewhere.
         return Refusal("not-run", 503, "no longer owner", True)
+    # A sender whose body was not asked for knows that nothing ran, so the body is asked
+    # for before the first byte goes to the target.
+    await request.body.fill()
     outgoing = _outgoing(context.target, request, ready, False)
     return await _exchange(context, request, outgoing, context.target_pool, "target")
 
--- a/packages/targets/src/jujuberudder_targets/_exchange.py
+++ b/packages/targets/src/jujuberudder_targets/_exchange.py
@@ -94,9 +94,11 @@
     Yields
     ------
     answer : Result[Answer, Failure]
-        ``maybe_done`` of a failure is False only while no byte was sent.
+        ``maybe_done`` of a failure is False only while no byte was sent, or while the
+        peer had not asked for the body: a node that expects one runs nothing before.
     """
     sent = False
+    sending = Sending(invited=not outgoing.expect)
 
     async def trace(name, info):
         nonlocal sent
@@ -108,12 +110,13 @@
             sent = True
 
     try:
-        response = await _send(pool, outgoing, trace)
+        response = await _send(pool, outgoing, trace, sending)
     except _Stopped as stopped:
         yield Err(Failure("check", outgoing.address, str(stopped)))
         return
     except ERRORS as error:
-        yield Err(Failure(step, outgoing.address, _describe(error), sent))
+        maybe_done = sent and sending.invited
+        yield Err(Failure(step, outgoing.address, _describe(error), maybe_done))
         return
     try:
         yield Ok(_answer(outgoing.method, response))
@@ -147,7 +150,7 @@
     )
 
 
-async def _send(pool, outgoing, trace):
+async def _send(pool, outgoing, trace, sending):
     host, _, port = outgoing.address.rpartition(":")
     target = httpcore.URL(
         scheme=b"http", host=host.encode(), port=int(port), target=outgoing.path
@@ -158,7 +161,6 @@
             outgoing.method, target, content=outgoing.body, extensions=extensions
         )
         return await pool.handle_async_request(request)
-    sending = Sending(invited=not outgoing.expect)
     body = _until_answered(outgoing.body, sending)
     request = httpcore.Request(
         outgoing.method, target, content=body, extensions=extensions
@@ -182,12 +184,11 @@
             nursery.start_soon(sending.watch)
             try:
                 return await pool.handle_async_request(request)
+            except Exception as error:
+                # Raised below: what leaves the nursery would be wrapped in a group.
+                failed = error
             finally:
                 nursery.cancel_scope.cancel()
-    except* (_Stopped, *ERRORS) as group:
-        error = group
-        while isinstance(error, BaseExceptionGroup):
-            error = error.exceptions[0]
     finally:
         use(None)
-    raise error
+    raise failed
--- a/packages/targets/src/jujuberudder_targets/_network.py
+++ b/packages/targets/src/jujuberudder_targets/_network.py
@@ -33,6 +33,11 @@
         if invited:
             self._invited.set()
 
+    @property
+    def invited(self):
+        """Whether the body may have been sent."""
+        return self._invited.is_set()
+
     def start(self, stream):
         """Note the connection that carries the request."""
         self._stream = stream
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,87 @@
+"""Nodes as real processes of the ``jujuberudder`` binary."""
+
+import re
+import subprocess
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+import trio
+import yaml
+
+LISTENING = re.compile(
+    r"event=listening .*?client=(\S+) request=(\S+) control=(\S+) operator=(\S+)"
+)
+
+
+class NodeProcess(NamedTuple):
+    """A running node."""
+
+    name: str
+    process: trio.Process
+    client: str
+    operator: str
+    log: Path
+
+    def peak_kib(self):
+        """Return the peak of its resident memory."""
+        return self._status("VmHWM")
+
+    def resident_kib(self):
+        """Return its resident memory."""
+        return self._status("VmRSS")
+
+    def _status(self, field):
+        text = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(re.search(rf"{field}:\s+(\d+)", text)[1])
+
+
+async def start_node(
+    nursery, folder, log_address, service, zone, target, deployment="lango"
+):
+    """Start a node with a settings file and wait until it listens.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Its cancellation kills the node.
+    folder : Path
+    log_address, service, zone : str
+    target : str
+        Address of the target.
+
+    Returns
+    -------
+    node : NodeProcess
+    """
+    name = f"{service}-{zone}"
+    settings = {
+        "deployment": deployment,
+        "node": name,
+        "availability_zone": zone,
+        "service": service,
+        "target": {"address": target},
+        "log_address": log_address,
+    }
+    path = folder / f"{name}.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    log = folder / f"{name}.log"
+    command = [str(Path(sys.executable).parent / "jujuberudder"), str(path)]
+    with log.open("ab") as stream:
+        size = log.stat().st_size
+        process = await nursery.start(_run, command, stream)
+    while (found := LISTENING.search(log.read_text()[size:])) is None:
+        await trio.sleep(0.02)
+    return NodeProcess(name, process, found[1], found[4], log)
+
+
+async def _run(command, stream, task_status):
+    process = await trio.lowlevel.open_process(
+        command, stdout=subprocess.DEVNULL, stderr=stream
+    )
+    task_status.started(process)
+    try:
+        await process.wait()
+    finally:
+        if process.returncode is None:
+            process.kill()
