--- a/packages/clients/src/jujuberudder_clients/_connection.py
+++ b/packages/clients/src/jujuberudder_clients/_connection.py
@@ -22,6 +22,7 @@
 # Closing with unread data resets the connection, which can destroy the answer.
 LINGER_S = 1.0
 LINGER_BYTES = 4 * 1024 * 1024
+MALFORMED = {431: "request head too large", 501: "unknown transfer coding"}
 
 
 class Protocol(H11Protocol):
@@ -60,7 +61,7 @@
             await self._send_h11_event(h11.EndOfMessage())
 
     async def _send_error_response(self, status_code):
-        await self.refuse(status_code, "malformed HTTP request")
+        await self.refuse(status_code, MALFORMED.get(status_code, "malformed HTTP"))
 
     async def _send_h11_event(self, event):
         # Hypercorn invites each body at once; here the owner of the key does.
--- a/packages/clients/src/jujuberudder_clients/_listener.py
+++ b/packages/clients/src/jujuberudder_clients/_listener.py
@@ -10,9 +10,9 @@
 from jujuberudder_core import new_id
 
 from ._connection import Connection
+from ._request import HEAD_MAX_BYTES
 
 GRACEFUL_TIMEOUT_S = 60.0
-HEAD_MAX_BYTES = 32 * 1024
 BACKLOG = 1024
 # Body messages of at most READ_BYTES that wait for the application.
 QUEUED_CHUNKS = 2
--- a/packages/clients/src/jujuberudder_clients/_request.py
+++ b/packages/clients/src/jujuberudder_clients/_request.py
@@ -16,6 +16,7 @@
 IDEMPOTENCY_KEY = b"idempotency-key"
 IDEMPOTENCY_KEY_MAX = 255
 HOPS_LIMIT = 9
+HEAD_MAX_BYTES = 32 * 1024
 SHED = "shed by the target"
 
 
@@ -154,6 +155,9 @@
         return Refusal("not-run", 400, "CONNECT is not served")
     if not scope["raw_path"].startswith(b"/"):
         return Refusal("not-run", 400, "the request target is not a path")
+    # A head that arrives at once passes the parser's limit on incomplete heads.
+    if sum(len(name) + len(value) for name, value in given) > HEAD_MAX_BYTES:
+        return Refusal("not-run", 431, f"head larger than {HEAD_MAX_BYTES} bytes")
     framing = headers.count(given, b"transfer-encoding")
     if framing and headers.count(given, b"content-length"):
         return Refusal("not-run", 400, "both Content-Length and Transfer-Encoding")
--- a/packages/targets/src/jujuberudder_targets/_network.py
+++ b/packages/targets/src/jujuberudder_targets/_network.py
@@ -70,9 +70,13 @@
         with self._watching:
             await self._started.wait()
             sock = self._stream.get_extra_info("socket")
-            while not self._answered:
-                await trio.lowlevel.wait_readable(sock)
-                await self._look(sock)
+            try:
+                while not self._answered:
+                    await trio.lowlevel.wait_readable(sock)
+                    await self._look(sock)
+            except trio.ClosedResourceError:
+                # Sending failed, and its error is reported there.
+                return
 
     async def _look(self, sock):
         try:
