--- a/packages/core/src/jujuberudder_core/_sections.py
+++ b/packages/core/src/jujuberudder_core/_sections.py
@@ -80,7 +80,7 @@
     queue: Annotated[int, Meta(ge=0)]
     client_slots_percent: Annotated[int, Meta(ge=1, le=100)]
     key_slots_percent: Annotated[int, Meta(ge=1, le=100)]
-    service_call_slots_percent: Annotated[int, Meta(ge=1, le=100)]
+    call_slots: Annotated[int, Meta(ge=0)]
     slow_start_ms: Annotated[int, Meta(ge=0, le=3_600_000)]
     drain: list[Name]
     destroyed: list[Name]
@@ -104,8 +104,8 @@
     queue=100,
     client_slots_percent=50,
     key_slots_percent=50,
-    service_call_slots_percent=50,
     slow_start_ms=5_000,
+    call_slots=1,
     drain=[],
     destroyed=[],
     availability_zone_weights={},
