Add placement weights to sections and a load hook at the owner

The planner has to weigh unavailable time, churn and imbalance per service, and the owner has to count keyed requests. Sections gain the field placement with equal weights as default; RouteContext gains note, called once per local request (a no-op until the meter lands).

--- a/packages/clients/src/jujuberudder_clients/_app.py
+++ b/packages/clients/src/jujuberudder_clients/_app.py
@@ -202,6 +202,7 @@
         return Refusal("not-run", 503, "no lease", True)
     service = request.section.body["service"]
     serving.enter(service, hop.prefix)
+    context.note(service, hop.prefix, request.key)
     try:
         async with context.admission.slot(request.deadline) as admitted:
             if admitted.is_err():
--- a/packages/clients/src/jujuberudder_clients/_context.py
+++ b/packages/clients/src/jujuberudder_clients/_context.py
@@ -23,6 +23,8 @@
         Returns when ownership or configuration changed.
     overrides : dict of str to str
     log : callable
+    note : callable
+        ``note(service, prefix, key)`` counts a keyed request at the owner.
     """
 
     incarnation: Callable[[], str]
@@ -41,3 +43,4 @@
     wait_changed: Callable
     overrides: dict
     log: Callable
+    note: Callable = lambda service, prefix, key: None
--- a/packages/core/src/jujuberudder_core/_sections.py
+++ b/packages/core/src/jujuberudder_core/_sections.py
@@ -24,6 +24,14 @@
     index: int
 
 
+class PlacementWeights(TypedDict, total=False):
+    """How much unavailable time, churn and imbalance count; each 0 or more."""
+
+    unavailable: float
+    churn: float
+    imbalance: float
+
+
 class SectionBody(TypedDict, total=False):
     """A section of one service. Times are in milliseconds, sizes in bytes."""
 
@@ -39,6 +47,7 @@
     queue: int
     drain: list[str]
     initial_shard_bits: int
+    placement: PlacementWeights
 
 
 DEFAULTS = SectionBody(
@@ -52,6 +61,7 @@
     queue=100,
     drain=[],
     initial_shard_bits=5,
+    placement=PlacementWeights(unavailable=1.0, churn=1.0, imbalance=1.0),
 )
 KEY_SOURCES = ("header", "path_segment", "query")
 
@@ -89,7 +99,8 @@
     problem = _unknown_key(data) or _problem(body)
     if problem:
         return Err(Failure("check", name, problem))
-    return Ok(DEFAULTS | body)
+    weights = DEFAULTS["placement"] | body.get("placement", {})
+    return Ok(DEFAULTS | body | {"placement": weights})
 
 
 def _unknown_key(data):
@@ -108,6 +119,9 @@
     for field in ("deadline_ms", "max_body_bytes", "slots", "connections"):
         if body.get(field, 1) < 1:
             return f"expected 1 or more - at `$.{field}`"
+    for name, weight in body.get("placement", {}).items():
+        if not 0 <= weight < float("inf"):
+            return f"expected 0 or more - at `$.placement.{name}`"
     return None
 
 
--- /dev/null
+++ b/tests/test_placement_section.py
@@ -0,0 +1,24 @@
+"""Placement weights of a section."""
+
+import pytest
+
+from jujuberudder_core import parse_section
+
+SECTION = "{service: jobs, routes: [], placement: %s}"
+
+
+@pytest.mark.parametrize(
+    "weights, expected",
+    [
+        ("{}", {"unavailable": 1.0, "churn": 1.0, "imbalance": 1.0}),
+        ("{churn: 2.5}", {"unavailable": 1.0, "churn": 2.5, "imbalance": 1.0}),
+        ("{churn: -1}", None),
+        ("{churn: .inf}", None),
+        ("{churn: .nan}", None),
+        ("{churn: high}", None),
+    ],
+)
+def test_placement_weights(weights, expected):
+    """Guards against weights that make the planner's threshold meaningless."""
+    parsed = parse_section(SECTION % weights)
+    assert (parsed.ok_value["placement"] if parsed.is_ok() else None) == expected
