Measure load per shard at the owner and plan moves by load

Shards were spread by count only, so a hot shard stayed where it was. Each node now counts requests by shard and its hottest keys over 4 s, reports changes to the planner once a second, and the planner scores moves by gain per share of keys moved, with cooldown, budget, splits down to single keys and merges. Takeovers choose successors by load and skip suspected and drained nodes.

--- a/packages/core/src/jujuberudder_core/__init__.py
+++ b/packages/core/src/jujuberudder_core/__init__.py
@@ -9,12 +9,13 @@
 from ._sections import PublishedSection, SectionBody, Sections, parse_section
 from ._serving import Serving
 from ._settings import Settings, TargetSettings, load_settings, parse_settings
-from ._shards import covers_once, hash_bits, prefix_of, uniform_prefixes
+from ._shards import HASH_BITS, covers_once, hash_bits, prefix_of, uniform_prefixes
 
 __all__ = [
     "BoottimeClock",
     "Claimed",
     "Failure",
+    "HASH_BITS",
     "Incarnation",
     "Ownership",
     "PublishedSection",
--- a/packages/node/src/jujuberudder/_life.py
+++ b/packages/node/src/jujuberudder/_life.py
@@ -8,7 +8,9 @@
     Refused,
     Released,
     Renew,
+    Report,
     Seal,
+    Summary,
     TakeoverContext,
     Understood,
     Witness,
@@ -17,8 +19,9 @@
 
 from ._admission import admit, keep_lease, maintain_witnesses, renew_lease
 from ._placement import successors
-from ._planner import run_planner
+from ._planner import SUSPECT_S, run_planner
 from ._release import run_releases
+from ._reports import Reporter, run_reports
 
 RELEASE_READ_S = 0.4
 
@@ -38,6 +41,8 @@
         self._lease = Lease()
         self._witness = Witness(self._lease)
         self._serving = Serving(self._incarnation, core.ownership, self._lease)
+        self._reporter = Reporter(core.meter)
+        self.board = None
 
     @property
     def incarnation(self):
@@ -69,6 +74,16 @@
         """Shards served and requests in flight."""
         return self._serving
 
+    @property
+    def meter(self):
+        """Load of the shards of this node."""
+        return self._core.meter
+
+    @property
+    def reporter(self):
+        """Load told to and learnt from planners."""
+        return self._reporter
+
     @property
     def read_at(self):
         """When the newest record about an incarnation was read, by incarnation."""
@@ -113,10 +128,31 @@
 
     def successors(self, ownership, ended):
         """Return the next owners of the shards of ended incarnations."""
-        return successors(ownership, self._core.section_bodies(), ended)
+        suspected = self._witness.silent(trio.current_time(), SUSPECT_S)
+        sections = self._core.section_bodies()
+        return successors(ownership, sections, ended, self._loads, suspected)
+
+    def _loads(self, service):
+        """Return loads by target and a function of a shard, or None."""
+        if self.board is not None and self.board.service == service:
+            board = self.board
+            by_target = {one: board.load_of(one) for one in board.members()}
+            return by_target, lambda prefix, owner: board.load(prefix)
+        known = self._reporter.loads(service)
+        if not known:
+            return None
+        by_target = {one: rate for one, (_, _, rate) in known.items()}
+        mean = sum(by_target.values()) / len(by_target)
+
+        def of_shard(prefix, owner):
+            return by_target.get(owner, mean) / max(1, len(self.ownership.owned(owner)))
+
+        return by_target, of_shard
 
     def observe(self, offset, record):
-        """Watch incarnations that name this one as their witness."""
+        """Follow the placement; watch incarnations that this one is a witness of."""
+        if self.board is not None:
+            self.board.observe(record, trio.current_time())
         witnesses = getattr(record, "witnesses", ())
         if self._incarnation in witnesses:
             self._witness.watch(record.incarnation, trio.current_time())
@@ -153,6 +189,15 @@
             return Understood()
         return Refused("move not read yet")
 
+    async def answer_report(self, message):
+        """Take in the load of a target and answer with the loads of others."""
+        if message.deployment != self.settings.deployment:
+            return self._foreign(message)
+        if self.board is None or self.board.service != message.service:
+            return Refused("not the planner")
+        self.board.take(message, trio.current_time())
+        return Summary(self.board.summary())
+
     def _is_destination(self, message):
         shard = self.ownership.shards(message.service).get(message.prefix)
         return (
@@ -171,6 +216,7 @@
             Renew: self.answer_renew,
             Seal: self.answer_seal,
             Released: self.answer_released,
+            Report: self.answer_report,
         }
 
 
@@ -192,6 +238,7 @@
             maintain_witnesses,
             run_planner,
             run_releases,
+            run_reports,
         ):
             nursery.start_soon(task, life)
         nursery.start_soon(run_takeovers, _takeover_context(life))
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -8,10 +8,19 @@
 from jujuberudder_core import Ownership, Sections, make_logger
 from jujuberudder_logservice import Follower, LogClient, Writer
 from jujuberudder_operators import make_operator_app
-from jujuberudder_peers import Channel, ControlServer, Refused, Released, Renew, Seal
+from jujuberudder_peers import (
+    Channel,
+    ControlServer,
+    Refused,
+    Released,
+    Renew,
+    Report,
+    Seal,
+)
 from jujuberudder_targets import Admission, TargetHealth, make_pool, run_probes
 
 from ._life import Life, run_life
+from ._meter import LoadMeter
 
 NODE_CONNECTIONS = 400
 RESTART_PAUSE_S = 0.2
@@ -39,6 +48,7 @@
         self._settings = settings
         self._log = make_logger(node=settings.node)
         self._ownership = Ownership()
+        self._meter = LoadMeter(lambda: self._ownership.offset, trio.current_time)
         self._sections = Sections()
         self._read_at = {}
         self._life = None
@@ -69,6 +79,11 @@
         """Fold of the ownership stream."""
         return self._ownership
 
+    @property
+    def meter(self):
+        """Load of the shards of this node."""
+        return self._meter
+
     @property
     def sections(self):
         """Fold of the configuration stream."""
@@ -237,7 +252,7 @@
 
         return handle
 
-    return {kind: to_life(kind) for kind in (Renew, Seal, Released)}
+    return {kind: to_life(kind) for kind in (Renew, Seal, Released, Report)}
 
 
 def _route_context(core, health):
@@ -264,6 +279,7 @@
         wait_changed=core.wait_changed,
         overrides=settings.address_overrides,
         log=core.log,
+        note=core.meter.note,
     )
 
 
--- a/packages/node/src/jujuberudder/_placement.py
+++ b/packages/node/src/jujuberudder/_placement.py
@@ -1,30 +1,337 @@
-"""Placement policy: which incarnation gets which shard."""
+"""Placement policy: which incarnation gets which shard. ``docs/placement.md``."""
 
-from jujuberudder_core import records, uniform_prefixes
+import math
+from typing import NamedTuple
 
-MAX_MOVES_PER_ROUND = 4
-COUNT_SLACK = 1
+from jujuberudder_core import HASH_BITS, records, uniform_prefixes
 
+# Moves under way at once: a share of the targets, and at least some.
+MIN_MOVES, MOVES_PER_TARGET = 4, 0.1
+MIN_SPLITS, SPLITS_PER_TARGET = 16, 0.25
+COOLDOWN_S = 20.0
+# A source is looked at above this load over the mean, a destination below.
+HIGH, LOW = 1.04, 0.96
+# Gain in squared load (of one target's mean load) that a move must bring.
+MIN_GAIN = 0.0005
+# Gain per cost that a move must bring; cost is in target's shares of keys.
+MIN_SCORE = 0.1
+MOVE_COST = 0.01
+SPLIT_LOAD = 0.25
+MERGE_LOAD = 1 / 32
+HOT_KEY_LOAD = 0.04
+HOT_KEY_SHARE = 0.9
+HOT_KEY_KEYS = 1 / 64
+SHARDS_PER_TARGET = 40
+COLD_START_S = 30.0
+COLD_START_CAPACITY = 0.2
+DESTINATIONS = 4
+ZONE_WEIGHT = 0.5
 
-def candidates(ownership, section, ended=()):
-    """Return the incarnations of a service that may take shards.
+
+class Target(NamedTuple):
+    """A target that shards may be given to.
 
     Parameters
     ----------
-    ownership : Ownership
+    availability_zone : str
+    capacity : float
+        1.0, or less after a cold start.
+    """
+
+    availability_zone: str
+    capacity: float
+
+
+class Plan(NamedTuple):
+    """Records that a planner is to append, without ids.
+
+    Parameters
+    ----------
+    assigns, moves : tuple of ShardOwner
+    splits : tuple of (prefix, epoch)
+    merges : tuple of (prefix, epochs)
+    """
+
+    assigns: tuple = ()
+    moves: tuple = ()
+    splits: tuple = ()
+    merges: tuple = ()
+
+
+class Spread:
+    """Loads of targets while a plan is made.
+
+    Parameters
+    ----------
+    targets : dict of str to Target
+    loads : dict of str to float
+    """
+
+    def __init__(self, targets, loads):
+        self._targets = targets
+        self._loads = loads
+        self._zones = {}
+        for incarnation, target in targets.items():
+            zone = self._zones.setdefault(target.availability_zone, [0.0, 0.0])
+            zone[0] += loads[incarnation]
+            zone[1] += target.capacity
+        capacity = sum(zone[1] for zone in self._zones.values())
+        self.mean = sum(zone[0] for zone in self._zones.values()) / max(capacity, 1e-9)
+
+    @property
+    def targets(self):
+        """Targets by incarnation."""
+        return self._targets
+
+    def level(self, incarnation):
+        """Return the load of a target per capacity."""
+        return self._loads[incarnation] / self._targets[incarnation].capacity
+
+    def cost(self, incarnation):
+        """Return the level of a target, raised by that of its availability zone."""
+        load, capacity = self._zones[self._targets[incarnation].availability_zone]
+        return self.level(incarnation) + ZONE_WEIGHT * load / capacity
+
+    def add(self, incarnation, load):
+        """Add load to a target."""
+        if incarnation in self._loads:
+            self._loads[incarnation] += load
+            zone = self._zones[self._targets[incarnation].availability_zone]
+            zone[0] += load
+
+    def least(self, count=1):
+        """Return the targets with the lowest cost, lowest first."""
+        order = sorted(self._targets, key=lambda one: (self.cost(one), one))
+        return order[:count]
+
+    def gain(self, source, destination, load):
+        """Return by how much a move lowers the sum of squared levels, in means."""
+        a, b = self._loads[source], self._loads[destination]
+        ca = self._targets[source].capacity
+        cb = self._targets[destination].capacity
+        before = a * a / ca + b * b / cb
+        after = (a - load) ** 2 / ca + (b + load) ** 2 / cb
+        return (before - after) / (self.mean**2 or 1.0)
+
+
+def capacity_of(since, now):
+    """Return the capacity of a target that was first seen at ``since``."""
+    if since is None:
+        return 1.0
+    warm = min(1.0, (now - since) / COLD_START_S)
+    return COLD_START_CAPACITY + (1 - COLD_START_CAPACITY) * warm
+
+
+def usable(board, section, now, suspected=()):
+    """Return the targets that may take shards, by incarnation.
+
+    Parameters
+    ----------
+    board : Board
     section : SectionBody
-    ended : container of str
-        Incarnations that are being taken over.
+    now : float
+    suspected : container of str
+        Incarnations that missed renewals.
     """
     drained = section["drain"]
-    return [
-        incarnation
-        for incarnation, state in ownership.live(section["service"])
-        if incarnation not in ended and state.admit.node not in drained
+    return {
+        incarnation: Target(
+            admit.availability_zone, capacity_of(board.member_since(incarnation), now)
+        )
+        for incarnation, admit in board.members().items()
+        if admit.node not in drained and incarnation not in suspected
+    }
+
+
+def plan(board, ownership, section, now, suspected=(), balance=True):
+    """Return what a planner does next.
+
+    Parameters
+    ----------
+    board : Board
+    ownership : Ownership
+    section : SectionBody
+    now : float
+    suspected : container of str
+    balance : bool
+        Whether loads are known well enough to move, split and merge for balance.
+
+    Returns
+    -------
+    plan : Plan
+    """
+    targets = usable(board, section, now, suspected)
+    if not targets:
+        return Plan()
+    spread = Spread(targets, {one: board.load_of(one) for one in targets})
+    shards = ownership.shards(board.service)
+    if not shards:
+        return Plan(assigns=_first(board, section, spread))
+    assigns = _give(board, shards, spread, sorted(board.held("")))
+    moves = _evacuate(board, shards, spread, section)
+    if not balance:
+        return Plan(assigns, moves)
+    splits = _splits(board, shards, spread, section, now)
+    taken = {shard.prefix for shard in moves} | {prefix for prefix, _ in splits}
+    moves += _even_out(board, shards, spread, section, now, taken)
+    taken |= {shard.prefix for shard in moves}
+    merges = _merges(board, shards, spread, section, now, taken)
+    return Plan(assigns, moves, splits, merges)
+
+
+def _first(board, section, spread):
+    prefixes = uniform_prefixes(section["initial_shard_bits"])
+    return _place(board, spread, [(prefix, 0) for prefix in prefixes])
+
+
+def _give(board, shards, spread, prefixes):
+    free = [p for p in prefixes if p not in board.moving]
+    return _place(board, spread, [(prefix, shards[prefix].epoch) for prefix in free])
+
+
+def _place(board, spread, entries):
+    """Give shards to the least loaded targets, heaviest shards first."""
+    chosen = []
+    for prefix, epoch in sorted(entries, key=lambda e: (-board.load(e[0]), e[0])):
+        owner = spread.least()[0]
+        spread.add(owner, board.load(prefix))
+        chosen.append(records.ShardOwner(board.service, prefix, epoch, owner))
+    return tuple(chosen)
+
+
+def _evacuate(board, shards, spread, section):
+    """Return moves off drained nodes, all at once."""
+    prefixes = [
+        prefix
+        for incarnation, admit in board.members().items()
+        if admit.node in section["drain"]
+        for prefix in board.held(incarnation)
     ]
+    return _give(board, shards, spread, prefixes)
+
+
+def budget(board, spread):
+    """Return how many further moves for balance may start."""
+    limit = max(MIN_MOVES, math.ceil(len(spread.targets) * MOVES_PER_TARGET))
+    return max(0, limit - len(board.moving))
+
+
+def _even_out(board, shards, spread, section, now, taken):
+    moves, exhausted, taken = [], set(), set(taken)
+    while len(moves) < budget(board, spread):
+        sources = [one for one in spread.targets if one not in exhausted]
+        if not sources:
+            break
+        source = max(sources, key=lambda one: (spread.level(one), one))
+        destinations = [d for d in spread.least(DESTINATIONS) if board.fresh(d, now)]
+        high = spread.level(source) > HIGH * spread.mean
+        low = [d for d in destinations if spread.level(d) < LOW * spread.mean]
+        if not (high and destinations or low):
+            break
+        options = [
+            (score, prefix, destination)
+            for destination in destinations
+            for prefix in board.held(source)
+            if prefix not in taken
+            and prefix not in board.moving
+            and not board.cooling(prefix, now, COOLDOWN_S)
+            and (score := _score(board, spread, section, source, destination, prefix))
+        ]
+        if not options:
+            exhausted.add(source)
+            continue
+        _, prefix, destination = max(options)
+        load = board.load(prefix)
+        spread.add(source, -load)
+        spread.add(destination, load)
+        taken.add(prefix)
+        epoch = shards[prefix].epoch
+        moves.append(records.ShardOwner(board.service, prefix, epoch, destination))
+    return tuple(moves)
 
 
-def successors(ownership, sections, ended):
+def _score(board, spread, section, source, destination, prefix):
+    """Return the gain of a move per cost, or 0 if it is not worth it."""
+    if source == destination:
+        return 0
+    gain = spread.gain(source, destination, board.load(prefix))
+    if gain < MIN_GAIN:
+        return 0
+    weights = section["placement"]
+    keys = 2.0 ** -len(prefix) * len(spread.targets)
+    price = (weights["churn"] + weights["unavailable"]) / 2
+    score = weights["imbalance"] * gain / (MOVE_COST + price * keys)
+    return score if score >= MIN_SCORE else 0
+
+
+def _splits(board, shards, spread, section, now):
+    """Return hot shards to be split, hottest first."""
+    count = len(spread.targets)
+    room = SHARDS_PER_TARGET * count - len(shards)
+    limit = min(room, max(MIN_SPLITS, math.ceil(count * SPLITS_PER_TARGET)))
+    wanted = []
+    for holder in spread.targets:
+        if board.load_of(holder) <= 0:
+            continue
+        high = spread.level(holder) > HIGH * spread.mean
+        for prefix in board.held(holder):
+            if prefix in board.moving or len(prefix) >= HASH_BITS:
+                continue
+            if _worth_splitting(board, spread, prefix, high):
+                wanted.append((-board.load(prefix), prefix))
+    chosen = sorted(wanted)[: max(0, limit)]
+    return tuple((prefix, shards[prefix].epoch) for _, prefix in chosen)
+
+
+def _worth_splitting(board, spread, prefix, high):
+    """Whether a shard is too hot to place, or hides a hot key of an overloaded target.
+
+    A shard that is nearly one hot key is split on until few other keys move with it.
+    """
+    load = board.load(prefix) / (spread.mean or 1.0)
+    if load < HOT_KEY_LOAD:
+        return False
+    keys = 2.0 ** -len(prefix) * len(spread.targets)
+    hottest = max((rate for _, rate in board.hot_within(prefix)), default=0.0)
+    single = hottest >= HOT_KEY_SHARE * board.rate(prefix)
+    if single and keys <= HOT_KEY_KEYS:
+        return False
+    if load > SPLIT_LOAD:
+        return True
+    return high and hottest > HOT_KEY_LOAD * spread.mean and keys > HOT_KEY_KEYS
+
+
+def _merges(board, shards, spread, section, now, taken):
+    """Return pairs of cold siblings of one holder whose load changed."""
+    limit = max(MIN_SPLITS, math.ceil(len(spread.targets) * SPLITS_PER_TARGET))
+    merges = []
+    for holder in board.changed & set(spread.targets):
+        for prefix in board.held(holder):
+            if len(merges) >= limit:
+                return tuple(merges)
+            parent, sibling = prefix[:-1], prefix[:-1] + "1"
+            if not prefix.endswith("0") or board.holder(sibling) != holder:
+                continue
+            if len(parent) < section["initial_shard_bits"]:
+                continue
+            if _cold(board, spread, (prefix, sibling), now, taken):
+                epochs = (shards[prefix].epoch, shards[sibling].epoch)
+                merges.append((parent, epochs))
+    return tuple(merges)
+
+
+def _cold(board, spread, pair, now, taken):
+    if sum(map(board.load, pair)) > MERGE_LOAD * spread.mean:
+        return False
+    return not any(
+        prefix in taken
+        or prefix in board.moving
+        or board.cooling(prefix, now, COOLDOWN_S)
+        for prefix in pair
+    )
+
+
+def successors(ownership, sections, ended, loads, suspected=()):
     """Return the next owners of the shards of incarnations that end.
 
     Parameters
@@ -33,89 +340,99 @@
     sections : dict of str to SectionBody
         By service.
     ended : set of str
+    loads : callable
+        ``loads(service) -> (by_target, of_shard)``: the load by incarnation as far as
+        known, and a function of a prefix and its owner, or None if nothing is known.
+    suspected : container of str
+        Incarnations that missed renewals; they get no shards.
 
     Returns
     -------
     shards : tuple of ShardOwner
     """
+    by_service = {}
+    for incarnation in sorted(ended):
+        for service, prefix in ownership.owned(incarnation):
+            by_service.setdefault(service, []).append((prefix, incarnation))
     chosen = []
-    for service in ownership.services():
-        if service not in sections:
-            continue
-        counts = _counts(ownership, sections[service], ended)
-        for incarnation in sorted(ended):
-            for name, prefix in sorted(ownership.owned(incarnation)):
-                if name == service and counts:
-                    epoch = ownership.shards(service)[prefix].epoch
-                    chosen.append(_give(counts, service, prefix, epoch))
+    for service, entries in sorted(by_service.items()):
+        if service in sections:
+            chosen += _succeed(
+                ownership, sections[service], ended, loads, suspected, sorted(entries)
+            )
     return tuple(chosen)
 
 
-def _counts(ownership, section, ended=()):
+def _succeed(ownership, section, ended, loads, suspected, entries):
     service = section["service"]
-    return {
-        incarnation: sum(name == service for name, _ in ownership.owned(incarnation))
-        for incarnation in candidates(ownership, section, ended)
-    }
+    targets = _remaining(ownership, section, ended, suspected)
+    if not targets:
+        return []
+    known = loads(service)
+    by_target, of_shard = known or ({}, lambda prefix, owner: 2.0 ** -len(prefix))
+    if known:
+        seen = [by_target[one] for one in targets if one in by_target]
+        mean = sum(seen) / len(seen) if seen else 0.0
+        spread = Spread(targets, {one: by_target.get(one, mean) for one in targets})
+    else:
+        spread = Spread(targets, {one: _key_share(ownership, one) for one in targets})
+    weighed = [(of_shard(prefix, owner), prefix) for prefix, owner in entries]
+    shards = ownership.shards(service)
+    given = []
+    for load, prefix in sorted(weighed, key=lambda entry: (-entry[0], entry[1])):
+        owner = spread.least()[0]
+        spread.add(owner, load)
+        entry = records.ShardOwner(service, prefix, shards[prefix].epoch, owner)
+        given.append(entry)
+    return given
 
 
-def _give(counts, service, prefix, epoch):
-    owner = min(counts, key=lambda incarnation: (counts[incarnation], incarnation))
-    counts[owner] += 1
-    return records.ShardOwner(service, prefix, epoch, owner)
+def _key_share(ownership, incarnation):
+    return sum(2.0 ** -len(prefix) for _, prefix in ownership.owned(incarnation))
 
 
-def plan_assign(ownership, section):
-    """Return owners for the first shards of a service, or for shards without one."""
-    service = section["service"]
-    counts = _counts(ownership, section)
-    if not counts:
-        return ()
-    shards = ownership.shards(service)
-    if not shards:
-        prefixes = uniform_prefixes(section["initial_shard_bits"])
-        return tuple(_give(counts, service, prefix, 0) for prefix in prefixes)
-    return tuple(
-        _give(counts, service, prefix, shard.epoch)
-        for prefix, shard in sorted(shards.items())
-        if not shard.owner
-    )
+def _remaining(ownership, section, ended, suspected):
+    """Return the targets that may succeed ended incarnations.
 
+    An availability zone in which a second incarnation is suspected counts as lost.
+    """
+    live = ownership.live(section["service"])
+    gone = {
+        incarnation: state.admit.availability_zone
+        for incarnation, state in live
+        if incarnation in ended or incarnation in suspected
+    }
+    zones = list(gone.values())
+    lost = {zone for zone in zones if zones.count(zone) > 1}
+    able = {
+        incarnation: Target(state.admit.availability_zone, 1.0)
+        for incarnation, state in live
+        if incarnation not in gone and state.admit.node not in section["drain"]
+    }
+    elsewhere = {k: t for k, t in able.items() if t.availability_zone not in lost}
+    return elsewhere or able
 
-def plan_moves(ownership, section):
-    """Return moves off drained nodes, then moves that even out the counts."""
-    service = section["service"]
-    counts = _counts(ownership, section)
-    moves = []
-    if not counts:
-        return ()
-    for prefix, shard in sorted(ownership.shards(service).items()):
-        if shard.owner and not shard.destination and shard.owner not in counts:
-            moves.append(_give(counts, service, prefix, shard.epoch))
-    moves += _even_out(ownership, service, counts)
-    return tuple(moves)
 
+def headroom(board, section, now):
+    """Return by how much the busiest remaining targets stay below their slots.
 
-def _even_out(ownership, service, counts):
-    moves = []
-    shards = ownership.shards(service)
-    if any(shard.destination for shard in shards.values()):
-        return moves
-    while len(moves) < MAX_MOVES_PER_ROUND:
-        most = max(counts, key=counts.get)
-        if counts[most] - min(counts.values()) <= COUNT_SLACK:
-            break
-        taken = {move.prefix for move in moves}
-        prefix = next(
-            (
-                p
-                for s, p in sorted(ownership.owned(most))
-                if (s == service) and p not in taken
-            ),
-            None,
-        )
-        if prefix is None:
-            break
-        counts[most] -= 1
-        moves.append(_give(counts, service, prefix, shards[prefix].epoch))
-    return moves
+    Parameters
+    ----------
+    board : Board
+    section : SectionBody
+    now : float
+
+    Returns
+    -------
+    room : dict of str to float
+        By availability zone: the share of the other zones' slots that stays free if
+        the zone is lost; negative if its load does not fit.
+    """
+    targets = usable(board, section, now)
+    busy = {one: heard.in_flight for one in targets if (heard := board.heard(one))}
+    room = {}
+    for zone in {target.availability_zone for target in targets.values()}:
+        left = [one for one in targets if targets[one].availability_zone != zone]
+        slots = section["slots"] * len(left)
+        room[zone] = 1 - sum(busy.values()) / slots if slots else -math.inf
+    return room
--- a/packages/node/src/jujuberudder/_planner.py
+++ b/packages/node/src/jujuberudder/_planner.py
@@ -1,12 +1,17 @@
-"""The planner of a service: assigns and moves shards. Advisory only."""
+"""The planner of a service: assigns, moves, splits and merges shards. Advisory only."""
 
 import trio
 
 from jujuberudder_core import new_id, records
 
-from ._placement import plan_assign, plan_moves
+from ._board import Board
+from ._placement import headroom, plan
 
 PLAN_INTERVAL_S = 0.5
+# Time for every owner to tell a new planner its loads before it acts on them.
+WARM_UP_S = 6.0
+SUSPECT_S = 0.5
+HEADROOM_LOG_S = 30.0
 
 
 async def run_planner(life):
@@ -16,13 +21,24 @@
     ----------
     life : Life
     """
+    warm_at = logged_at = 0.0
     while True:
         await trio.sleep(PLAN_INTERVAL_S)
         section = life.section()
-        if section is None or "key" not in section or not life.holds_lease():
+        if section is None or not life.holds_lease():
             continue
-        if await _is_planner(life, section):
-            await _plan(life, section)
+        if not await _is_planner(life, section):
+            life.board = None
+            continue
+        now = trio.current_time()
+        if life.board is None:
+            life.board = Board(section["service"], life.ownership)
+            warm_at = now + WARM_UP_S
+        if "key" in section:
+            await _plan(life, section, balance=now >= warm_at)
+        if now - logged_at >= HEADROOM_LOG_S:
+            logged_at = now
+            _log_headroom(life, section, now)
 
 
 async def _is_planner(life, section):
@@ -42,18 +58,57 @@
     return applied.is_ok() and applied.ok_value.effect
 
 
-async def _plan(life, section):
-    for kind, plan in ((records.Assign, plan_assign), (records.Move, plan_moves)):
-        shards = plan(life.ownership, section)
-        if not shards:
-            continue
-        applied = await life.write(kind(new_id(), life.incarnation, shards))
-        for shard in shards:
-            life.log(
-                f"placement_{kind.__name__.lower()}",
-                service=shard.service,
-                shard=shard.prefix,
-                based_on=shard.epoch,
-                to=shard.owner,
-                result=applied,
-            )
+async def _plan(life, section, balance):
+    board = life.board
+    now = trio.current_time()
+    suspected = life.witness.silent(now, SUSPECT_S)
+    made = plan(board, life.ownership, section, now, suspected, balance)
+    board.settle()
+    for kind, shards in ((records.Assign, made.assigns), (records.Move, made.moves)):
+        if shards:
+            await _give(life, board, kind, shards)
+    for prefix, epoch in made.splits:
+        record = records.Split(new_id(), board.service, prefix, epoch)
+        await _reshape(life, record, board.rate(prefix))
+    for prefix, epochs in made.merges:
+        record = records.Merge(new_id(), board.service, prefix, epochs)
+        await _reshape(life, record, sum(board.rate(prefix + d) for d in "01"))
+
+
+async def _give(life, board, kind, shards):
+    loads = [board.rate(shard.prefix) for shard in shards]
+    holders = [board.holder(shard.prefix) for shard in shards]
+    applied = await life.write(kind(new_id(), life.incarnation, shards))
+    for shard, rate, holder in zip(shards, loads, holders):
+        life.log(
+            f"placement_{kind.__name__.lower()}",
+            service=shard.service,
+            shard=shard.prefix,
+            based_on=shard.epoch,
+            rate=rate,
+            origin=holder or "",
+            to=shard.owner,
+            result=applied,
+        )
+
+
+async def _reshape(life, record, rate):
+    applied = await life.write(record)
+    life.log(
+        f"placement_{type(record).__name__.lower()}",
+        service=record.service,
+        shard=record.prefix,
+        rate=rate,
+        result=applied,
+    )
+
+
+def _log_headroom(life, section, now):
+    for zone, room in sorted(headroom(life.board, section, now).items()):
+        life.log(
+            "zone_headroom",
+            service=section["service"],
+            lost=zone,
+            free_share=float(room),
+            fits=room >= 0,
+        )
--- /dev/null
+++ b/packages/node/src/jujuberudder/_reports.py
@@ -0,0 +1,173 @@
+"""Load reports: each node reports to the planner of its service and learns of others.
+
+A report lists only shards whose rate changed since the planner last answered, so its
+size and the planner's work follow the changes.
+"""
+
+import math
+
+import trio
+
+from jujuberudder_peers import Report, Summary
+
+from ._board import RATE_SCALE
+from ._meter import TICK_S, WINDOW_TICKS
+
+MAX_REPORTED_SHARDS = 24
+CHANGE_SHARE = 0.2
+# Ask the planners of services whose incarnations this node may have to take over.
+FOREIGN_TICKS = 3
+LOADS_AGE_S = 12.0
+
+
+class Reporter:
+    """What this node told the planner of its service and learnt from it.
+
+    Parameters
+    ----------
+    meter : LoadMeter
+    """
+
+    def __init__(self, meter):
+        self._meter = meter
+        self._planner = None
+        self._told = {}
+        self._loads = {}
+
+    def make(self, life, planner):
+        """Return the report of this tick.
+
+        Parameters
+        ----------
+        life : Life
+        planner : str
+            A new planner is told everything again.
+        """
+        if planner != self._planner:
+            self._planner = planner
+            self._told = {}
+        rates = self._meter.rates()
+        service = life.settings.service
+        return Report(
+            life.settings.deployment,
+            service,
+            life.incarnation,
+            self._meter.since,
+            life.serving.in_flight(),
+            _scaled(sum(rates.values())),
+            self._changes(life, service, rates),
+            [(key, _scaled(rate)) for key, rate in self._meter.hot_keys()],
+        )
+
+    def _changes(self, life, service, rates):
+        """Return shards owned during the whole window, largest change first."""
+        shards = life.ownership.shards(service)
+        changes, told = [], {}
+        for name, prefix in life.ownership.owned(life.incarnation):
+            epoch = shards[prefix].epoch
+            if name != service or epoch > self._meter.since:
+                continue
+            rate = rates.get((service, prefix), 0.0)
+            before = self._told.get((prefix, epoch))
+            told[prefix, epoch] = before
+            change = math.inf if before is None else abs(rate - before)
+            if before is None or change > _noise(before):
+                changes.append((-change, prefix, epoch, rate))
+        self._told = {name: rate for name, rate in told.items() if rate is not None}
+        return [
+            (prefix, _scaled(rate))
+            for _, prefix, _, rate in sorted(changes)[:MAX_REPORTED_SHARDS]
+        ]
+
+    def answered(self, life, report, summary, now):
+        """Note that the planner took a report in, and the loads it answered with."""
+        shards = life.ownership.shards(report.service)
+        for prefix, rate in report.shards:
+            if prefix in shards:
+                self._told[prefix, shards[prefix].epoch] = rate / RATE_SCALE
+        self.learn(report.service, summary, now)
+
+    def learn(self, service, summary, now):
+        """Keep the loads of a summary."""
+        loads = self._loads.setdefault(service, {})
+        for incarnation, in_flight, rate in summary.loads:
+            loads[incarnation] = (now, in_flight, rate / RATE_SCALE)
+        for incarnation in [k for k, v in loads.items() if now - v[0] > LOADS_AGE_S]:
+            del loads[incarnation]
+
+    def loads(self, service):
+        """Return ``{incarnation: (heard at, in flight, requests/s)}``."""
+        return self._loads.get(service, {})
+
+
+def _scaled(rate):
+    return round(rate * RATE_SCALE)
+
+
+def _noise(rate):
+    """Return the change of a rate that may be chance (2 standard deviations)."""
+    window_s = WINDOW_TICKS * TICK_S
+    return max(CHANGE_SHARE * rate, 2 * math.sqrt(rate / window_s), 1 / window_s)
+
+
+async def run_reports(life):
+    """Report once a tick for ever.
+
+    Parameters
+    ----------
+    life : Life
+    """
+    ticks = 0
+    while True:
+        await trio.sleep(TICK_S)
+        life.meter.turn()
+        if life.holds_lease():
+            await _report(life)
+        if ticks % FOREIGN_TICKS == 0:
+            for service in _witnessed(life):
+                await _ask(life, service)
+        ticks += 1
+
+
+async def _report(life):
+    planner = _planner(life, life.settings.service)
+    if planner is None:
+        return
+    report = life.reporter.make(life, planner)
+    reply = await _send(life, planner, report)
+    if isinstance(reply, Summary):
+        life.reporter.answered(life, report, reply, trio.current_time())
+
+
+def _planner(life, service):
+    claimed = life.ownership.planners.get(service)
+    alive = claimed and life.ownership.alive(claimed.planner)
+    return claimed.planner if alive else None
+
+
+async def _send(life, planner, report):
+    if planner == life.incarnation:
+        return await life.answer_report(report)
+    address = life.control_address(planner)
+    return (await life.call(address, report)).ok() if address else None
+
+
+def _witnessed(life):
+    """Return the other services of which this node witnesses an incarnation."""
+    incarnations = life.ownership.incarnations
+    services = {
+        incarnations[one].admit.service
+        for one in life.witness.watched()
+        if one in incarnations
+    }
+    return sorted(services - {life.settings.service})
+
+
+async def _ask(life, service):
+    planner = _planner(life, service)
+    if planner is None:
+        return
+    ask = Report(life.settings.deployment, service, "", 0, 0, 0, [], [])
+    reply = await _send(life, planner, ask)
+    if isinstance(reply, Summary):
+        life.reporter.learn(service, reply, trio.current_time())
--- a/packages/peers/src/jujuberudder_peers/_messages.py
+++ b/packages/peers/src/jujuberudder_peers/_messages.py
@@ -48,20 +48,41 @@
 
 
 class Report(NamedTuple):
-    """Load of a target, from its node to the planner of its service."""
+    """Load of a target, from its node to the planner of its service.
+
+    Rates are requests per 10 s, as integers, because a float takes 9 bytes.
+
+    Parameters
+    ----------
+    deployment, service, incarnation : str
+        ``incarnation`` is empty if the sender only asks for the summary.
+    since : int
+        Offset of the ownership fold when the measured window began.
+    in_flight : int
+    rate : int
+    shards : list of (prefix, rate)
+        Shards whose rate changed since the planner last answered.
+    keys : list of (hash, rate)
+        The hottest keys.
+    """
 
     deployment: str
     service: str
     incarnation: str
+    since: int
     in_flight: int
-    rate: float
-    shards: list[tuple[str, float]]
+    rate: int
+    shards: list[tuple[str, int]]
+    keys: list[tuple[int, int]]
 
 
 class Summary(NamedTuple):
-    """Load of all targets of a service: ``(incarnation, in_flight, rate)`` each."""
+    """Load of targets of a service: ``(incarnation, in_flight, rate)`` each.
 
-    loads: list[tuple[str, int, float]]
+    A rotating part of all targets if there are many.
+    """
+
+    loads: list[tuple[str, int, int]]
 
 
 class Understood(NamedTuple):
--- a/packages/peers/src/jujuberudder_peers/_witness.py
+++ b/packages/peers/src/jujuberudder_peers/_witness.py
@@ -35,6 +35,10 @@
         self._last_seen.pop(incarnation, None)
         self._sealed.discard(incarnation)
 
+    def watched(self):
+        """Return the incarnations that this node expects renewals of."""
+        return list(self._last_seen)
+
     def silent(self, now, threshold_s):
         """Return the incarnations not heard of for ``threshold_s``."""
         return [k for k, seen in self._last_seen.items() if now - seen >= threshold_s]
--- /dev/null
+++ b/tests/test_meter.py
@@ -0,0 +1,64 @@
+"""Load measured at the owner."""
+
+from collections import Counter
+
+import xxhash
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jujuberudder._meter import (
+    HOT_KEY_COUNTERS,
+    WINDOW_TICKS,
+    HotKeys,
+    LoadMeter,
+)
+
+
+class Clock:
+    """A clock and a fold position that tests set."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.position = 0
+
+    def make_meter(self):
+        """Return a meter on this clock."""
+        return LoadMeter(lambda: self.position, lambda: self.now)
+
+
+def test_rates_cover_the_window_only():
+    """Guards against load that is remembered after it has gone."""
+    clock = Clock()
+    meter = clock.make_meter()
+    for _ in range(WINDOW_TICKS):
+        for _ in range(10):
+            meter.note("jobs", "01", "gate-7")
+        clock.now += 1
+        clock.position += 5
+        meter.turn()
+    rate = meter.rates()["jobs", "01"]
+    assert rate == 10
+    assert meter.hot_keys() == [(xxhash.xxh3_64_intdigest(b"gate-7"), 10)]
+    assert meter.since == 5
+    for _ in range(WINDOW_TICKS):
+        clock.now += 1
+        meter.turn()
+    assert meter.rates() == {}
+
+
+@given(st.lists(st.integers(0, 400), max_size=3000))
+def test_hot_keys_are_bounded_and_nearly_exact(keys):
+    """Guards against memory that grows with the keys, and against lost hot keys."""
+    hot = HotKeys()
+    for key in keys:
+        hot.add(key)
+    assert len(hot) <= HOT_KEY_COUNTERS
+    for key, count in Counter(keys).items():
+        assert count - len(keys) / HOT_KEY_COUNTERS <= hot.get(key, 0) <= count
+
+
+def test_unkeyed_requests_have_no_hot_keys():
+    """Guards against a request without a key that ends the request task."""
+    meter = Clock().make_meter()
+    meter.note("dispatch", "", None)
+    assert meter.hot_keys() == []
