--- a/packages/clients/src/jujuberudder_clients/_hops.py
+++ b/packages/clients/src/jujuberudder_clients/_hops.py
@@ -38,6 +38,7 @@
     service = request.section.body["service"]
     claim = Claim(request.deadline, request.client, request.key, request.depth)
     serving.enter(service, hop.prefix)
+    context.note(service, hop.prefix, request.key)
     try:
         async with context.admission.slot(claim) as admitted:
             if admitted.is_err():
--- a/packages/core/src/jujuberudder_core/__init__.py
+++ b/packages/core/src/jujuberudder_core/__init__.py
@@ -17,7 +17,7 @@
 )
 from ._serving import Serving
 from ._settings import Settings, TargetSettings, load_settings, parse_settings
-from ._shards import covers_once, hash_bits, prefix_of, uniform_prefixes
+from ._shards import HASH_BITS, covers_once, hash_bits, prefix_of, uniform_prefixes
 from ._views import explain_view, nodes_view, owners_view, sections_view
 
 __all__ = [
@@ -26,6 +26,7 @@
     "DEFAULTS",
     "Document",
     "Failure",
+    "HASH_BITS",
     "Incarnation",
     "Ownership",
     "Problem",
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -25,6 +25,7 @@
     Refused,
     Released,
     Renew,
+    Report,
     Seal,
 )
 from jujuberudder_targets import (
@@ -36,6 +37,7 @@
 )
 
 from ._life import Life, run_life
+from ._meter import LoadMeter
 from ._views import make_views
 
 NODE_CONNECTIONS = 400
@@ -74,6 +76,7 @@
         self._settings = settings
         self._log = make_logger(node=settings.node)
         self._ownership = Ownership()
+        self._meter = LoadMeter(lambda: self._ownership.offset, trio.current_time)
         self._sections = Sections()
         self._read_at = {}
         self._section_read_at = {}
@@ -105,6 +108,11 @@
         """Fold of the ownership stream."""
         return self._ownership
 
+    @property
+    def meter(self):
+        """Load of the shards of this node."""
+        return self._meter
+
     @property
     def sections(self):
         """Fold of the configuration stream."""
@@ -310,7 +318,8 @@
 
         return handle
 
-    return {kind: to_life(kind) for kind in (Renew, Seal, Ping, Ended, Released)}
+    kinds = (Renew, Seal, Ping, Ended, Released, Report)
+    return {kind: to_life(kind) for kind in kinds}
 
 
 def _route_context(core, health, nursery):
@@ -339,6 +348,7 @@
         wait_changed=core.wait_changed,
         overrides=settings.address_overrides,
         log=core.log,
+        note=core.meter.note,
     )
 
 
