Aim tests at the windows of the ownership protocol; end predecessors

Cause: the random walk missed short windows, and one walk found nodes that restarted together and waited for ever, because no majority could be sealed. An admission that took effect late could also block its own node.

Change: tests/test_windows.py drives nine whole nodes into each window. A node that listens at the address of its earlier incarnation ends that one with `leave` once GRANT_S has passed.

Switched off by hand, the failing tests were: wait for grants: test_answers_of_a_witness, frozen_then_without_log, walk; wait after READ: cut_with_its_witnesses, move_then_owner_lost, walk; old set not sealed: change_not_read; new set not sealed: change_not_confirmed; destination not kept: move_then_owner_lost, test_takeover_keeps_the_destination; acknowledging without a lease: cut_with_its_witnesses, test_answers_of_a_witness; seal not for good: test_answers_of_a_witness; granting the dead: frozen_then_without_log, test_answers_of_a_witness; messages without the witness incarnation: witnesses_restart; lease held at `leave`: test_lease_ends_before_leave; release kept: move_then_owner_lost, walk.

--- a/packages/node/src/jujuberudder/_admission.py
+++ b/packages/node/src/jujuberudder/_admission.py
@@ -5,7 +5,7 @@
 import trio
 
 from jujuberudder_core import hash_bits, new_id, records
-from jujuberudder_peers import LEASE_S, Ping, Understood, run_renewals
+from jujuberudder_peers import GRANT_S, LEASE_S, Ping, Understood, run_renewals
 
 WITNESS_COUNT = 3
 ASKED_PER_ZONE = 2
@@ -95,26 +95,42 @@
 
 async def admit(life, addresses):
     """Append the admission of an incarnation until it takes effect."""
-    while True:
+    started_at = trio.current_time()
+    while life.incarnation not in life.ownership.incarnations:
+        if trio.current_time() > started_at + GRANT_S:
+            await _end_predecessor(life, addresses)
         if not await _may_be_admitted(life, addresses):
             with trio.move_on_after(RETRY_S):
                 await life.wait_changed()
             continue
         record = await _admission(life, addresses)
         applied = await life.write(record)
-        if life.ownership.alive(life.incarnation):
-            # An earlier attempt with a lost answer may be what took effect. Its lease
-            # counts from its own send time, so this one grants none; ``keep`` follows.
-            if applied.is_ok() and applied.ok_value.effect:
-                life.lease.extend(applied.ok_value.sent_at)
-            life.log(
-                "admitted",
-                incarnation=life.incarnation,
-                witnesses=",".join(life.state().witnesses),
-            )
-            return
+        if applied.is_ok() and applied.ok_value.effect:
+            life.lease.extend(applied.ok_value.sent_at)
+            break
+        # An attempt whose outcome is unknown may take effect later. Its lease would
+        # count from its own send time, so it grants none here; ``keep`` follows.
         life.log("admission_waits", reason="no effect", result=applied)
         await trio.sleep(RETRY_S * random.uniform(0.5, 1.0))
+    witnesses = ",".join(life.state().witnesses)
+    life.log("admitted", incarnation=life.incarnation, witnesses=witnesses)
+
+
+async def _end_predecessor(life, addresses):
+    """Append ``leave`` for an earlier incarnation of this node at the same address.
+
+    This process listens there, so the earlier one has ended and can neither renew nor
+    grant. Without this, nodes that restart together wait for each other's seals for
+    ever. The wait before it covers a VM that was replaced while it was frozen.
+    """
+    node = life.settings.node
+    for incarnation, state in life.ownership.live():
+        here = (state.admit.node, state.admit.control_address)
+        if here == (node, addresses.control):
+            shards = life.successors(life.ownership, {incarnation})
+            record = records.Leave(new_id(), incarnation, state.version, shards)
+            applied = await life.write(record)
+            life.log("predecessor_ended", incarnation=incarnation, result=applied)
 
 
 async def _may_be_admitted(life, addresses):
--- a/packages/node/src/jujuberudder/_life.py
+++ b/packages/node/src/jujuberudder/_life.py
@@ -345,6 +345,8 @@
     The lease has ended, so that the shards need not wait for a takeover.
     """
     await life.lease.wait_ended()
+    if life.serving.leaving:
+        return
     life.log("sealed_by_majority", incarnation=life.incarnation)
     while not await _append_leave(life):
         await trio.sleep(RETRY_S)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -61,6 +61,22 @@
         ],
         False,
     ),
+    "late cancel of an earlier move": (
+        START
+        + [
+            move(3, "b"),
+            records.Cancel("x", "jobs", "", 3, 4),
+            move(3, "b"),
+            records.Cancel("y", "jobs", "", 3, 4),
+        ],
+        False,
+    ),
+    "move to a leaving incarnation": (
+        START + [records.Withdraw("x", "b", 2, ()), move(3, "b")],
+        False,
+    ),
+    "unknown witness": ([admit("a", witnesses=("z",))], False),
+    "own witness": (START + [records.Witnesses("x", "a", 1, ("a",))], False),
     "merge of one owner's siblings": (
         START
         + [
--- /dev/null
+++ b/tests/test_windows.py
@@ -0,0 +1,328 @@
+"""Short windows of the ownership protocol that random walks seldom meet."""
+
+import pytest
+import trio
+from fakes import APPEND_TIMEOUT_S, LOG, Checker, Cluster, simulate
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err
+
+from jujuberudder_core import Failure, encode, new_id, records
+from jujuberudder_peers import GRANT_S, LEASE_S, Lease, Refused, Sealed, Witness
+
+ZONES = ("a", "b", "c") * 3
+START_S = 3.0
+WATCH_S = 5.0
+STEP_S = 0.001
+LATE_S = 0.1
+
+
+def seeded(test):
+    """Run a test once with random sources, trio's scheduler included, seeded."""
+    return settings(max_examples=1)(given(_=st.none())(test))
+
+
+def witness_of(until=10.0, alive=("x",)):
+    """Return a witness whose own lease runs until a time."""
+    lease = Lease()
+    lease.extend(until - LEASE_S)
+    return Witness(lease, lambda incarnation: incarnation in alive)
+
+
+def renews_after_seal(witness):
+    """Renew after a seal and after all grants have run out."""
+    witness.seal("x", 1.0)
+    return witness.renew("x", 1.0 + GRANT_S)
+
+
+def seals_while_renewing(witness):
+    """Seal right after a renewal."""
+    witness.renew("x", 1.0)
+    return witness.seal("x", 1.1)
+
+
+def seals_after_silence(witness):
+    """Seal when the last renewal is older than the renewal interval."""
+    witness.renew("x", 1.0)
+    return witness.seal("x", 1.5)
+
+
+def renews_after_forgetting(witness):
+    """Renew after the sealed incarnation was forgotten as dead."""
+    witness.seal("x", 1.0)
+    witness.forget("x")
+    return witness.renew("x", 2.0)
+
+
+ANSWERS = {
+    "sealed for good": (witness_of(), renews_after_seal, Refused("sealed")),
+    "never granted": (witness_of(), lambda w: w.seal("x", 1.0), Sealed(GRANT_S)),
+    "renews at present": (witness_of(), seals_while_renewing, Refused("renews")),
+    "silent": (witness_of(), seals_after_silence, Sealed(GRANT_S - 0.5)),
+    "dead stays refused": (
+        witness_of(alive=()),
+        renews_after_forgetting,
+        Refused("not alive in the log"),
+    ),
+    "witness without a lease": (
+        witness_of(until=0.5),
+        lambda w: w.renew("x", 1.0),
+        Refused("witness holds no lease"),
+    ),
+}
+
+
+@pytest.mark.parametrize("witness, ask, answer", ANSWERS.values(), ids=ANSWERS)
+def test_answers_of_a_witness(witness, ask, answer):
+    """Guards against grants after a seal and seals of a healthy incarnation."""
+    got = ask(witness)
+    if isinstance(got, Sealed):
+        assert got.remaining_s == pytest.approx(answer.remaining_s)
+    else:
+        assert got == answer
+
+
+def cut(cluster, hosts, others):
+    """Cut two groups of peers from each other, by name."""
+    cluster.cuts |= {frozenset((a, b)) for a in hosts for b in others}
+
+
+def names(cluster, incarnations):
+    """Return the names of the hosts of incarnations."""
+    known = cluster.newest().ownership.incarnations
+    return [known[incarnation].admit.node for incarnation in incarnations]
+
+
+def fresh_set(cluster, host):
+    """Return witnesses for a host that share no member with its present ones."""
+    state = host.core.life.state()
+    taken = {host.core.life.incarnation, *state.witnesses}
+    by_zone = {}
+    for incarnation, other in host.core.ownership.live():
+        if incarnation not in taken:
+            by_zone.setdefault(other.admit.availability_zone, incarnation)
+    return tuple(by_zone.values())
+
+
+def name_witnesses(cluster, host, chosen):
+    """Append a change of witnesses on behalf of a host."""
+    life = host.core.life
+    record = records.Witnesses(new_id(), life.incarnation, life.state().version, chosen)
+    cluster.log.put("sim.ownership", encode(record))
+
+
+async def change_not_read(cluster, host):
+    """The log is cut off after the change was accepted and before it was read.
+
+    The holder renews with two of its old witnesses; the third one and the new set do
+    not hear it. Sealing the new set alone would take the shards of a healthy holder.
+    """
+    state = host.core.life.state()
+    chosen = fresh_set(cluster, host)
+    cut(cluster, [host.name], [LOG])
+    name_witnesses(cluster, host, chosen)
+    cut(cluster, [host.name], names(cluster, state.witnesses[:1]))
+    cut(cluster, [host.name], names(cluster, chosen))
+
+
+async def change_not_confirmed(cluster, host):
+    """The log is cut off after the change was read and before it was confirmed.
+
+    The holder renews with the new set and its old witnesses do not hear it. Sealing
+    the old set alone would take the shards of a healthy holder.
+    """
+    state = host.core.life.state()
+    chosen = fresh_set(cluster, host)
+    name_witnesses(cluster, host, chosen)
+    while host.core.life.state().next_witnesses is None:
+        await trio.sleep(STEP_S)
+    cut(cluster, [host.name], [LOG])
+    cut(cluster, [host.name], names(cluster, state.witnesses))
+
+
+async def cut_with_its_witnesses(cluster, host):
+    """A holder and two of its witnesses reach each other, but nothing else.
+
+    The witnesses are recorded as dead and count as sealed. Acknowledging without a
+    lease of their own, they would keep the holder's lease alive.
+    """
+    inside = [host.name, *names(cluster, host.core.life.state().witnesses[:2])]
+    cut(cluster, inside, [LOG])
+    cut(cluster, inside, [name for name in cluster.hosts if name not in inside])
+
+
+async def frozen_then_without_log(cluster, host):
+    """A holder returns from a freeze with its witnesses in reach but not the log."""
+    host.thawed = trio.Event()
+    await trio.sleep(4)
+    cut(cluster, [host.name], [LOG])
+    host.thawed.set()
+
+
+async def witnesses_restart(cluster, host):
+    """All witnesses restart at their addresses while the holder is cut from the log.
+
+    The new incarnations have sealed nothing and would renew what was taken over.
+    """
+    cut(cluster, [host.name], [LOG])
+    witnesses = names(cluster, host.core.life.state().witnesses)
+    for name in witnesses:
+        cluster.hosts[name].scope.cancel()
+    await trio.sleep(STEP_S)
+    for name in witnesses:
+        cluster.start(cluster.hosts[name].run)
+
+
+async def move_then_owner_lost(cluster, host):
+    """The owner of a moving shard is lost after its direct word, before its record."""
+    prefix, destination = start_move(cluster, host)
+    serving = host.core.life.serving
+    epoch = host.core.ownership.shards("jobs")[prefix].epoch
+    with trio.fail_after(WATCH_S):
+        while not serving.released("jobs", prefix, epoch):
+            await trio.sleep(STEP_S / 10)
+        cut(cluster, [host.name, destination.name], [LOG])
+        while not destination.core.life.serving.finishing("jobs", prefix):
+            await trio.sleep(STEP_S)
+    host.scope.cancel()
+
+
+async def all_restart(cluster, host):
+    """All nodes restart at once, so that nobody remembers a grant or a seal."""
+    for other in cluster.hosts.values():
+        other.scope.cancel()
+    await trio.sleep(STEP_S)
+    for other in cluster.hosts.values():
+        cluster.start(other.run)
+
+
+def start_move(cluster, host):
+    """Append a move of one shard from a host to another one."""
+    ownership = cluster.newest().ownership
+    name, prefix = sorted(ownership.owned(host.core.life.incarnation))[0]
+    epoch = ownership.shards(name)[prefix].epoch
+    others = [h for h in cluster.running() if h is not host and h.zone != host.zone]
+    target = others[0].core.life.incarnation
+    entry = records.ShardOwner(name, prefix, epoch, target)
+    cluster.log.put("sim.ownership", encode(records.Move(new_id(), "p", (entry,))))
+    return prefix, others[0]
+
+
+async def cluster_of(nursery):
+    """Start nine nodes in three availability zones and wait until all is served."""
+    cluster = Cluster(nursery, ZONES)
+    checker = Checker(cluster)
+    cluster.start(checker.run)
+    await trio.sleep(START_S)
+    assert checker.served()
+    return cluster, checker
+
+
+def owner_with_witnesses(cluster):
+    """Return a host that owns shards and has three confirmed witnesses."""
+    for host in cluster.running():
+        life = host.core.life
+        if life.owned() and len(life.state().witness_sets[-1]) == 3:
+            if life.state().next_witnesses is None:
+                return host
+    raise AssertionError("no owner has witnesses")
+
+
+WINDOWS = (
+    change_not_read,
+    change_not_confirmed,
+    cut_with_its_witnesses,
+    frozen_then_without_log,
+    witnesses_restart,
+    move_then_owner_lost,
+    all_restart,
+)
+
+
+@pytest.mark.parametrize("window", WINDOWS)
+@seeded
+def test_one_owner_in_window(window, _):
+    """Guards against a second owner in one window of the protocol."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            cluster, checker = await cluster_of(nursery)
+            await window(cluster, owner_with_witnesses(cluster))
+            await trio.sleep(WATCH_S)
+            cluster.heal()
+            await trio.sleep(WATCH_S)
+            assert checker.served()
+            nursery.cancel_scope.cancel()
+
+    simulate(main)
+
+
+@seeded
+def test_lease_ends_before_leave(_):
+    """Guards against grants by a witness that the log records as dead."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            cluster, checker = await cluster_of(nursery)
+            host = owner_with_witnesses(cluster)
+            life = host.core.life
+            held = []
+            put = cluster.log.put
+
+            def watch(stream, data):
+                if data.startswith('["leave"'):
+                    held.append(life.holds_lease())
+                return put(stream, data)
+
+            cluster.log.put = watch
+            host.stopping.set()
+            await trio.sleep(START_S)
+            assert held == [False]
+            assert checker.served()
+            nursery.cancel_scope.cancel()
+
+    simulate(main)
+
+
+async def append_late(cluster, stream, data):
+    """Append after the writer has given up on it."""
+
+    async def arrive():
+        await trio.sleep(APPEND_TIMEOUT_S + LATE_S)
+        cluster.log.put(stream, data)
+
+    cluster.start(arrive)
+    await trio.sleep(APPEND_TIMEOUT_S)
+    return Err(Failure("append", LOG, "no answer", True))
+
+
+@seeded
+def test_late_admission_grants_no_lease(_):
+    """Guards against a lease that counts from another send than the one in the log."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            cluster, _ = await cluster_of(nursery)
+            host = cluster.hosts["n8"]
+            host.stopping.set()
+            await trio.sleep(START_S)
+            host.append = lambda *record: append_late(cluster, *record)
+            cluster.start(host.run)
+            while host.core is None or host.core.life is None:
+                await trio.sleep(STEP_S)
+            life, from_log = host.core.life, []
+            extend = life.lease.extend
+
+            def watch(sent_at, witnesses=()):
+                if not witnesses:
+                    from_log.append(sent_at)
+                extend(sent_at, witnesses)
+
+            life.lease.extend = watch
+            while not life.state().alive:
+                await trio.sleep(STEP_S)
+            await trio.sleep(APPEND_TIMEOUT_S + LATE_S)
+            assert from_log == []
+            nursery.cancel_scope.cancel()
+
+    simulate(main)
