--- /dev/null
+++ b/bench/goodput.py
@@ -0,0 +1,168 @@
+"""Goodput of one target under rising load, open loop, through a node process.
+
+Run as ``python bench/goodput.py --seed 1``. The target has 6 slots and takes 100 ms a
+request, so its capacity is 60 requests/s; clients give up after 1 s.
+"""
+
+import random
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import defopt
+import msgspec
+import trio
+
+from jujuberudder_core import encode, new_id, records
+from jujuberudder_standins import LogStandin, serve_app
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
+from processes import start_node  # noqa: E402
+
+SLOTS, WORK_S, DEADLINE_S = 6, 0.1, 1.0
+CAPACITY = SLOTS / WORK_S
+SECTION = f"""\
+service: jobs
+routes: [{{path_prefix: /jobs/}}]
+key: {{source: path_segment, index: 1}}
+slots: {SLOTS}
+queue: 100
+call_slots: 0
+"""
+LOADS = (0.5, 0.8, 0.9, 1.0, 1.2, 1.5, 2.0, 3.0)
+WARM_UP_S = 6.0
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Target:
+    """A target with slots of its own: what exceeds them waits inside it."""
+
+    def __init__(self):
+        self._slots = trio.CapacityLimiter(SLOTS)
+        self.runs = 0
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve for ever; started with the address."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        task_status.started(f"127.0.0.1:{port}")
+        await trio.serve_listeners(self._connection, listeners)
+
+    async def _connection(self, stream):
+        async with stream:
+            try:
+                while head := await stream.receive_some(65536):
+                    if not head.startswith(b"GET /health"):
+                        async with self._slots:
+                            await trio.sleep(WORK_S)
+                            self.runs += 1
+                    await stream.send_all(OK)
+            except trio.BrokenResourceError:
+                pass
+
+
+async def ask(address, number, results):
+    """Send one request; note its outcome and latency."""
+    host, _, port = address.rpartition(":")
+    started = trio.current_time()
+    outcome = "none"
+    source = f"127.0.0.{1 + number % 20}"
+    try:
+        with trio.move_on_after(2 * DEADLINE_S):
+            stream = await trio.open_tcp_stream(host, int(port), local_address=source)
+            async with stream:
+                head = f"POST /jobs/{number} HTTP/1.1\r\nHost: a\r\nContent-Length: 0"
+                head += f"\r\nJujuberudder-Deadline: {int(DEADLINE_S * 1000)}\r\n\r\n"
+                await stream.send_all(head.encode())
+                answer = await stream.receive_some(65536)
+                for word in (b"completed", b"not-run", b"unknown"):
+                    if b"outcome: " + word in answer:
+                        outcome = word.decode()
+    except OSError:
+        outcome = "not-run"
+    results.append((outcome, trio.current_time() - started))
+
+
+async def offer(address, load, seconds, generator):
+    """Offer Poisson arrivals and return what came of them."""
+    results = []
+    started = due = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        number = 0
+        while due < started + seconds:
+            due += generator.expovariate(load * CAPACITY)
+            await trio.sleep_until(due)
+            nursery.start_soon(ask, address, number, results)
+            number += 1
+    good = [s for outcome, s in results if outcome == "completed" and s <= DEADLINE_S]
+    refused = sorted(s for outcome, s in results if outcome == "not-run")
+    outcomes = [outcome for outcome, _ in results]
+    return {
+        "load": load,
+        "offered_per_s": len(results) / seconds,
+        "goodput_per_s": len(good) / seconds,
+        "completed": outcomes.count("completed"),
+        "completed_late": outcomes.count("completed") - len(good),
+        "not_run": outcomes.count("not-run"),
+        "unknown": outcomes.count("unknown"),
+        "no_answer": outcomes.count("none"),
+        "refusal_median_ms": refused[len(refused) // 2] * 1000 if refused else None,
+    }
+
+
+async def run(seed, seconds):
+    """Return one row per load."""
+    generator = random.Random(seed)
+    with tempfile.TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            log, target = LogStandin(), Target()
+            log_address = await nursery.start(serve_app, log.app)
+            section = records.Section(new_id(), "jobs", 0, SECTION)
+            log.put("lango.sections", encode(section))
+            address = await nursery.start(target.serve)
+            node = await start_node(
+                nursery, Path(folder), log_address, "jobs", "dar-a", address
+            )
+            await offer(node.client, 0.5, WARM_UP_S, generator)
+            rows = [
+                await offer(node.client, load, seconds, generator) for load in LOADS
+            ]
+            nursery.cancel_scope.cancel()
+    return rows
+
+
+def goodput(*, seed: int = 1, seconds: float = 6.0, output: str = ""):
+    """Measure goodput under rising load.
+
+    Parameters
+    ----------
+    seed : int
+        Of the arrivals.
+    seconds : float
+        Per load.
+    output : str
+        File for the raw figures; standard output if empty.
+    """
+    rows = trio.run(run, seed, seconds)
+    peak = max(row["goodput_per_s"] for row in rows)
+    commit = subprocess.run(
+        ["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True
+    ).stdout.strip()
+    result = {
+        "seed": seed,
+        "commit": commit,
+        "command": f"python bench/goodput.py --seed {seed} --seconds {seconds}",
+        "date": time.strftime("%Y-%m-%d"),
+        "rows": rows,
+        "goodput_over_peak": {r["load"]: r["goodput_per_s"] / peak for r in rows},
+    }
+    text = msgspec.json.format(msgspec.json.encode(result), indent=1).decode()
+    if output:
+        Path(output).write_text(text + "\n")
+    print(text)
+
+
+if __name__ == "__main__":
+    defopt.run(goodput)
