--- a/bench/choice.py
+++ b/bench/choice.py
@@ -86,6 +86,7 @@
 
 
 class _Answer(NamedTuple):
+    status: int
     headers: list
 
 
@@ -123,9 +124,9 @@
     if isinstance(state, Choice):
         with state.observe(str(target.number)) as flight:
             good = await travel(target, crossing, generator)
-            flight.failed = not good
             load = b"%d/%d" % (target.report(), target.scenario.slots)
-            flight.answered(_Answer([(b"jujuberudder-load", load)]))
+            status = 200 if good else 500
+            flight.answered(_Answer(status, [(b"jujuberudder-load", load)]))
     elif state is None:
         good = await travel(target, crossing, generator)
     else:
--- a/packages/clients/src/jujuberudder_clients/_choice.py
+++ b/packages/clients/src/jujuberudder_clients/_choice.py
@@ -19,6 +19,8 @@
 CROSSING_S = 0.008
 # A target whose last requests all failed costs as much as this delay.
 FAILURE_S = 1.0
+# What was seen of a target that gets no requests fades, so that it is tried again.
+FORGET_S = 5.0
 # After a failure a target gets no request for a moment.
 AVOID_S = 0.5
 
@@ -34,6 +36,14 @@
         self.reported = 0.0
         self.reported_at = -math.inf
         self.slots = 1
+        self.seen_at = -math.inf
+
+    def fade(self, now):
+        """Move what was seen towards what is assumed of an unknown target."""
+        kept = math.exp(-(now - self.seen_at) / FORGET_S)
+        self.latency_s = FIRST_LATENCY_S + (self.latency_s - FIRST_LATENCY_S) * kept
+        self.failures *= kept
+        self.seen_at = now
 
 
 class Flight:
@@ -51,10 +61,12 @@
     def answered(self, answer):
         """Note the head of an answer: its delay and the load that it reports."""
         observed, now = self._observed, trio.current_time()
+        # A target that fails fast must not look like a fast one.
+        self.failed = answer.status >= 500
+        observed.fade(now)
         _approach(observed, "latency_s", now - self._started)
-        load, _, slots = (headers.get(answer.headers, headers.LOAD) or "").partition(
-            "/"
-        )
+        report = headers.get(answer.headers, headers.LOAD) or ""
+        load, _, slots = report.partition("/")
         if load.isdigit() and slots.isdigit():
             observed.reported = int(load)
             observed.slots = max(1, int(slots))
@@ -63,6 +75,7 @@
     def __exit__(self, *error):
         observed = self._observed
         observed.in_flight -= 1
+        observed.fade(trio.current_time())
         _approach(observed, "failures", float(self.failed))
         if self.failed:
             observed.avoid_until = trio.current_time() + AVOID_S
@@ -121,10 +134,9 @@
             reported = observed.reported * math.exp(-age_s / REPORT_AGE_S)
             # What this node has in flight there is seen, so it beats the report.
             queued, slots = max(observed.in_flight, reported), observed.slots
+        observed.fade(now)
         service_s = max(LATENCY_FLOOR_S, observed.latency_s)
-        cost = (
-            service_s * (1 + QUEUE_WEIGHT * queued / slots)
-            + observed.failures * FAILURE_S
-        )
+        cost = service_s * (1 + QUEUE_WEIGHT * queued / slots)
+        cost += observed.failures * FAILURE_S
         cost += 0 if same_zone else CROSSING_S
         return cost + (FAILURE_S if now < observed.avoid_until else 0)
--- a/packages/clients/src/jujuberudder_clients/_hops.py
+++ b/packages/clients/src/jujuberudder_clients/_hops.py
@@ -28,10 +28,15 @@
     """
     if request.once is not None and request.key is not None:
         return await run_once(context, request, hop, _to_target)
-    return await _to_target(context, request, hop)
+    if request.key is not None:
+        return await _to_target(context, request, hop)
+    with context.choice.observe(context.incarnation()) as flight:
+        refusal = await _to_target(context, request, hop, flight)
+        flight.failed = flight.failed or refusal is not None
+        return refusal
 
 
-async def _to_target(context, request, hop):
+async def _to_target(context, request, hop, flight=None):
     serving = context.serving()
     if serving is None:
         return Refusal("not-run", 503, "no lease", True)
@@ -46,7 +51,7 @@
                 reason = admitted.err_value.reason
                 return Refusal("not-run", 503, reason, retry_after_s=after_s)
             try:
-                return await _with_slot(context, request, hop, serving)
+                return await _with_slot(context, request, hop, serving, flight)
             except BodyTooLarge:
                 outcome = "unknown" if request.progress.sent else "not-run"
                 return Refusal(outcome, 413, "body too large")
@@ -54,7 +59,7 @@
         serving.exit(service, hop.prefix)
 
 
-async def _with_slot(context, request, hop, serving):
+async def _with_slot(context, request, hop, serving, flight):
     def ready():
         epoch = _epoch_in_force(context, request, hop, serving)
         if epoch is None:
@@ -71,7 +76,9 @@
     # for before the first byte goes to the target.
     await request.body.fill()
     outgoing = _outgoing(context.target, request, ready, False)
-    return await _exchange(context, request, outgoing, context.target_pool, "target")
+    return await _exchange(
+        context, request, outgoing, context.target_pool, "target", flight
+    )
 
 
 def _epoch_in_force(context, request, hop, serving):
@@ -130,12 +137,11 @@
         return _ready(request, extra, HOP_MARGIN_S)
 
     outgoing = _outgoing(address, request, ready, two_step)
-    observed = context.choice.observe(hop.incarnation)
-    with observed:
+    with context.choice.observe(hop.incarnation) as flight:
         refusal = await _exchange(
-            context, request, outgoing, context.node_pool, "forward", observed
+            context, request, outgoing, context.node_pool, "forward", flight
         )
-        observed.failed = refusal is not None
+        flight.failed = flight.failed or refusal is not None
         return refusal
 
 
@@ -153,7 +159,7 @@
     )
 
 
-async def _exchange(context, request, outgoing, pool, step, observed=None):
+async def _exchange(context, request, outgoing, pool, step, flight):
     """Send a request and pass its answer on; return a Refusal if there is none."""
     try:
         async with exchange(pool, outgoing, step) as answer:
@@ -161,8 +167,8 @@
                 _note_health(context, answer)
             if answer.is_err():
                 return _failed(request, answer.err_value)
-            if observed is not None:
-                observed.answered(answer.ok_value)
+            if flight is not None:
+                flight.answered(answer.ok_value)
             return await _answered(context, request, answer.ok_value, step)
     except BodyTooLarge:
         return Refusal("unknown", 413, "body too large")
