Take connections from a pool of idle ones and send small answers at once

Cause: httpcore's pool goes through all its connections on each request, and the head and body of an answer were two packets. Change: idle connections are kept by address on httpcore's connections; the head waits for the start of the body.

--- a/bench/bodies.py
+++ b/bench/bodies.py
@@ -19,7 +19,7 @@
 from result import Ok
 
 from jujuberudder_clients import listen
-from jujuberudder_targets import Outgoing, exchange, make_pool
+from jujuberudder_targets import Outgoing, Pool, exchange
 
 SIZES = (1024, 64 * 1024, 1024 * 1024, 16 * 1024 * 1024)
 STEP = 64 * 1024
@@ -100,7 +100,7 @@
         rows = {}
         with pynng.Req0(recv_max_size=0) as socket:
             socket.dial(f"tcp://{name.removeprefix('tcp://')}", block=True)
-            pool = make_pool(4)
+            pool = Pool()
             call = (over_http, pool, http) if way == "http" else (over_pynng, socket)
             for size in SIZES:
                 await timed(*call, size)
--- a/packages/clients/src/jujuberudder_clients/_connection.py
+++ b/packages/clients/src/jujuberudder_clients/_connection.py
@@ -31,6 +31,7 @@
     def __init__(self, *args):
         super().__init__(*args)
         self.stopping = False
+        self._held = b""
 
     @property
     def answering(self):
@@ -68,10 +69,25 @@
         if isinstance(event, h11.InformationalResponse):
             return
         try:
-            await super()._send_h11_event(event)
+            data = self.connection.send(event)
         except h11.LocalProtocolError:
             # The answer does not fit its head: cut it short, never end it cleanly.
             await self.send(Closed())
+            return
+        if isinstance(event, h11.Response):
+            # Sent together with the start of the body: one packet for small answers.
+            self._held = data
+        else:
+            await self._flush(data)
+
+    async def _flush(self, data=b""):
+        data, self._held = self._held + data, b""
+        if data:
+            await self.send(RawData(data))
+
+    async def _maybe_recycle(self):
+        await self._flush()
+        await super()._maybe_recycle()
 
     async def stream_send(self, event):
         if isinstance(event, Response) and self.stopping:
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -31,8 +31,8 @@
 from jujuberudder_targets import (
     Admission,
     Limits,
+    Pool,
     TargetHealth,
-    make_pool,
     run_probes,
 )
 
@@ -40,9 +40,6 @@
 from ._meter import LoadMeter
 from ._views import make_views
 
-NODE_CONNECTIONS = 400
-# Admission limits what reaches the target; the pool only bounds its own memory.
-TARGET_CONNECTIONS = 1000
 # Of one address at a time; one client must not take all file descriptors.
 CLIENT_CONNECTIONS = 512
 RESTART_PAUSE_S = 0.2
@@ -337,8 +334,8 @@
         sections=core.sections,
         serving=lambda: core.life.serving if core.life else None,
         admission=admission,
-        target_pool=make_pool(TARGET_CONNECTIONS),
-        node_pool=make_pool(NODE_CONNECTIONS),
+        target_pool=Pool(),
+        node_pool=Pool(),
         health=health,
         choice=Choice(here, lambda: (admission.load, admission.capacity())),
         budget=RetryBudget(),
--- a/packages/targets/src/jujuberudder_targets/__init__.py
+++ b/packages/targets/src/jujuberudder_targets/__init__.py
@@ -1,7 +1,8 @@
 """The local target as a peer: exchanges, admission and probes."""
 
 from ._admission import Admission, Claim, Limits
-from ._exchange import Answer, Outgoing, exchange, make_pool
+from ._exchange import Answer, Outgoing, exchange
+from ._pool import Pool
 from ._probe import TargetHealth, run_probes
 
 __all__ = [
@@ -10,8 +11,8 @@
     "Claim",
     "Limits",
     "Outgoing",
+    "Pool",
     "TargetHealth",
     "exchange",
-    "make_pool",
     "run_probes",
 ]
--- a/packages/targets/src/jujuberudder_targets/_exchange.py
+++ b/packages/targets/src/jujuberudder_targets/_exchange.py
@@ -10,17 +10,13 @@
 
 from jujuberudder_core import Failure
 
-from ._network import Backend, Sending, use
+from ._network import Sending, use
 
-CONNECT_TIMEOUT_S = 1.0
-# Shorter than common servers keep an idle connection, so that this side closes first.
-KEEPALIVE_S = 4.0
 BODILESS = (204, 304)
 ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
-    httpcore.PoolTimeout,
 )
 
 
@@ -71,22 +67,13 @@
     """The check right before the first byte failed."""
 
 
-def make_pool(connections):
-    """Return a connection pool with a limit on connections in total."""
-    return httpcore.AsyncConnectionPool(
-        max_connections=connections,
-        keepalive_expiry=KEEPALIVE_S,
-        network_backend=Backend(),
-    )
-
-
 @asynccontextmanager
 async def exchange(pool, outgoing, step):
     """Send a request and yield its answer while the connection is held.
 
     Parameters
     ----------
-    pool : httpcore.AsyncConnectionPool
+    pool : Pool
     outgoing : Outgoing
     step : str
         Named in failures; those of the check right before the first byte say "check".
@@ -110,7 +97,8 @@
             sent = True
 
     try:
-        response = await _send(pool, outgoing, trace, sending)
+        connection = await pool.take(outgoing.address)
+        response = await _send(connection, outgoing, trace, sending)
     except _Stopped as stopped:
         yield Err(Failure("check", outgoing.address, str(stopped)))
         return
@@ -121,20 +109,10 @@
     try:
         yield Ok(_answer(outgoing.method, response))
     finally:
-        if _has_more(response):
-            response.extensions["network_stream"].doubt()
-        await response.aclose()
-
-
-def _has_more(response):
-    """Return whether the peer sent more than its answer.
-
-    What follows would be taken for the answer to the next request. httpcore does not
-    tell, so this looks into its connection.
-    """
-    connection = response.stream._stream._connection
-    data, _ = connection._h11_state.trailing_data
-    return bool(data)
+        # A cancelled exchange must still close its connection.
+        with trio.CancelScope(shield=True):
+            await response.aclose()
+            await pool.put(outgoing.address, connection)
 
 
 def _describe(error):
@@ -150,22 +128,17 @@
     )
 
 
-async def _send(pool, outgoing, trace, sending):
-    host, _, port = outgoing.address.rpartition(":")
-    target = httpcore.URL(
-        scheme=b"http", host=host.encode(), port=int(port), target=outgoing.path
-    )
-    extensions = {"trace": trace, "timeout": {"connect": CONNECT_TIMEOUT_S}}
-    if outgoing.whole:
-        request = httpcore.Request(
-            outgoing.method, target, content=outgoing.body, extensions=extensions
-        )
-        return await pool.handle_async_request(request)
-    body = _until_answered(outgoing.body, sending)
+async def _send(connection, outgoing, trace, sending):
+    target = httpcore.URL(scheme=b"http", host=b"", port=None, target=outgoing.path)
+    body = outgoing.body
+    if not outgoing.whole:
+        body = _until_answered(body, sending)
     request = httpcore.Request(
-        outgoing.method, target, content=body, extensions=extensions
+        outgoing.method, target, content=body, extensions={"trace": trace}
     )
-    return await _send_watched(pool, request, sending)
+    if outgoing.whole:
+        return await connection.handle_async_request(request)
+    return await _send_watched(connection, request, sending)
 
 
 async def _until_answered(body, sending):
@@ -176,14 +149,14 @@
             return
 
 
-async def _send_watched(pool, request, sending):
+async def _send_watched(connection, request, sending):
     """Send a request while its connection is watched for an early answer."""
     use(sending)
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(sending.watch)
             try:
-                return await pool.handle_async_request(request)
+                return await connection.handle_async_request(request)
             except Exception as error:
                 # Raised below: what leaves the nursery would be wrapped in a group.
                 failed = error
--- a/packages/targets/src/jujuberudder_targets/_network.py
+++ b/packages/targets/src/jujuberudder_targets/_network.py
@@ -99,11 +99,6 @@
 
     def __init__(self, stream):
         self._stream = stream
-        self._doubted = False
-
-    def doubt(self):
-        """Keep the pool from using this connection again."""
-        self._doubted = True
 
     async def read(self, max_bytes, timeout=None):
         sending = _sending.get()
@@ -122,9 +117,6 @@
         await self._stream.aclose()
 
     def get_extra_info(self, info):
-        # The pool drops an idle connection that is readable.
-        if info == "is_readable" and self._doubted:
-            return True
         return self._stream.get_extra_info(info)
 
 
