Serve metrics of each node for Prometheus, renamed by a section

Cause: operators had no figures on requests, leases, takeovers or versions in force. Change: each node has an OpenTelemetry provider and registry of its own, served on /metrics; the dashboards section renames what is served without losing counts; a debug header names the section version that a request used.

--- a/packages/clients/src/jujuberudder_clients/__init__.py
+++ b/packages/clients/src/jujuberudder_clients/__init__.py
@@ -3,5 +3,6 @@
 from ._app import make_app
 from ._context import RouteContext
 from ._listener import listen
+from ._metered import metered
 
-__all__ = ["RouteContext", "listen", "make_app"]
+__all__ = ["RouteContext", "listen", "make_app", "metered"]
--- a/packages/clients/src/jujuberudder_clients/_app.py
+++ b/packages/clients/src/jujuberudder_clients/_app.py
@@ -12,6 +12,7 @@
 
 from . import _headers as headers
 from ._body import BodyTooLarge, ClientGone, RequestBody
+from ._metered import USED_SECTION
 from ._route import find_key, find_section, next_hop
 
 MAX_HOPS = 2
@@ -85,6 +86,7 @@
     given = scope["headers"]
     request_id = headers.get(given, headers.REQUEST_ID) or new_id()
     section = find_section(context.sections, scope)
+    scope[USED_SECTION] = section
     if section is None:
         refusal = Refusal("not-run", 404, "no section for this host and path")
         await _refuse(context, send, request_id, refusal)
--- a/packages/core/src/jujuberudder_core/__init__.py
+++ b/packages/core/src/jujuberudder_core/__init__.py
@@ -4,7 +4,10 @@
 from ._clock import BoottimeClock
 from ._documents import Document, Problem, convert, read_document
 from ._errors import Failure, UserError
+from ._instruments import ALL as INSTRUMENTS
+from ._instruments import Instrument
 from ._logging import format_line, make_logger, start_logging
+from ._metrics import Metrics
 from ._ownership import Claimed, Incarnation, Ownership, Shard
 from ._records import decode, encode, new_id
 from ._sections import (
@@ -26,7 +29,10 @@
     "DEFAULTS",
     "Document",
     "Failure",
+    "INSTRUMENTS",
     "Incarnation",
+    "Instrument",
+    "Metrics",
     "Ownership",
     "Problem",
     "PublishedSection",
--- a/packages/core/src/jujuberudder_core/_instruments.py
+++ b/packages/core/src/jujuberudder_core/_instruments.py
@@ -76,7 +76,12 @@
     _gauge("queue_limit", SERVICE, "How many requests may wait for a slot?"),
     _gauge("queue_waiting", SERVICE, "How many requests wait for a slot?"),
     _gauge("target_up", SERVICE, "Do probes reach the target?"),
-    _gauge("imbalance", SERVICE, "How much more shards than the mean has the fullest?"),
+    _gauge(
+        "imbalance",
+        SERVICE,
+        "How many times the mean of shards does the node with the most own?",
+    ),
+    _gauge("shards", SERVICE, "How many shards does the service have?"),
     _gauge("shards_owned", SERVICE, "How many shards does this node own?"),
     _gauge("shards_unserved", SERVICE, "How many shards have no live owner?"),
     _counter(
@@ -84,11 +89,10 @@
         ("service", "cause"),
         "How many shards changed owner, and why (churn)?",
     ),
-    _gauge("churn_ratio", SERVICE, "Which share of ownership changed since the start?"),
     _counter(
         "unavailable_seconds",
         ("service", "owner_availability_zone"),
-        "For how many shard-seconds were shards without a live owner?",
+        "For how many shard-seconds were the shards of lost owners not served?",
     ),
     _gauge("lease_held", (), "Does this node hold its lease?"),
     _gauge("lease_remaining_seconds", (), "How long does its lease still run?"),
@@ -97,13 +101,19 @@
     ),
     _seconds("lease_margin", (), "How much of the lease was left at each renewal?"),
     _seconds("takeover_step", ("step",), "Which step of takeovers took how long?"),
-    _counter("takeovers", ("result",), "How many takeovers did this node carry out?"),
-    _counter("moves", ("service", "step"), "How many shards were moved?"),
+    _counter(
+        "takeovers", ("result",), "How many lost incarnations did this node take over?"
+    ),
+    _counter(
+        "moves",
+        ("service", "step"),
+        "How many moves of shards were started, done and cancelled?",
+    ),
     _counter(
         "log_appends", ("stream", "result"), "How many records were appended or failed?"
     ),
-    _gauge("log_read_age_seconds", ("stream",), "When was the log last read?"),
-    _gauge("log_position", ("stream",), "Up to which offset was the log read?"),
+    _gauge("log_read_age_seconds", ("stream",), "For how long was the log not read?"),
+    _gauge("log_position", ("stream",), "Up to which offset was the log read here?"),
     _gauge("section_version", ("section",), "Which version is in force here?"),
     _counter("sections_rejected", (), "How many invalid sections are in the log?"),
 )
--- a/packages/logservice/src/jujuberudder_logservice/_follower.py
+++ b/packages/logservice/src/jujuberudder_logservice/_follower.py
@@ -34,6 +34,12 @@
         self._reads = 0
         self._changed = trio.Event()
         self._failing = False
+        self._read_at = float("-inf")
+
+    @property
+    def read_at(self):
+        """When the log service last answered, in the runtime's clock."""
+        return self._read_at
 
     @property
     def next(self):
@@ -82,6 +88,7 @@
             backoff = min(backoff * 2, BACKOFF_MAX_S)
 
     def _take(self, batch):
+        self._read_at = trio.current_time()
         for entry in batch.records:
             if entry.offset < self._next:
                 continue
--- a/packages/node/src/jujuberudder/_life.py
+++ b/packages/node/src/jujuberudder/_life.py
@@ -93,15 +93,22 @@
 
     def log(self, event, **fields):
         """Log an event of this incarnation."""
+        self._core.recorder.event(event, fields, self._witness, self.read_at)
         self._core.log(event, **fields)
 
-    async def call(self, *args):
+    async def call(self, address, message, *args):
         """Send a control message."""
-        return await self._core.channel.call(*args)
+        sent_at = trio.current_time()
+        reply = await self._core.channel.call(address, message, *args)
+        self._core.recorder.called(self._lease, message, reply, sent_at)
+        return reply
 
     async def write(self, record):
         """Append to the ownership stream and wait for the effect."""
-        return await self._core.writer.write(record)
+        sent_at = trio.current_time()
+        applied = await self._core.writer.write(record)
+        self._core.recorder.written(self.ownership, record, applied, sent_at)
+        return applied
 
     async def catch_up(self):
         """Read the ownership stream to its end."""
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -4,18 +4,20 @@
 
 import trio
 
-from jujuberudder_clients import RouteContext, listen, make_app
-from jujuberudder_core import Ownership, Sections, make_logger
+from jujuberudder_clients import RouteContext, listen, make_app, metered
+from jujuberudder_core import Metrics, Ownership, Sections, make_logger
 from jujuberudder_logservice import Follower, LogClient, Writer
 from jujuberudder_operators import make_operator_app
 from jujuberudder_peers import Channel, ControlServer, Refused, Released, Renew, Seal
 from jujuberudder_targets import Admission, TargetHealth, make_pool, run_probes
 
 from ._life import Life, run_life
+from ._metrics import Recorder, observe_node
 from ._views import make_views
 
 NODE_CONNECTIONS = 400
 RESTART_PAUSE_S = 0.2
+START_READ_S = 2.0
 STREAMS = ("ownership", "sections")
 
 
@@ -39,6 +41,7 @@
     def __init__(self, settings):
         self._settings = settings
         self._log = make_logger(node=settings.node)
+        self._recorder = Recorder(Metrics(settings.node, settings.availability_zone))
         self._ownership = Ownership()
         self._sections = Sections()
         self._read_at = {}
@@ -65,6 +68,11 @@
         """Function ``log(event, **fields)``."""
         return self._log
 
+    @property
+    def recorder(self):
+        """Turns what happens into metrics."""
+        return self._recorder
+
     @property
     def ownership(self):
         """Fold of the ownership stream."""
@@ -126,6 +134,7 @@
     def _apply_ownership(self, offset, record):
         effect = self._ownership.apply(offset, record)
         if effect:
+            self._recorder.counts(record)
             for incarnation in _about(record):
                 self._read_at[incarnation] = trio.current_time()
             if self._life is not None:
@@ -152,6 +161,7 @@
     async def aclose(self):
         """Close the connections."""
         self._channel.close()
+        self._recorder.metrics.close()
         with trio.move_on_after(1, shield=True):
             await self._client.aclose()
 
@@ -187,14 +197,20 @@
     settings = core.settings
     health = TargetHealth()
     context = _route_context(core, health)
+    observe_node(core, context)
+    client_app = metered(make_app(context, False), core.recorder.metrics)
     closing = trio.Event()
     control = ControlServer(settings.control_address, _handlers(core), core.log)
     nursery.start_soon(control.run)
     listeners = (
-        (make_app(context, False), settings.client_address),
+        (client_app, settings.client_address),
         (make_app(context, True), settings.request_address),
         (make_operator_app(make_views(core, context)), settings.operator_address),
     )
+    with trio.move_on_after(START_READ_S):
+        # Without sections, the first requests would be refused as unknown paths.
+        for follower in core.followers:
+            await follower.catch_up()
     async with trio.open_nursery() as serving:
         bound = [await serving.start(listen, *one, closing) for one in listeners]
         addresses = Addresses(bound[0], bound[1], control.address, bound[2])
--- a/packages/node/src/jujuberudder/_views.py
+++ b/packages/node/src/jujuberudder/_views.py
@@ -2,6 +2,8 @@
 
 from jujuberudder_core import explain_view, nodes_view, owners_view, sections_view
 
+from ._metrics import metrics_view
+
 
 def make_views(core, context):
     """Return the views of a node.
@@ -28,6 +30,7 @@
         "/v1/sections": lambda query: sections_view(core.sections),
         "/v1/nodes": lambda query: nodes_view(core.ownership),
         "/v1/explain": explain,
+        "/metrics": metrics_view(core),
     }
 
 
--- a/packages/peers/src/jujuberudder_peers/_witness.py
+++ b/packages/peers/src/jujuberudder_peers/_witness.py
@@ -35,6 +35,10 @@
         self._last_seen.pop(incarnation, None)
         self._sealed.discard(incarnation)
 
+    def heard_at(self, incarnation):
+        """Return when an incarnation was last heard of, or None."""
+        return self._last_seen.get(incarnation)
+
     def silent(self, now, threshold_s):
         """Return the incarnations not heard of for ``threshold_s``."""
         return [k for k, seen in self._last_seen.items() if now - seen >= threshold_s]
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,139 @@
+"""Metrics of a node and their renames."""
+
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from jujuberudder_core import INSTRUMENTS, Metrics, parse_section
+from jujuberudder_core._metrics import MAX_LABEL_VALUES
+
+NONE = {"instruments": {}}
+REQUESTS = "jujuberudder_requests_total"
+LATENCY = "jujuberudder_request_seconds"
+OUTCOME = {"service": "jobs", "outcome": "completed", "reason": ""}
+
+
+def fill(metrics):
+    """Give every instrument one value."""
+    for one in INSTRUMENTS:
+        labels = dict.fromkeys(one.labels, "x")
+        if one.kind == "histogram":
+            metrics.record(one.name, 0.3, **labels)
+        elif one.kind == "counter":
+            metrics.add(one.name, **labels)
+        else:
+            metrics.observe(one.name, lambda labels=labels: [(1, labels)])
+
+
+def series(metrics, renames=NONE):
+    """Return the values of all series by name and labels."""
+    text = metrics.render(renames).decode()
+    return {
+        (sample.name, frozenset(sample.labels.items())): sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+def names(metrics, renames=NONE):
+    """Return the names of all series."""
+    return {name for name, _ in series(metrics, renames)}
+
+
+def test_every_instrument_has_its_documented_name_and_labels():
+    """Guards against a name on /metrics that differs from the one in the docs."""
+    metrics = Metrics("jobs-dar-a", "dar-a")
+    fill(metrics)
+    found = {name: dict(labels) for name, labels in series(metrics)}
+    for one in INSTRUMENTS:
+        name = one.name + ("_count" if one.kind == "histogram" else "")
+        expected = set(one.labels) | {"node", "availability_zone"}
+        assert set(found[name]) == expected, name
+
+
+def test_two_nodes_in_one_process_do_not_share_values():
+    """Guards against a registry that all nodes of a process share."""
+    first, second = Metrics("a", "dar-a"), Metrics("b", "dar-b")
+    first.add(REQUESTS, **OUTCOME)
+    assert (len(series(first)), len(series(second))) == (1, 0)
+
+
+def test_labels_are_bounded():
+    """Guards against a scrape that grows with what clients send."""
+    metrics = Metrics("a", "dar-a")
+    for number in range(MAX_LABEL_VALUES + 50):
+        metrics.add(REQUESTS, **OUTCOME | {"reason": str(number)})
+    values = series(metrics)
+    assert len(values) == MAX_LABEL_VALUES + 1
+    assert sum(values.values()) == MAX_LABEL_VALUES + 50
+
+
+RENAMES = {
+    "name": (
+        "{name: http_requests_total}",
+        False,
+        {"http_requests_total"},
+        {"outcome": "completed"},
+    ),
+    "labels": (
+        "{labels: {outcome: result}}",
+        False,
+        {REQUESTS},
+        {"result": "completed"},
+    ),
+    "both names": (
+        "{name: http_requests_total, labels: {outcome: result}}",
+        True,
+        {REQUESTS, "http_requests_total"},
+        {"outcome": "completed", "result": "completed"},
+    ),
+}
+
+
+def dashboards(instrument, rename, keep_both=False):
+    """Return the checked body of a dashboards section."""
+    text = (
+        "service: dashboards\n"
+        f"dashboards: {{keep_both: {keep_both}, "
+        f"instruments: {{{instrument}: {rename}}}}}"
+    )
+    return parse_section(text).unwrap()["dashboards"]
+
+
+@pytest.mark.parametrize(
+    "rename, both, expected, labels", RENAMES.values(), ids=RENAMES
+)
+def test_renames_keep_the_counts(rename, both, expected, labels):
+    """Guards against dashboards that lose a series or start at 0 after a rename."""
+    metrics = Metrics("a", "dar-a")
+    metrics.add(REQUESTS, 7, **OUTCOME)
+    found = series(metrics, dashboards(REQUESTS, rename, both))
+    assert {name for name, _ in found} == expected
+    assert set(found.values()) == {7}
+    shown = {pair for _, pairs in found for pair in pairs}
+    assert set(labels.items()) <= shown
+
+
+def test_renamed_histogram_keeps_chosen_buckets():
+    """Guards against bucket counts that change with the bounds that are served."""
+    metrics = Metrics("a", "dar-a")
+    for seconds in (0.004, 0.3, 0.7, 20):
+        metrics.record(LATENCY, seconds, service="jobs")
+    rename = "{name: latency_seconds, buckets: [0.1, 1]}"
+    found = series(metrics, dashboards(LATENCY, rename))
+    buckets = {
+        dict(labels)["le"]: value
+        for (name, labels), value in found.items()
+        if name == "latency_seconds_bucket"
+    }
+    assert buckets == {"0.1": 1, "1.0": 3, "+Inf": 4}
+    assert names(metrics, dashboards(LATENCY, rename)) == {
+        "latency_seconds_bucket",
+        "latency_seconds_count",
+        "latency_seconds_sum",
+    }
+
+
+def test_wrong_labels_are_refused():
+    """Guards against series of one instrument with different labels."""
+    with pytest.raises(ValueError, match="has the labels"):
+        Metrics("a", "dar-a").add(REQUESTS, service="jobs")
