--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -1,23 +1,57 @@
 """Assembles a node from its peers and runs one incarnation after the other."""
 
+import random
 from typing import NamedTuple
 
 import trio
 
-from jujuberudder_clients import RouteContext, listen, make_app, metered
+from jujuberudder_clients import (
+    Choice,
+    Drain,
+    FirstAnswers,
+    RetryBudget,
+    RouteContext,
+    listen,
+    make_app,
+    metered,
+)
 from jujuberudder_core import Metrics, Ownership, Sections, make_logger
 from jujuberudder_logservice import Follower, LogClient, Writer
 from jujuberudder_operators import make_operator_app
-from jujuberudder_peers import Channel, ControlServer, Refused, Released, Renew, Seal
-from jujuberudder_targets import Admission, TargetHealth, make_pool, run_probes
+from jujuberudder_peers import (
+    Channel,
+    ControlServer,
+    Ended,
+    Ping,
+    Refused,
+    Released,
+    Renew,
+    Report,
+    Seal,
+)
+from jujuberudder_targets import (
+    Admission,
+    Limits,
+    TargetHealth,
+    make_pool,
+    run_probes,
+)
 
 from ._life import Life, run_life
+from ._meter import LoadMeter
 from ._metrics import Recorder, observe_node
 from ._views import make_views
 
 NODE_CONNECTIONS = 400
+# Admission limits what reaches the target; the pool only bounds its own memory.
+TARGET_CONNECTIONS = 1000
+# Of one address at a time; one client must not take all file descriptors.
+CLIENT_CONNECTIONS = 512
 RESTART_PAUSE_S = 0.2
 START_READ_S = 2.0
+RESTART_PAUSE_MAX_S = 10.0
+# An incarnation that lasted this long ends the series of quick failures.
+STEADY_S = 30.0
 STREAMS = ("ownership", "sections")
 
 
@@ -36,18 +70,23 @@
     Parameters
     ----------
     settings : Settings
+    client : LogClient or None
+    channel : Channel or None
+        Made from the settings if None.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, client=None, channel=None):
         self._settings = settings
         self._log = make_logger(node=settings.node)
         self._recorder = Recorder(Metrics(settings.node, settings.availability_zone))
         self._ownership = Ownership()
+        self._meter = LoadMeter(lambda: self._ownership.offset, trio.current_time)
         self._sections = Sections()
         self._read_at = {}
+        self._section_read_at = {}
         self._life = None
         self._changed = trio.Event()
-        self._client = LogClient(settings.log_address)
+        self._client = client or LogClient(settings.log_address)
         streams = [f"{settings.deployment}.{name}" for name in STREAMS]
         self._follower = Follower(
             self._client, streams[0], self._apply_ownership, self._log
@@ -56,7 +95,7 @@
             self._client, streams[1], self._apply_section, self._log
         )
         self._writer = Writer(self._client, self._follower, streams[0])
-        self._channel = Channel(settings.address_overrides)
+        self._channel = channel or Channel(settings.address_overrides)
 
     @property
     def settings(self):
@@ -78,6 +117,11 @@
         """Fold of the ownership stream."""
         return self._ownership
 
+    @property
+    def meter(self):
+        """Load of the shards of this node."""
+        return self._meter
+
     @property
     def sections(self):
         """Fold of the configuration stream."""
@@ -122,6 +166,31 @@
         """Return the bodies of the sections in force, by service."""
         return {s.body["service"]: s.body for s in self._sections.all.values()}
 
+    def sections_read(self):
+        """Return the position up to which the configuration stream was read."""
+        return self._section_follower.next
+
+    def declared_destroyed(self, node):
+        """Return whether a section in force lists a node as destroyed."""
+        return any(node in s.body["destroyed"] for s in self._sections.all.values())
+
+    def destroyed_at(self, incarnation):
+        """Return when an operator's word that its VM is destroyed was read, or None.
+
+        The word concerns only incarnations that were admitted before they could read
+        it; a node that reads it is not admitted while it stands.
+        """
+        state = self._ownership.incarnations.get(incarnation)
+        if state is None:
+            return None
+        times = [
+            self._section_read_at[section.name]
+            for section in self._sections.all.values()
+            if state.admit.node in section.body["destroyed"]
+            and state.admit.sections < section.version
+        ]
+        return min(times, default=None)
+
     async def wait_changed(self):
         """Wait until a record was applied or a shard was received."""
         await self._changed.wait()
@@ -150,6 +219,8 @@
         if outcome.is_err():
             self._log("section_rejected", offset=offset, error=outcome.err_value)
         else:
+            if outcome.ok_value:
+                self._section_read_at[record.name] = trio.current_time()
             self._log(
                 "section_applied",
                 section=record.name,
@@ -196,23 +267,27 @@
 async def _run(core, stopping, nursery, task_status):
     settings = core.settings
     health = TargetHealth()
-    context = _route_context(core, health)
+    context = _route_context(core, health, nursery)
     observe_node(core, context)
     client_app = metered(make_app(context, False), core.recorder.metrics)
     closing = trio.Event()
+    nursery.start_soon(context.drain.watch)
     control = ControlServer(settings.control_address, _handlers(core), core.log)
     nursery.start_soon(control.run)
     listeners = (
-        (client_app, settings.client_address),
-        (make_app(context, True), settings.request_address),
-        (make_operator_app(make_views(core, context)), settings.operator_address),
+        (client_app, settings.client_address, CLIENT_CONNECTIONS),
+        (make_app(context, True), settings.request_address, None),
+        (make_operator_app(make_views(core, context)), settings.operator_address, None),
     )
     with trio.move_on_after(START_READ_S):
         # Without sections, the first requests would be refused as unknown paths.
         for follower in core.followers:
             await follower.catch_up()
     async with trio.open_nursery() as serving:
-        bound = [await serving.start(listen, *one, closing) for one in listeners]
+        bound = [
+            await serving.start(listen, app, address, closing, limit)
+            for app, address, limit in listeners
+        ]
         addresses = Addresses(bound[0], bound[1], control.address, bound[2])
         core.log("listening", **addresses._asdict())
         task_status.started(addresses)
@@ -225,7 +300,9 @@
 
 async def _run_lives(core, health, addresses, stopping):
     """Run incarnations while the target is up, until the node stops."""
+    pause_s = RESTART_PAUSE_S
     while not stopping.is_set():
+        started_at = trio.current_time()
         while not health.up and not stopping.is_set():
             with trio.move_on_after(RESTART_PAUSE_S):
                 await health.wait_changed()
@@ -237,7 +314,11 @@
             nursery.start_soon(_leave_on, leaving, health.wait_changed)
             await run_life(core.start_life(), addresses, leaving)
             nursery.cancel_scope.cancel()
-        await trio.sleep(RESTART_PAUSE_S)
+        if trio.current_time() - started_at > STEADY_S:
+            pause_s = RESTART_PAUSE_S
+        with trio.move_on_after(pause_s * random.uniform(0.5, 1.0)):
+            await stopping.wait()
+        pause_s = min(pause_s * 2, RESTART_PAUSE_MAX_S)
 
 
 async def _leave_on(leaving, wait):
@@ -254,18 +335,17 @@
 
         return handle
 
-    return {kind: to_life(kind) for kind in (Renew, Seal, Released)}
+    kinds = (Renew, Seal, Ping, Ended, Released, Report)
+    return {kind: to_life(kind) for kind in kinds}
 
 
-def _route_context(core, health):
+def _route_context(core, health, nursery):
     settings = core.settings
-
-    def limits():
-        section = core.section_bodies().get(settings.service)
-        return (section["slots"], section["queue"]) if section else (1, 0)
+    admission = Admission(_limits(core), lambda: health.up_since)
+    here = lambda: core.life.incarnation if core.life else ""
 
     return RouteContext(
-        incarnation=lambda: core.life.incarnation if core.life else "",
+        incarnation=here,
         node=settings.node,
         service=settings.service,
         availability_zone=settings.availability_zone,
@@ -273,12 +353,34 @@
         ownership=core.ownership,
         sections=core.sections,
         serving=lambda: core.life.serving if core.life else None,
-        admission=Admission(limits),
-        target_pool=make_pool(100),
+        admission=admission,
+        target_pool=make_pool(TARGET_CONNECTIONS),
         node_pool=make_pool(NODE_CONNECTIONS),
         health=health,
-        in_flight={},
+        choice=Choice(here, lambda: (admission.load, admission.capacity())),
+        budget=RetryBudget(),
+        first_answers=FirstAnswers(),
+        drain=Drain(lambda: _draining(core)),
+        spawn=nursery.start_soon,
         wait_changed=core.wait_changed,
         overrides=settings.address_overrides,
         log=core.log,
+        note=core.meter.note,
     )
+
+
+def _limits(core):
+    def limits():
+        section = core.section_bodies().get(core.settings.service)
+        if section is None:
+            return Limits(1, 0)
+        slots = min(section["slots"], section["connections"])
+        return Limits(slots, section["queue"], section["call_slots"])
+
+    return limits
+
+
+def _draining(core):
+    section = core.section_bodies().get(core.settings.service)
+    drained = section is not None and core.settings.node in section["drain"]
+    return drained or bool(core.life and core.life.serving.leaving)
--- a/packages/peers/src/jujuberudder_peers/_messages.py
+++ b/packages/peers/src/jujuberudder_peers/_messages.py
@@ -9,12 +9,24 @@
 
 
 class Renew(NamedTuple):
-    """Ask a witness to acknowledge the lease of an incarnation."""
+    """Ask a witness to acknowledge the lease of an incarnation.
+
+    ``to`` is the incarnation of the witness: a later incarnation at the same address
+    has not sealed what the earlier one sealed and must not answer for it.
+    """
 
     deployment: str
+    to: str
     incarnation: str
 
 
+class Ping(NamedTuple):
+    """Ask whether a node could act as a witness."""
+
+    deployment: str
+    to: str
+
+
 class Granted(NamedTuple):
     """The witness promised not to be sealed before the grant runs out."""
 
@@ -29,6 +41,7 @@
     """Ask a witness never to acknowledge an incarnation again."""
 
     deployment: str
+    to: str
     incarnation: str
 
 
@@ -38,6 +51,15 @@
     remaining_s: float
 
 
+class Ended(NamedTuple):
+    """An incarnation is sealed and its grants have run out; append its death."""
+
+    deployment: str
+    to: str
+    incarnation: str
+    version: int
+
+
 class Released(NamedTuple):
     """The owner of a moving shard stopped serving it."""
 
@@ -48,20 +70,41 @@
 
 
 class Report(NamedTuple):
-    """Load of a target, from its node to the planner of its service."""
+    """Load of a target, from its node to the planner of its service.
+
+    Rates are requests per 10 s, as integers, because a float takes 9 bytes.
+
+    Parameters
+    ----------
+    deployment, service, incarnation : str
+        ``incarnation`` is empty if the sender only asks for the summary.
+    since : int
+        Offset of the ownership fold when the measured window began.
+    in_flight : int
+    rate : int
+    shards : list of (prefix, rate)
+        Shards whose rate changed since the planner last answered.
+    keys : list of (hash, rate)
+        The hottest keys.
+    """
 
     deployment: str
     service: str
     incarnation: str
+    since: int
     in_flight: int
-    rate: float
-    shards: list[tuple[str, float]]
+    rate: int
+    shards: list[tuple[str, int]]
+    keys: list[tuple[int, int]]
 
 
 class Summary(NamedTuple):
-    """Load of all targets of a service: ``(incarnation, in_flight, rate)`` each."""
+    """Load of targets of a service: ``(incarnation, in_flight, rate)`` each.
+
+    A rotating part of all targets if there are many.
+    """
 
-    loads: list[tuple[str, int, float]]
+    loads: list[tuple[str, int, int]]
 
 
 class Understood(NamedTuple):
@@ -72,6 +115,8 @@
     cls.__name__.lower(): cls
     for cls in (
         Renew,
+        Ping,
+        Ended,
         Granted,
         Refused,
         Seal,
--- a/tests/test_in_force.py
+++ b/tests/test_in_force.py
@@ -12,6 +12,7 @@
 from jujuberudder_standins import Deployment, LogStandin, serve_app
 
 JOBS = "service: jobs\nroutes: [{path_prefix: /jobs/}]\n"
+OTHER = "service: other\nroutes: [{path_prefix: /other/}]"
 ZONES = ("dar-a", "dar-b", "dar-c")
 SETTLE_S = 20
 
@@ -91,26 +92,34 @@
 
 async def test_wait_names_the_node_that_lags(deployment, tmp_path, nursery):
     """Guards against a success that hides a node that still uses the old version."""
-    lagging = trio.Event()
+    lagging = [trio.Event()]
+    lagging[0].set()
 
     async def lag(scope, receive, send):
         if scope["path"].endswith("lango.sections/records"):
-            await lagging.wait()
+            await lagging[0].wait()
         await deployment.log.app(scope, receive, send)
 
     deployment.log_address = await nursery.start(serve_app, lag)
     late = await deployment.start_member("dispatch", "dar-a")
     await admitted(deployment, 4)
+    lagging[0] = trio.Event()
+    deployment.publish("other", OTHER)  # ends the read that waits already
+
+    async def behind():
+        return "other" in (await status(late))["sections"]
+
+    await until(behind)
     waiting = ("--wait", "--wait-s", "1", "--json")
     code, out, error = await publish(deployment, tmp_path / "s", JOBS, *waiting)
     zones = json.loads(out)["availability_zones"]
     assert code == 5
     assert zones["dar-a"]["missing"] == {"dispatch-dar-a": "version 0"}
     assert [zone["in_force"] for _, zone in sorted(zones.items())] == [0, 1, 1]
-    assert "dar-a: version 1 in force on 1 of 2 nodes; missing: dispatch-dar-a" in error
-    lagging.set()
+    assert "dar-a: version 2 in force on 1 of 2 nodes; missing: dispatch-dar-a" in error
+    lagging[0].set()
     code, _, error = await publish(deployment, tmp_path / "s", JOBS, "--wait")
-    assert (code, await version(late)) == (0, 1)
+    assert (code, await version(late)) == (0, 2)
 
 
 async def test_versions_only_rise_while_reads_are_old(nursery):
@@ -207,8 +216,7 @@
         write = lines.append
 
     stop = start_logging(Lines())
-    other = "service: other\nroutes: [{path_prefix: /other/}]"
-    deployment.publish("other", other)
+    deployment.publish("other", OTHER)
     deployment.publish("jobs", JOBS)
     deployment.publish("jobs", text, 2)
 
