Document configuration, operations and metrics; run examples as processes

Cause: operators had no pages, and section keys for retries, slow start and availability zones had no effect; two example sections used a key that the schema refuses. Change: pages that tests compare with the schema and the instruments; the keys take effect; log lines escape text that would break them; make example runs a deployment.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 PACKAGES = core logservice peers targets clients operators node ctl standins
 
-.PHONY: install demo test lint check format
+.PHONY: install demo example test lint check format
 
 install: $(VENV)/.installed
 
@@ -17,6 +17,11 @@
 demo: install
 	$(BIN)/python -m jujuberudder_standins.demo
 
+EXAMPLE ?= lango
+
+example: install
+	examples/run.sh $(EXAMPLE)
+
 test: install
 	$(BIN)/python -m pytest
 	$(BIN)/python -m behave
--- a/packages/clients/src/jujuberudder_clients/_attempts.py
+++ b/packages/clients/src/jujuberudder_clients/_attempts.py
@@ -77,7 +77,9 @@
     if request.deadline - trio.current_time() < REPEAT_MIN_S:
         return False
     if refusal.outcome == "unknown" or refusal.reason == SHED:
-        return context.budget.spend()
+        request.progress.repeats += 1
+        allowed = request.progress.repeats <= request.section.body["retries"]
+        return allowed and context.budget.spend()
     return True
 
 
--- a/packages/clients/src/jujuberudder_clients/_budget.py
+++ b/packages/clients/src/jujuberudder_clients/_budget.py
@@ -1,6 +1,5 @@
 """The share of requests that may be repeated."""
 
-RETRY_SHARE = 0.1
 RETRY_BURST = 10.0
 
 
@@ -24,9 +23,9 @@
         """Repeats so far."""
         return self._spent
 
-    def earn(self):
-        """Note a new request."""
-        self._tokens = min(RETRY_BURST, self._tokens + RETRY_SHARE)
+    def earn(self, share):
+        """Note a new request of a section that allows a share of repeats."""
+        self._tokens = min(RETRY_BURST, self._tokens + share)
 
     def spend(self):
         """Return whether a request may be repeated now."""
--- a/packages/clients/src/jujuberudder_clients/_choice.py
+++ b/packages/clients/src/jujuberudder_clients/_choice.py
@@ -94,19 +94,25 @@
         """Return the Flight of a request to a node."""
         return Flight(self._observed.setdefault(incarnation, Observed()))
 
-    def choose(self, candidates):
+    def choose(self, candidates, weights=None):
         """Return ``(incarnation, reason)``.
 
         Parameters
         ----------
         candidates : dict of str to bool
             Whether each incarnation is in the availability zone of this node.
+        weights : dict of str to float, default=None
+            Divide the expected delay of each incarnation; 1 if missing.
         """
         for gone in self._observed.keys() - candidates.keys():
             if not self._observed[gone].in_flight:
                 del self._observed[gone]
         now = trio.current_time()
-        costs = {c: self._cost(c, same, now) for c, same in candidates.items()}
+        weights = weights or {}
+        costs = {
+            c: self._cost(c, same, now) / weights.get(c, 1.0)
+            for c, same in candidates.items()
+        }
         chosen = min(costs, key=lambda c: (costs[c], self._random.random()))
         return chosen, f"least expected delay {costs[chosen] * 1000:.1f} ms"
 
--- a/packages/clients/src/jujuberudder_clients/_request.py
+++ b/packages/clients/src/jujuberudder_clients/_request.py
@@ -53,12 +53,15 @@
         Whether the answer to the caller has begun.
     maybe_run : Refusal or None
         Of an earlier attempt that may have run.
+    repeats : int
+        How often the request was sent again at the cost of the retry budget.
     """
 
     def __init__(self):
         self.sent = False
         self.answered = False
         self.maybe_run = None
+        self.repeats = 0
 
 
 class Request(NamedTuple):
--- a/packages/clients/src/jujuberudder_clients/_route.py
+++ b/packages/clients/src/jujuberudder_clients/_route.py
@@ -112,7 +112,22 @@
     }
     if not candidates:
         return Hop("wait", "no target")
-    chosen, reason = context.choice.choose(candidates)
+    candidates, weights = _weighted(context, section, candidates)
+    chosen, reason = context.choice.choose(candidates, weights)
     if chosen == me:
         return Hop("local", reason)
     return Hop("forward", reason, chosen)
+
+
+def _weighted(context, section, candidates):
+    """Drop candidates in availability zones of weight 0; return the others' weights.
+
+    If no others are left, the weights do not count.
+    """
+    by_zone = section.body["availability_zone_weights"]
+    if not by_zone:
+        return candidates, {}
+    states = context.ownership.incarnations
+    weights = {c: by_zone.get(states[c].admit.availability_zone, 1) for c in candidates}
+    kept = {c: same for c, same in candidates.items() if weights[c] > 0}
+    return (kept, weights) if kept else (candidates, {})
--- a/packages/core/src/jujuberudder_core/_logging.py
+++ b/packages/core/src/jujuberudder_core/_logging.py
@@ -27,8 +27,15 @@
     text = f"{value:.4f}" if isinstance(value, float) else str(value)
     if _PLAIN.match(text):
         return text
-    escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
-    return f'"{escaped}"'
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return '"' + "".join(map(_visible, escaped)) + '"'
+
+
+def _visible(character):
+    """Escape what would break the line, the terminal or the encoding of the stream."""
+    if character.isprintable():
+        return character
+    return character.encode("unicode_escape").decode("ascii")
 
 
 def start_logging(stream=None):
--- a/packages/core/src/jujuberudder_core/_sections.py
+++ b/packages/core/src/jujuberudder_core/_sections.py
@@ -78,8 +78,6 @@
     slots: Count
     connections: Count
     queue: Annotated[int, Meta(ge=0)]
-    client_slots_percent: Annotated[int, Meta(ge=1, le=100)]
-    key_slots_percent: Annotated[int, Meta(ge=1, le=100)]
     call_slots: Annotated[int, Meta(ge=0)]
     slow_start_ms: Annotated[int, Meta(ge=0, le=3_600_000)]
     drain: list[Name]
@@ -102,8 +100,6 @@
     slots=20,
     connections=100,
     queue=100,
-    client_slots_percent=50,
-    key_slots_percent=50,
     slow_start_ms=5_000,
     call_slots=1,
     drain=[],
--- a/packages/node/src/jujuberudder/_life.py
+++ b/packages/node/src/jujuberudder/_life.py
@@ -131,7 +131,7 @@
 
     def log(self, event, **fields):
         """Log an event of this incarnation."""
-        self._core.recorder.event(event, fields, self._witness, self.read_at)
+        self._core.recorder.event(event, fields, self)
         self._core.log(event, **fields)
 
     def log_once(self, event, **fields):
@@ -163,7 +163,7 @@
         """Append to the ownership stream and wait for the effect."""
         sent_at = trio.current_time()
         applied = await self._core.writer.write(record)
-        self._core.recorder.written(self.ownership, record, applied, sent_at)
+        self._core.recorder.written(record, applied, sent_at)
         return applied
 
     async def catch_up(self):
--- a/packages/node/src/jujuberudder/_metrics.py
+++ b/packages/node/src/jujuberudder/_metrics.py
@@ -1,12 +1,13 @@
 """What a node measures of itself."""
 
 from collections import Counter
+from typing import NamedTuple
 
 import trio
 
 from jujuberudder_core import records
 from jujuberudder_operators import Text
-from jujuberudder_peers import Granted, Refused, Renew, Seal
+from jujuberudder_peers import Ended, Granted, Refused, Renew, Seal, Understood
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 SHARD_CAUSES = {
@@ -15,6 +16,7 @@
     records.Leave: "leave",
     records.Release: "move",
 }
+MAX_TAKEOVERS = 1000
 MOVE_STEPS = {
     records.Move: "started",
     records.Release: "done",
@@ -22,6 +24,30 @@
 }
 
 
+class Takeover(NamedTuple):
+    """A takeover that this node started.
+
+    Parameters
+    ----------
+    heard_at : float or None
+        When the lost incarnation was last heard of.
+    sealed_at : float
+        When a witness was last sealed.
+    availability_zone : str
+        Of the lost incarnation.
+    shards : Counter
+        Number of its shards by service.
+    handed_in : bool
+        Whether another node appends the death.
+    """
+
+    heard_at: float | None
+    sealed_at: float
+    availability_zone: str
+    shards: Counter
+    handed_in: bool = False
+
+
 class Recorder:
     """Turns the records, messages and events of a node into metrics.
 
@@ -41,6 +67,8 @@
 
     def counts(self, record):
         """Count the shards that a record which took effect concerns."""
+        if isinstance(record, records.Dead):
+            self._died(record)
         kind = type(record)
         for service, shards in _shards(record).items():
             if kind in SHARD_CAUSES:
@@ -56,12 +84,11 @@
                     "jujuberudder_moves_total", shards, service=service, step=step
                 )
 
-    def written(self, ownership, record, applied, sent_at):
+    def written(self, record, applied, sent_at):
         """Count an append to the ownership stream and what became of it.
 
         Parameters
         ----------
-        ownership : Ownership
         record : NamedTuple
         applied : Result[Applied, Failure]
         sent_at : float
@@ -74,7 +101,7 @@
             "jujuberudder_log_appends_total", stream="ownership", result=result
         )
         if isinstance(record, records.Dead):
-            self._taken_over(ownership, record, result, sent_at)
+            self._taken_over(record, result, sent_at)
 
     def called(self, lease, message, reply, sent_at):
         """Record the reply to a control message.
@@ -95,53 +122,76 @@
                 self._metrics.record("jujuberudder_lease_margin_seconds", margin)
         elif isinstance(message, Seal):
             self._step("seal", now - sent_at)
-            heard_at, _ = self._takeovers.get(message.incarnation, (None, now))
-            self._takeovers[message.incarnation] = (heard_at, now)
+            self._update(message.incarnation, sealed_at=now)
+        elif isinstance(message, Ended) and isinstance(reply.ok(), Understood):
+            # Another node appends the death; this one knows how long it took.
+            self._update(message.incarnation, handed_in=True)
+
+    def _update(self, incarnation, **changes):
+        if incarnation in self._takeovers:
+            takeover = self._takeovers[incarnation]
+            self._takeovers[incarnation] = takeover._replace(**changes)
 
-    def event(self, event, fields, witness, read_at):
+    def event(self, event, fields, life):
         """Note the start of a takeover by the event that is logged for it.
 
         Parameters
         ----------
         event : str
         fields : dict
-        witness : Witness
-        read_at : dict of str to float
-            When the newest record about an incarnation was read; it stands for the
-            last renewal of an incarnation without witnesses.
+        life : Life
         """
         if event != "takeover_started":
             return
         now = trio.current_time()
         incarnation = fields["incarnation"]
-        heard_at = witness.heard_at(incarnation) or read_at.get(incarnation)
-        self._takeovers[incarnation] = (heard_at, now)
+        if len(self._takeovers) >= MAX_TAKEOVERS:
+            # Takeovers that came to nothing are never removed otherwise.
+            del self._takeovers[next(iter(self._takeovers))]
+        state = life.ownership.incarnations[incarnation]
+        # Without witnesses, the newest record stands for the last renewal.
+        heard_at = life.witness.heard_at(incarnation) or life.read_at.get(incarnation)
+        self._takeovers[incarnation] = Takeover(
+            heard_at,
+            now,
+            state.admit.availability_zone,
+            Counter(service for service, _ in life.ownership.owned(incarnation)),
+        )
         if heard_at is not None:
             self._step("detect", now - heard_at)
 
-    def _taken_over(self, ownership, record, result, sent_at):
-        now = trio.current_time()
-        self._step("append", now - sent_at)
-        heard = []
+    def _taken_over(self, record, result, sent_at):
+        """Record a takeover whose ``dead`` record this node appended."""
+        self._step("append", trio.current_time() - sent_at)
         for base in record.bases:
-            heard_at, sealed_at = self._takeovers.pop(base.incarnation, (None, sent_at))
-            self._step("wait", max(0.0, sent_at - sealed_at))
             self._metrics.add("jujuberudder_takeovers_total", result=result)
-            if heard_at is not None:
-                heard.append(heard_at)
-        if result == "applied" and heard:
-            self._unavailable(ownership, record, now - min(heard))
-
-    def _unavailable(self, ownership, record, seconds):
-        """Add the time since the lost owners were last heard of, for each shard."""
-        state = ownership.incarnations.get(record.bases[0].incarnation)
-        zone = state.admit.availability_zone if state else "unknown"
-        for service, shards in _shards(record).items():
+            takeover = self._takeovers.pop(base.incarnation, None)
+            if takeover is None:
+                continue
+            self._step("wait", max(0.0, sent_at - takeover.sealed_at))
+            if result == "applied" and not takeover.handed_in:
+                self._unavailable(takeover)
+
+    def _died(self, record):
+        """Record the takeovers that this node handed in to another one."""
+        for base in record.bases:
+            takeover = self._takeovers.get(base.incarnation)
+            if takeover is not None and takeover.handed_in:
+                del self._takeovers[base.incarnation]
+                wait_s = trio.current_time() - takeover.sealed_at
+                self._step("wait", max(0.0, wait_s))
+                self._unavailable(takeover)
+
+    def _unavailable(self, takeover):
+        """Add the time since the lost owner was last heard of, for each shard."""
+        if takeover.heard_at is None:
+            return
+        for service, shards in takeover.shards.items():
             self._metrics.add(
                 "jujuberudder_unavailable_seconds_total",
-                shards * seconds,
+                shards * (trio.current_time() - takeover.heard_at),
                 service=service,
-                owner_availability_zone=zone,
+                owner_availability_zone=takeover.availability_zone,
             )
 
     def _step(self, step, seconds):
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -375,7 +375,8 @@
         if section is None:
             return Limits(1, 0)
         slots = min(section["slots"], section["connections"])
-        return Limits(slots, section["queue"], section["call_slots"])
+        slow_start_s = section["slow_start_ms"] / 1000
+        return Limits(slots, section["queue"], section["call_slots"], slow_start_s)
 
     return limits
 
--- a/packages/targets/src/jujuberudder_targets/_admission.py
+++ b/packages/targets/src/jujuberudder_targets/_admission.py
@@ -28,11 +28,14 @@
     slots, queue : int
     call_slots : int
         Slots that requests of clients leave free for calls between services.
+    slow_start_s : float
+        Time in which a target reaches all its slots after a cold start.
     """
 
     slots: int
     queue: int
     call_slots: int = 0
+    slow_start_s: float = SLOW_START_S
 
 
 class Claim(NamedTuple):
@@ -111,11 +114,10 @@
 
         Fewer than the section sets after a cold start and after the target shed load.
         """
-        slots = self._limits().slots
+        slots, slow_start_s = self._limits().slots, self._limits().slow_start_s
         warm_s = trio.current_time() - self._cold_since()
-        share = min(
-            1.0, SLOW_START_SHARE + (1 - SLOW_START_SHARE) * warm_s / SLOW_START_S
-        )
+        warm = min(1.0, warm_s / slow_start_s) if slow_start_s else 1.0
+        share = SLOW_START_SHARE + (1 - SLOW_START_SHARE) * warm
         return max(1, math.ceil(slots * min(share, self._shed_share)))
 
     def shed(self):
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,79 @@
+"""The pages for operators say what the code does."""
+
+import re
+from pathlib import Path
+from typing import get_type_hints
+
+import pytest
+import yaml
+
+from jujuberudder_core import (
+    DEFAULTS,
+    INSTRUMENTS,
+    SectionBody,
+    Settings,
+    load_settings,
+    parse_section,
+)
+
+ROOT = Path(__file__).parent.parent
+PAGE = (ROOT / "docs/configuration.md").read_text(encoding="utf-8")
+EXAMPLES = re.findall(r"```yaml\n(.*?)```", PAGE, re.DOTALL)
+SECTION_FILES = sorted(ROOT.glob("examples/*/sections/*.yaml"))
+SETTINGS_FILES = sorted(ROOT.glob("examples/*/*.yaml"))
+
+
+def rows(page):
+    """Return the first cell of each table row with its other cells."""
+    found = re.findall(r"^\| `([^`]+)` \| (.*) \|$", page, re.MULTILINE)
+    return {name: rest.split(" | ") for name, rest in found}
+
+
+@pytest.mark.parametrize("text", EXAMPLES)
+def test_examples_in_the_page_follow_the_schema(text):
+    """Guards against a page whose examples publish refuses."""
+    assert parse_section(text).is_ok(), parse_section(text)
+
+
+@pytest.mark.parametrize("path", SECTION_FILES, ids=str)
+def test_example_sections_follow_the_schema(path):
+    """Guards against example deployments that cannot be published."""
+    body = parse_section(path.read_text(encoding="utf-8"), path).unwrap()
+    assert body["service"] == path.stem
+
+
+@pytest.mark.parametrize("path", SETTINGS_FILES, ids=str)
+def test_example_settings_follow_the_schema(path):
+    """Guards against example deployments that cannot be started."""
+    assert load_settings(path).node == path.stem
+
+
+def test_page_lists_every_key_with_its_default():
+    """Guards against a key or default that operators cannot look up."""
+    found = rows(PAGE)
+    for name in get_type_hints(SectionBody):
+        if name != "dashboards":
+            assert name in found, name
+        default = DEFAULTS.get(name)
+        if name not in ("service", "routes", "placement_weights") and name in DEFAULTS:
+            shown = found[name][1].strip("`")
+            assert yaml.safe_load(shown) == default, name
+    for name in Settings._fields:
+        if name != "target":
+            assert name in found, name
+
+
+def test_page_lists_no_key_that_is_unknown():
+    """Guards against a page that describes a key which check refuses."""
+    known = {*get_type_hints(SectionBody), *Settings._fields}
+    assert {name.split(".")[0] for name in rows(PAGE)} <= known
+
+
+def test_every_metric_has_a_question_in_the_page():
+    """Guards against a metric that operators cannot look up, or one that is gone."""
+    page = (ROOT / "docs/dashboards.md").read_text(encoding="utf-8")
+    found = {n: cells for n, cells in rows(page).items() if n.startswith("jujube")}
+    assert set(found) == {one.name for one in INSTRUMENTS}
+    for one in INSTRUMENTS:
+        labels = ", ".join(f"`{label}`" for label in one.labels) or "-"
+        assert found[one.name] == [one.kind, labels, one.question], one.name
--- a/tests/test_node_metrics.py
+++ b/tests/test_node_metrics.py
@@ -90,17 +90,17 @@
     client = Client()
     address = deployment.members["dispatch-dar-a"].addresses.client
     await client.send(address, "GET", "/jobs/1")
+    zone = {"service": "jobs", "owner_availability_zone": "dar-b"}
     deployment.lose("jobs-dar-b")
     alive = [m for m in deployment.members.values() if m.name != "jobs-dar-b"]
 
     async def taken_over():
         samples = sum([await scrape(member) for member in alive], [])
-        return total(samples, "jujuberudder_takeovers_total", result="applied") >= 1
+        return total(samples, "jujuberudder_unavailable_seconds_total", **zone) > 0
 
     await until(taken_over)
     samples = sum([await scrape(member) for member in alive], [])
-    zone = {"service": "jobs", "owner_availability_zone": "dar-b"}
-    assert total(samples, "jujuberudder_unavailable_seconds_total", **zone) > 0
+    assert total(samples, "jujuberudder_takeovers_total", result="applied") > 0
     for step in ("detect", "seal", "wait", "append"):
         name = "jujuberudder_takeover_step_seconds_count"
         assert total(samples, name, step=step) > 0, step
--- a/tests/test_sections.py
+++ b/tests/test_sections.py
@@ -41,7 +41,7 @@
     ),
     "wrong type": (BASE + "slots: many", "line 3: $.slots: expected `int`"),
     "too few": (BASE + "\nslots: 0", "line 4: $.slots: expected"),
-    "percent": (BASE + "key_slots_percent: 101", "line 3: $.key_slots_percent:"),
+    "percent": (BASE + "retry_budget_percent: 101", "line 3: $.retry_budget_percent:"),
     "unknown key below a required one": (
         BOARDS + REQUESTS + "\n      nam: a",
         "line 5: $.dashboards.instruments.jujuberudder_requests_total.nam: unknown",
