Count requests without a synchronous counter of OpenTelemetry

Cause: one counter cost 21.5 us per request (trial, 20,000 calls on a busy machine). Change: counts are kept in the node and read at each scrape. Result: 2.9 us in the same trial; metrics tests pass.

--- a/packages/core/src/jujuberudder_core/_metrics.py
+++ b/packages/core/src/jujuberudder_core/_metrics.py
@@ -1,5 +1,6 @@
 """Metrics of one node through OpenTelemetry, served as Prometheus text."""
 
+from collections import Counter
 from types import SimpleNamespace
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -45,11 +46,17 @@
             views=[_view(one) for one in ALL if one.kind == "histogram"],
         )
         self._meter = self._provider.get_meter("jujuberudder")
-        self._instruments = {}
+        self._counts = {}
+        self._histograms = {}
+        self._known = {}
+        self._attributes = {}
 
     def add(self, name, amount=1, **labels):
         """Add to a counter.
 
+        Counts are kept here and read at each scrape, because a synchronous counter of
+        OpenTelemetry costs several times as much per request.
+
         Parameters
         ----------
         name : str
@@ -58,12 +65,20 @@
         **labels : dict of str to str
             All labels that the instrument has.
         """
-        self._get(name, "create_counter").add(amount, self._labels(name, labels))
+        counts = self._counts.get(name)
+        if counts is None:
+            counts = self._counts[name] = Counter()
+            self._create(name, lambda: counts.items())
+        counts[self._series(name, labels)] += amount
 
     def record(self, name, seconds, **labels):
         """Record a time in a histogram; parameters as in `add`."""
-        histogram = self._get(name, "create_histogram")
-        histogram.record(seconds, self._labels(name, labels))
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            make = self._meter.create_histogram
+            histogram = make(_otel_name(name), unit="s", description=_about(name))
+            self._histograms[name] = histogram
+        histogram.record(seconds, self._attributes[self._series(name, labels)])
 
     def observe(self, name, read):
         """Read a gauge or counter at each scrape.
@@ -75,14 +90,19 @@
             Returns an iterable of ``(value, labels)``.
         """
 
+        def items():
+            return [(self._series(name, labels), value) for value, labels in read()]
+
+        self._create(name, items)
+
+    def _create(self, name, items):
         def callback(options):
             return [
-                Observation(value, self._labels(name, labels))
-                for value, labels in read()
+                Observation(value, self._attributes[series])
+                for series, value in list(items())
             ]
 
-        kind = BY_NAME[name].kind
-        create = getattr(self._meter, f"create_observable_{kind}")
+        create = getattr(self._meter, f"create_observable_{BY_NAME[name].kind}")
         create(_otel_name(name), [callback], unit=_unit(name), description=_about(name))
 
     def render(self, renames):
@@ -102,20 +122,22 @@
         """Release the provider."""
         self._provider.shutdown()
 
-    def _get(self, name, create):
-        found = self._instruments.get(name)
-        if found is None:
-            make = getattr(self._meter, create)
-            found = make(_otel_name(name), unit=_unit(name), description=_about(name))
-            self._instruments[name] = found
+    def _series(self, name, labels):
+        """Return the values of the labels of an instrument, in its order."""
+        key = (name, *labels.items())
+        found = self._known.get(key)
+        if found is not None:
+            return found
+        known = BY_NAME[name].labels
+        if set(labels) != set(known):
+            raise ValueError(f"{name} has the labels {known}")
+        bounded = {k: self._bounded(name, k, str(labels[k])) for k in known}
+        found = tuple(bounded.items())
+        self._attributes[found] = self._common | bounded
+        if OTHER not in bounded.values():
+            self._known[key] = found
         return found
 
-    def _labels(self, name, labels):
-        if set(labels) != set(BY_NAME[name].labels):
-            raise ValueError(f"{name} has the labels {BY_NAME[name].labels}")
-        bounded = {k: self._bounded(name, k, str(v)) for k, v in labels.items()}
-        return self._common | bounded
-
     def _bounded(self, name, label, value):
         """Return the value, or ``other`` once a label has too many."""
         known = self._values.setdefault((name, label), set())
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -133,6 +133,14 @@
     }
 
 
+def test_order_of_labels_does_not_matter():
+    """Guards against two series of one name, of which a scrape shows one."""
+    metrics = Metrics("a", "dar-a")
+    metrics.add(REQUESTS, **OUTCOME)
+    metrics.add(REQUESTS, **dict(reversed(OUTCOME.items())))
+    assert list(series(metrics).values()) == [2]
+
+
 def test_wrong_labels_are_refused():
     """Guards against series of one instrument with different labels."""
     with pytest.raises(ValueError, match="has the labels"):
