Label refusals by a bounded set of reasons

Cause: reasons that name addresses or new checks were all counted as other. Change: parts of reasons map to labels; a table tests them.

--- a/packages/clients/src/jujuberudder_clients/_metered.py
+++ b/packages/clients/src/jujuberudder_clients/_metered.py
@@ -10,28 +10,36 @@
 USED_SECTION = "jujuberudder.section"
 NO_SERVICE = "none"
 # Reasons carry addresses and names; as labels, only these parts of them are kept.
-REASONS = (
-    "queue full",
-    "deadline passed",
-    "no section",
-    "no key",
-    "no live owner",
-    "no lease",
-    "no shards",
-    "no target",
-    "not usable",
-    "no longer owner",
-    "too large",
-    "stale fence",
-    "shed",
-    "share of slots",
-    "another request",
-    "retry budget",
-    "cut short",
-    "connect",
-    "timed out",
-    "moving",
-)
+REASONS = {
+    "queue full": "queue full",
+    "deadline cannot be met": "deadline cannot be met",
+    "nested call": "no slot for a nested call",
+    "deadline passed": "deadline passed",
+    "shed": "shed by the target",
+    "stale fence": "stale fence",
+    "no section": "no section",
+    "no key": "no key",
+    "no live owner": "no live owner",
+    "no lease": "no lease",
+    "no shards": "no shards",
+    "no target": "no target",
+    "no longer owner": "no longer owner",
+    "not usable": "not usable",
+    "draining": "draining",
+    "too large": "too large",
+    "larger than": "too large",
+    "did not arrive": "body incomplete",
+    "another request": "answer to another request",
+    "no length": "answer without length",
+    "was lost": "answer lost",
+    "internal error": "internal error",
+    "connecterror": "connection refused",
+    "connecttimeout": "connection refused",
+    "timeout": "timeout",
+    "protocolerror": "connection broken",
+    "readerror": "connection broken",
+    "writeerror": "connection broken",
+}
 OTHER_REASON = "other"
 
 
@@ -46,7 +54,8 @@
     lower = reason.lower()
     if not lower:
         return ""
-    return next((known for known in REASONS if known in lower), OTHER_REASON)
+    found = (label for part, label in REASONS.items() if part in lower)
+    return next(found, OTHER_REASON)
 
 
 def metered(app, metrics):
--- a/tests/test_node_metrics.py
+++ b/tests/test_node_metrics.py
@@ -5,6 +5,7 @@
 import trio
 from prometheus_client.parser import text_string_to_metric_families
 
+from jujuberudder_clients._metered import reason_label
 from jujuberudder_core import INSTRUMENTS
 from jujuberudder_standins import Client, Deployment
 
@@ -85,6 +86,24 @@
     assert not any([total(await scrape(m), name) for m in others])
 
 
+REASONS = [
+    ("", ""),
+    ("elsewhere moving or no lease", "no lease"),
+    ("no section for this host and path", "no section"),
+    ("the request carries no key", "no key"),
+    ("admit target: queue full", "queue full"),
+    ("forward 10.0.0.1:7: ConnectError refused", "connection refused"),
+    ("target 10.0.0.2:7: RemoteProtocolError peer closed", "connection broken"),
+    ("what nobody thought of, at 10.0.0.1", "other"),
+]
+
+
+@pytest.mark.parametrize("reason, expected", REASONS)
+def test_reasons_are_a_bounded_set(reason, expected):
+    """Guards against a series per address that a reason names."""
+    assert reason_label(reason) == expected
+
+
 async def test_a_takeover_is_measured(deployment):
     """Guards against a loss whose length and steps no metric shows."""
     client = Client()
