Measure the imbalance of requests as well as of shards

Cause: the imbalance of shard counts says nothing on hot keys. Change: the gauge has both, from the loads that planner and owners know. Result: a test with one hot key sees more than twice the mean.

--- a/packages/core/src/jujuberudder_core/_instruments.py
+++ b/packages/core/src/jujuberudder_core/_instruments.py
@@ -78,8 +78,8 @@
     _gauge("target_up", SERVICE, "Do probes reach the target?"),
     _gauge(
         "imbalance",
-        SERVICE,
-        "How many times the mean of shards does the node with the most own?",
+        ("service", "of"),
+        "How many times the mean has the fullest node, in `shards` and `requests`?",
     ),
     _gauge("shards", SERVICE, "How many shards does the service have?"),
     _gauge("shards_owned", SERVICE, "How many shards does this node own?"),
--- a/packages/node/src/jujuberudder/_life.py
+++ b/packages/node/src/jujuberudder/_life.py
@@ -181,6 +181,11 @@
         sections = self._core.section_bodies()
         return successors(ownership, sections, ended, self._loads, suspected)
 
+    def loads_by_target(self, service):
+        """Return the requests/s of each target of a service, as far as known."""
+        known = self._loads(service)
+        return known[0] if known else {}
+
     def _loads(self, service):
         """Return loads by target and a function of a shard, or None."""
         if self.board is not None and self.board.service == service:
--- a/packages/node/src/jujuberudder/_metrics.py
+++ b/packages/node/src/jujuberudder/_metrics.py
@@ -269,16 +269,23 @@
         shards = ownership.shards(service).values()
         return sum(not ownership.alive(shard.owner) for shard in shards)
 
-    def imbalance(service):
-        shards = ownership.shards(service).values()
-        counts = Counter(shard.owner for shard in shards)
-        nodes = len(ownership.live(service))
-        return max(counts.values()) * nodes / len(shards) if shards else 0.0
+    def imbalances():
+        for service in ownership.services():
+            counts = dict.fromkeys((i for i, _ in ownership.live(service)), 0)
+            counts |= Counter(
+                shard.owner for shard in ownership.shards(service).values()
+            )
+            loads = core.life.loads_by_target(service) if core.life else {}
+            for of, values in (("shards", counts), ("requests", loads)):
+                if any(values.values()):
+                    mean = sum(values.values()) / len(values)
+                    labels = {"service": service, "of": of}
+                    yield max(values.values()) / mean, labels
 
     observe("jujuberudder_shards", by_service(lambda s: len(ownership.shards(s))))
     observe("jujuberudder_shards_owned", by_service(owned))
     observe("jujuberudder_shards_unserved", by_service(unserved))
-    observe("jujuberudder_imbalance", by_service(imbalance))
+    observe("jujuberudder_imbalance", imbalances)
 
 
 def _observe_streams(core, observe):
--- a/tests/test_node_metrics.py
+++ b/tests/test_node_metrics.py
@@ -35,7 +35,8 @@
     """Return whether a node has section, owners in each zone, and witnesses."""
     samples = await scrape(member)
     version = total(samples, "jujuberudder_section_version", section="jobs")
-    balanced = 0 < total(samples, "jujuberudder_imbalance", service="jobs") < 1.2
+    shards = {"service": "jobs", "of": "shards"}
+    balanced = 0 < total(samples, "jujuberudder_imbalance", **shards) < 1.2
     renewals = "jujuberudder_lease_renewals_total"
     renewed = total(samples, renewals, result="granted") > 3
     return version == 1 and balanced and renewed
@@ -127,6 +128,26 @@
     assert total(samples, "jujuberudder_lease_margin_seconds_count") > 0
 
 
+async def test_imbalance_of_requests_is_measured(deployment):
+    """Guards against a busy target that no metric shows."""
+    client = Client()
+    address = deployment.members["dispatch-dar-a"].addresses.client
+    members = deployment.members.values()
+
+    async def uneven():
+        await client.send(address, "GET", "/jobs/1")
+        samples = sum([await scrape(member) for member in members], [])
+        name, of = "jujuberudder_imbalance", {"service": "jobs", "of": "requests"}
+        found = [s.value for s in samples if s.name == name and _has(s, of)]
+        return max(found, default=0) > 2
+
+    await until(uneven)
+
+
+def _has(sample, labels):
+    return labels.items() <= sample.labels.items()
+
+
 async def test_metrics_follow_a_rename_that_is_published(deployment):
     """Guards against dashboards that need a restart of the nodes to be served."""
     member = deployment.members["jobs-dar-a"]
