--- a/packages/clients/src/jujuberudder_clients/__init__.py
+++ b/packages/clients/src/jujuberudder_clients/__init__.py
@@ -6,6 +6,7 @@
 from ._context import RouteContext
 from ._drain import Drain
 from ._listener import listen
+from ._metered import metered
 from ._once import FirstAnswers
 
 __all__ = [
@@ -16,4 +17,5 @@
     "RouteContext",
     "listen",
     "make_app",
+    "metered",
 ]
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -13,8 +13,9 @@
     RouteContext,
     listen,
     make_app,
+    metered,
 )
-from jujuberudder_core import Ownership, Sections, make_logger
+from jujuberudder_core import Metrics, Ownership, Sections, make_logger
 from jujuberudder_logservice import Follower, LogClient, Writer
 from jujuberudder_operators import make_operator_app
 from jujuberudder_peers import (
@@ -38,11 +39,13 @@
 
 from ._life import Life, run_life
 from ._meter import LoadMeter
+from ._metrics import Recorder, observe_node
 from ._views import make_views
 
 # Of one address at a time; one client must not take all file descriptors.
 CLIENT_CONNECTIONS = 512
 RESTART_PAUSE_S = 0.2
+START_READ_S = 2.0
 RESTART_PAUSE_MAX_S = 10.0
 # An incarnation that lasted this long ends the series of quick failures.
 STEADY_S = 30.0
@@ -72,6 +75,7 @@
     def __init__(self, settings, client=None, channel=None):
         self._settings = settings
         self._log = make_logger(node=settings.node)
+        self._recorder = Recorder(Metrics(settings.node, settings.availability_zone))
         self._ownership = Ownership()
         self._meter = LoadMeter(lambda: self._ownership.offset, trio.current_time)
         self._sections = Sections()
@@ -100,6 +104,11 @@
         """Function ``log(event, **fields)``."""
         return self._log
 
+    @property
+    def recorder(self):
+        """Turns what happens into metrics."""
+        return self._recorder
+
     @property
     def ownership(self):
         """Fold of the ownership stream."""
@@ -191,6 +200,7 @@
     def _apply_ownership(self, offset, record):
         effect = self._ownership.apply(offset, record)
         if effect:
+            self._recorder.counts(record)
             for incarnation in _about(record):
                 self._read_at[incarnation] = trio.current_time()
             if self._life is not None:
@@ -219,6 +229,7 @@
     async def aclose(self):
         """Close the connections."""
         self._channel.close()
+        self._recorder.metrics.close()
         with trio.move_on_after(1, shield=True):
             await self._client.aclose()
 
@@ -254,15 +265,21 @@
     settings = core.settings
     health = TargetHealth()
     context = _route_context(core, health, nursery)
+    observe_node(core, context)
+    client_app = metered(make_app(context, False), core.recorder.metrics)
     closing = trio.Event()
     nursery.start_soon(context.drain.watch)
     control = ControlServer(settings.control_address, _handlers(core), core.log)
     nursery.start_soon(control.run)
     listeners = (
-        (make_app(context, False), settings.client_address, CLIENT_CONNECTIONS),
+        (client_app, settings.client_address, CLIENT_CONNECTIONS),
         (make_app(context, True), settings.request_address, None),
         (make_operator_app(make_views(core, context)), settings.operator_address, None),
     )
+    with trio.move_on_after(START_READ_S):
+        # Without sections, the first requests would be refused as unknown paths.
+        for follower in core.followers:
+            await follower.catch_up()
     async with trio.open_nursery() as serving:
         bound = [
             await serving.start(listen, app, address, closing, limit)
@@ -355,7 +372,8 @@
         if section is None:
             return Limits(1, 0)
         slots = min(section["slots"], section["connections"])
-        return Limits(slots, section["queue"], section["call_slots"])
+        slow_start_s = section["slow_start_ms"] / 1000
+        return Limits(slots, section["queue"], section["call_slots"], slow_start_s)
 
     return limits
 
