--- a/packages/logservice/src/jujuberudder_logservice/_follower.py
+++ b/packages/logservice/src/jujuberudder_logservice/_follower.py
@@ -55,13 +55,14 @@
         Returns
         -------
         done : bool
-            False if the log service could not be read.
+            False if the log service could not be read or records were missed.
         """
         while True:
             batch = await self._client.read(self._stream, self._next)
             if batch.is_err():
                 return False
-            self._take(batch.ok_value)
+            if not self._take(batch.ok_value):
+                return False
             if self._next >= batch.ok_value.next:
                 return True
 
@@ -70,18 +71,27 @@
         backoff = BACKOFF_MIN_S
         while True:
             batch = await self._client.read(self._stream, self._next, WAIT_S)
-            if batch.is_ok():
+            if batch.is_ok() and self._take(batch.ok_value):
                 self._failing = False
                 backoff = BACKOFF_MIN_S
-                self._take(batch.ok_value)
                 continue
-            if not self._failing:
+            if batch.is_err() and not self._failing:
                 self._log("log_read_failed", stream=self._stream, error=batch.err_value)
             self._failing = True
             await trio.sleep(backoff * random.uniform(0.5, 1.0))
             backoff = min(backoff * 2, BACKOFF_MAX_S)
 
     def _take(self, batch):
+        """Hand over records; return False if some before them are kept no longer."""
+        if batch.first > self._next:
+            # A fold of only the later records gave a key a second owner.
+            self._log(
+                "records_missed",
+                stream=self._stream,
+                wanted=self._next,
+                first=batch.first,
+            )
+            return False
         for entry in batch.records:
             if entry.offset < self._next:
                 continue
@@ -95,3 +105,4 @@
         if batch.records:
             self._changed.set()
             self._changed = trio.Event()
+        return True
--- a/packages/standins/src/jujuberudder_standins/_logservice.py
+++ b/packages/standins/src/jujuberudder_standins/_logservice.py
@@ -6,6 +6,8 @@
 
 from ._http import answer, read_body
 
+STALE_RECORDS = 5
+
 
 class LogStandin:
     """Streams in memory, with faults that tests switch on.
@@ -20,10 +22,12 @@
         self._retention = retention
         self._streams = {}
         self._first = {}
+        self._history = {}
         self._changed = trio.Event()
         self.down = False
         self.delay_s = 0.0
         self.lose_answers = 0
+        self.stale_reads = 0
         self.appends = 0
 
     def stream(self, name):
@@ -31,10 +35,19 @@
         first = self._first.get(name, 0)
         return list(enumerate(self._streams.get(name, []), first))
 
+    def history(self, name):
+        """Return all records ever appended, also those past retention."""
+        return list(enumerate(self._history.get(name, [])))
+
+    def retain(self, records):
+        """Keep at most a number of records per stream from the next append on."""
+        self._retention = records
+
     def put(self, name, data):
         """Append a record and return its offset."""
         records = self._streams.setdefault(name, [])
         records.append(data)
+        self._history.setdefault(name, []).append(data)
         first = self._first.setdefault(name, 0)
         offset = first + len(records) - 1
         if self._retention is not None and len(records) > self._retention:
@@ -75,13 +88,26 @@
         start, limit, wait_ms = (
             int(query[field][0]) for field in ("offset", "limit", "wait_ms")
         )
+        if self.stale_reads:
+            self.stale_reads -= 1
+            await self._read_old(name, start, limit, send)
+            return
         with trio.move_on_after(wait_ms / 1000):
             while self._end(name) <= start and not self.down:
                 await self._changed.wait()
-        records = [item for item in self.stream(name) if item[0] >= start][:limit]
+        await self._answer_read(name, start, limit, self._end(name), send)
+
+    async def _read_old(self, name, start, limit, send):
+        """Answer as a replica does that lags behind."""
+        end = max(self._first.get(name, 0), self._end(name) - STALE_RECORDS)
+        await self._answer_read(name, start, limit, end, send)
+
+    async def _answer_read(self, name, start, limit, end, send):
+        kept = [item for item in self.stream(name) if start <= item[0] < end]
+        records = kept[:limit]
         content = {
             "first": self._first.get(name, 0),
-            "next": self._end(name),
+            "next": end,
             "records": [{"offset": offset, "data": data} for offset, data in records],
         }
         await answer(send, 200, content)
