Prove the promises under faults with node processes behind proxies

The promises were tested in one process only, without link faults, freezes or kills. Adds a TCP proxy with faults per directed link, deployments of node processes, faults that run under load, a behave table per promise, and audit checks for crossed answers, lost assignments, fences that go back and overlaps past a third run. The other faults run with make proof.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 PACKAGES = core logservice peers targets clients operators node ctl standins
 
-.PHONY: install demo test lint check format
+.PHONY: install demo proof bench bench-quick test lint check format
 
 install: $(VENV)/.installed
 
@@ -17,6 +17,16 @@
 demo: install
 	$(BIN)/python -m jujuberudder_standins.demo
 
+# The long matrix of faults; `make test` leaves it out.
+proof: install
+	$(BIN)/python -m behave --tags=@long --format progress
+
+bench: install
+	$(BIN)/python bench/run.py
+
+bench-quick: install
+	$(BIN)/python bench/run.py --quick
+
 test: install
 	$(BIN)/python -m pytest
 	$(BIN)/python -m behave
--- a/packages/standins/src/jujuberudder_standins/_audit.py
+++ b/packages/standins/src/jujuberudder_standins/_audit.py
@@ -3,6 +3,8 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
+from jujuberudder_core import Ownership, decode
+
 
 class Told(NamedTuple):
     """What a client was told about one request.
@@ -15,6 +17,8 @@
     sha256_sent : str
     sha256_answered : str
         Hash that the target put into its answer, ``""`` without an answer.
+    request_answered : str
+        Request that the target named in its answer, ``""`` without an answer.
     """
 
     request: str
@@ -22,6 +26,7 @@
     idempotent: bool
     sha256_sent: str
     sha256_answered: str
+    request_answered: str = ""
 
 
 class Violations(NamedTuple):
@@ -30,6 +35,7 @@
     double_owned: int
     duplicate_runs: int
     altered_bodies: int
+    crossed_answers: int
     untrue_not_run: int
     lost_runs: int
 
@@ -52,6 +58,9 @@
         altered_bodies=sum(
             one.sha256_answered not in ("", one.sha256_sent) for one in told
         ),
+        crossed_answers=sum(
+            one.request_answered not in ("", one.request) for one in told
+        ),
         untrue_not_run=sum(
             one.outcome == "not-run" and counts[one.request] > 0 for one in told
         ),
@@ -64,9 +73,9 @@
 def double_owned(runs):
     """Return how many runs show that a key had two owners.
 
-    Runs of a key on two targets must not overlap, and the fence of a later run must not
-    be lower than that of an earlier one. Runs without a fence are of services without
-    keys.
+    Runs of a key on two targets must not overlap, and no run may start with a fence
+    below that of an earlier run of the key. Runs without a fence are of services
+    without keys.
     """
     by_key = defaultdict(list)
     for run in runs:
@@ -76,11 +85,56 @@
 
 
 def _conflicts(runs):
-    runs = sorted(runs, key=lambda run: run.started)
     found = 0
-    for earlier, later in zip(runs, runs[1:]):
-        if earlier.target == later.target:
-            continue
-        overlap = later.started < earlier.ended
-        found += overlap or later.fence <= earlier.fence
+    highest = None
+    ends = {}
+    for run in sorted(runs, key=lambda run: run.started):
+        others = [end for target, end in ends.items() if target != run.target]
+        overlap = any(run.started < end for end in others)
+        found += overlap or _goes_back(highest, run)
+        if highest is None or run.fence > highest.fence:
+            highest = run
+        ends[run.target] = max(run.ended, ends.get(run.target, run.ended))
     return found
+
+
+def _goes_back(highest, run):
+    """Whether a run's fence was already passed, or is shared by two targets."""
+    if highest is None:
+        return False
+    if run.target == highest.target:
+        return run.fence < highest.fence
+    return run.fence <= highest.fence
+
+
+def lost_assignments(reported, stream):
+    """Return the assignments that nodes reported and that the log does not hold.
+
+    Parameters
+    ----------
+    reported : set of (str, str, int, str)
+        Service, prefix, epoch and owner, as any node ever reported them.
+    stream : list of (int, str)
+        Offset and data of all records of the ownership stream.
+
+    Returns
+    -------
+    lost : set of (str, str, int, str)
+    """
+    ownership = Ownership()
+    held = set()
+    for offset, data in stream:
+        record = decode(data)
+        if record.is_ok() and ownership.apply(offset + 1, record.ok_value):
+            held |= assignments(ownership)
+    return reported - held
+
+
+def assignments(ownership):
+    """Return service, prefix, epoch and owner of all shards with an owner."""
+    return {
+        (service, prefix, shard.epoch, shard.owner)
+        for service in ownership.services()
+        for prefix, shard in ownership.shards(service).items()
+        if shard.owner
+    }
--- a/packages/standins/src/jujuberudder_standins/_load.py
+++ b/packages/standins/src/jujuberudder_standins/_load.py
@@ -14,10 +14,17 @@
 
 
 class Client:
-    """Sends requests and notes their outcomes."""
+    """Sends requests and notes their outcomes.
 
-    def __init__(self):
+    Parameters
+    ----------
+    timeout_s : float
+        How long it waits for an answer.
+    """
+
+    def __init__(self, timeout_s=CLIENT_TIMEOUT_S):
         self._pool = httpcore.AsyncConnectionPool(max_connections=200)
+        self._timeout_s = timeout_s
         self.told = []
 
     async def send(self, address, method, path, body=b"", idempotent=False):
@@ -37,7 +44,7 @@
         """
         request = new_id()
         sent = hashlib.sha256(body).hexdigest()
-        outcome, answered = "unknown", ""
+        outcome, answered, named = "unknown", "", ""
         try:
             answer = await self._pool.request(
                 method,
@@ -45,13 +52,14 @@
                 headers={"Jujuberudder-Request-Id": request},
                 content=body,
                 extensions={
-                    "timeout": {"connect": 1.0, "read": CLIENT_TIMEOUT_S},
+                    "timeout": {"connect": 1.0, "read": self._timeout_s},
                 },
             )
             outcome = dict(answer.headers).get(b"jujuberudder-outcome", b"unknown")
             outcome = outcome.decode()
             if outcome == "completed":
-                answered = msgspec.json.decode(answer.content)["sha256"]
+                content = msgspec.json.decode(answer.content)
+                answered, named = content["sha256"], content["request"]
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             outcome = "not-run"
         except (
@@ -60,7 +68,7 @@
             httpcore.TimeoutException,
         ):
             outcome = "unknown"
-        told = Told(request, outcome, idempotent, sent, answered)
+        told = Told(request, outcome, idempotent, sent, answered, named)
         self.told.append(told)
         return told
 
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,127 @@
+"""Each fault of the proxy is seen by what is connected through it."""
+
+import random
+
+import pytest
+import trio
+
+from jujuberudder_standins import Network, Path
+
+HOST = "127.0.0.1"
+
+
+async def echo(stream):
+    """Answer each chunk with itself."""
+    async with stream:
+        async for data in stream:
+            await stream.send_all(data)
+
+
+@pytest.fixture
+async def network(nursery):
+    """Return a network with a link from ``a`` to an echo server ``b``."""
+    listeners = await trio.open_tcp_listeners(0, host=HOST)
+    nursery.start_soon(trio.serve_listeners, echo, listeners)
+    network = Network(nursery)
+    port = listeners[0].socket.getsockname()[1]
+    network.address = await network.link("a", "b", f"{HOST}:{port}", HOST)
+    return network
+
+
+async def connect(network):
+    """Return a connection through the proxy."""
+    host, _, port = network.address.rpartition(":")
+    return await trio.open_tcp_stream(host, int(port))
+
+
+async def exchange(stream, data=b"x"):
+    """Return the echo of some bytes, or None if it does not arrive."""
+    await stream.send_all(data)
+    received = b""
+    with trio.move_on_after(0.5):
+        while len(received) < len(data):
+            chunk = await stream.receive_some()
+            if not chunk:
+                raise trio.BrokenResourceError
+            received += chunk
+        return received
+    return None
+
+
+async def test_bytes_pass_unchanged_and_are_counted(network):
+    """Guards against a proxy that alters bodies or misses bytes in its count."""
+    data = random.Random(1).randbytes(300_000)
+    async with await connect(network) as stream:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stream.send_all, data)
+            received = b""
+            while len(received) < len(data):
+                received += await stream.receive_some()
+    assert received == data
+    assert network.path("a", "b").carried == len(data)
+    assert network.path("b", "a").carried == len(data)
+
+
+@pytest.mark.parametrize("cut", [("a", "b"), ("b", "a")])
+async def test_cut_holds_back_one_direction(network, cut):
+    """Guards against a cut that lets bytes through, or that loses them for good."""
+    other = network.path(*reversed(cut))
+    async with await connect(network) as stream:
+        assert await exchange(stream) == b"x"
+        before = other.carried
+        network.path(*cut).cut()
+        assert await exchange(stream) is None
+        assert other.carried == before + (cut == ("b", "a"))
+        network.path(*cut).heal()
+        assert await stream.receive_some() == b"x"
+
+
+async def test_answer_is_lost_after_the_request_went_through(network):
+    """Guards against a lost answer whose request never arrived."""
+    network.path("b", "a").lose_answers = 1
+    async with await connect(network) as stream:
+        with pytest.raises(trio.BrokenResourceError):
+            await exchange(stream)
+    assert network.path("a", "b").carried == 1
+    assert network.path("b", "a").carried == 0
+    async with await connect(network) as stream:
+        assert await exchange(stream) == b"x"
+
+
+async def test_reset_ends_the_connection(network):
+    """Guards against a reset that passes bytes on."""
+    network.path("a", "b").reset_share = 1.0
+    async with await connect(network) as stream:
+        with pytest.raises(trio.BrokenResourceError):
+            await exchange(stream)
+    assert network.path("a", "b").carried == 0
+
+
+@pytest.mark.parametrize(
+    "faults, least_s",
+    [
+        ({}, 0.0),
+        ({"delay_s": 0.3}, 0.3),
+        ({"delay_s": 0.1, "stall_share": 1.0}, 0.3),
+    ],
+)
+def test_delays_add_up(faults, least_s):
+    """Guards against faults of one path that replace each other."""
+    path = Path(random.Random(1))
+    for name, value in faults.items():
+        setattr(path, name, value)
+    assert path.due_s() == pytest.approx(least_s)
+    path.heal()
+    assert path.due_s() == 0.0
+
+
+def test_loss_repeats_with_the_seed():
+    """Guards against faults that differ between runs of one seed."""
+
+    def losses():
+        path = Path(random.Random("7 a b"))
+        path.reset_share = 0.5
+        return [path.loses() for _ in range(50)]
+
+    assert losses() == losses()
+    assert set(losses()) == {True, False}
