Smooth reported rates and start with eight shards per target

Owners now follow the measured window slowly unless it differs by 3 deviations, and a source must exceed the mean by more than chance. The first assignment has at least 8 shards per target.

--- a/bench/placement_runs.py
+++ b/bench/placement_runs.py
@@ -194,7 +194,7 @@
         made = plan(
             self._board, self._ownership, self._section, now, (), now >= WARM_UP_S
         )
-        self._board.settle()
+        self._board.settle(made.later)
         if made.assigns:
             self._apply(records.Assign("a", "p", made.assigns), now)
         if made.moves:
--- a/packages/node/src/jujuberudder/_board.py
+++ b/packages/node/src/jujuberudder/_board.py
@@ -72,9 +72,9 @@
         """Holders with a changed load or set of shards since `settle`."""
         return self._changed
 
-    def settle(self):
-        """Forget which holders changed."""
-        self._changed = set()
+    def settle(self, later=()):
+        """Forget which holders changed, except those left for later."""
+        self._changed = set(later)
 
     def held(self, holder):
         """Return the prefixes that a holder has; ``""`` holds those without owner."""
--- a/packages/node/src/jujuberudder/_placement.py
+++ b/packages/node/src/jujuberudder/_placement.py
@@ -1,5 +1,6 @@
 """Placement policy: which incarnation gets which shard. ``docs/placement.md``."""
 
+import heapq
 import math
 from typing import NamedTuple
 
@@ -9,19 +10,25 @@
 MIN_MOVES, MOVES_PER_TARGET = 4, 0.1
 MIN_SPLITS, SPLITS_PER_TARGET = 16, 0.25
 COOLDOWN_S = 20.0
-# A source is looked at above this load over the mean, a destination below.
-HIGH, LOW = 1.04, 0.96
+# Above HIGH over the mean a target is a source of moves. If none is, a destination as
+# much below the mean, or below MIN_LOW, still is filled.
+HIGH, MIN_LOW = 1.04, 0.7
+NOISE_S = 20.0
+MAX_NOISE = 0.2
 # Gain in squared load (of one target's mean load) that a move must bring.
 MIN_GAIN = 0.0005
 # Gain per cost that a move must bring; cost is in target's shares of keys.
 MIN_SCORE = 0.1
 MOVE_COST = 0.01
 SPLIT_LOAD = 0.25
+# Requests/s; fewer than 16 in the measured window say little of a shard's load.
+MIN_SPLIT_RATE = 4.0
 MERGE_LOAD = 1 / 32
 HOT_KEY_LOAD = 0.04
 HOT_KEY_SHARE = 0.9
 HOT_KEY_KEYS = 1 / 64
 SHARDS_PER_TARGET = 40
+SHARDS_AT_START = 8
 COLD_START_S = 30.0
 COLD_START_CAPACITY = 0.2
 DESTINATIONS = 4
@@ -50,12 +57,15 @@
     assigns, moves : tuple of ShardOwner
     splits : tuple of (prefix, epoch)
     merges : tuple of (prefix, epochs)
+    later : frozenset of str
+        Holders with more shards to split than one plan may.
     """
 
     assigns: tuple = ()
     moves: tuple = ()
     splits: tuple = ()
     merges: tuple = ()
+    later: frozenset = frozenset()
 
 
 class Spread:
@@ -99,10 +109,15 @@
             zone = self._zones[self._targets[incarnation].availability_zone]
             zone[0] += load
 
-    def least(self, count=1):
+    def least(self, count=1, among=None):
         """Return the targets with the lowest cost, lowest first."""
-        order = sorted(self._targets, key=lambda one: (self.cost(one), one))
-        return order[:count]
+        among = self._targets if among is None else among
+        return heapq.nsmallest(count, among, key=lambda one: (self.cost(one), one))
+
+    def most(self, count=1, among=None):
+        """Return the targets with the highest level, highest first."""
+        among = self._targets if among is None else among
+        return heapq.nlargest(count, among, key=lambda one: (self.level(one), one))
 
     def gain(self, source, destination, load):
         """Return by how much a move lowers the sum of squared levels, in means."""
@@ -171,16 +186,18 @@
     moves = _evacuate(board, shards, spread, section)
     if not balance:
         return Plan(assigns, moves)
-    splits = _splits(board, shards, spread, section, now)
+    splits, later = _splits(board, shards, spread, section, now)
     taken = {shard.prefix for shard in moves} | {prefix for prefix, _ in splits}
     moves += _even_out(board, shards, spread, section, now, taken)
     taken |= {shard.prefix for shard in moves}
     merges = _merges(board, shards, spread, section, now, taken)
-    return Plan(assigns, moves, splits, merges)
+    return Plan(assigns, moves, splits, merges, frozenset(later))
 
 
 def _first(board, section, spread):
-    prefixes = uniform_prefixes(section["initial_shard_bits"])
+    wanted = SHARDS_AT_START * len(spread.targets)
+    bits = max(section["initial_shard_bits"], (wanted - 1).bit_length())
+    prefixes = uniform_prefixes(bits)
     return _place(board, spread, [(prefix, 0) for prefix in prefixes])
 
 
@@ -217,30 +234,28 @@
 
 
 def _even_out(board, shards, spread, section, now, taken):
-    moves, exhausted, taken = [], set(), set(taken)
-    while len(moves) < budget(board, spread):
-        sources = [one for one in spread.targets if one not in exhausted]
-        if not sources:
-            break
-        source = max(sources, key=lambda one: (spread.level(one), one))
-        destinations = [d for d in spread.least(DESTINATIONS) if board.fresh(d, now)]
-        high = spread.level(source) > HIGH * spread.mean
-        low = [d for d in destinations if spread.level(d) < LOW * spread.mean]
-        if not (high and destinations or low):
+    """Move shards from the fullest to the emptiest targets while it pays."""
+    limit = budget(board, spread)
+    if not limit:
+        return ()
+    sources = spread.most(limit + DESTINATIONS)
+    fresh = [one for one in spread.targets if board.fresh(one, now)]
+    sinks = spread.least(limit + DESTINATIONS, fresh)
+    high = _high(spread)
+    moves, taken = [], set(taken)
+    while len(moves) < limit and sources:
+        source = spread.most(1, sources)[0]
+        destinations = spread.least(DESTINATIONS, sinks)
+        if spread.level(source) <= high:
+            low = (2 * spread.mean - high, MIN_LOW * spread.mean)
+            destinations = [d for d in destinations if spread.level(d) < max(low)]
+        if not destinations:
             break
-        options = [
-            (score, prefix, destination)
-            for destination in destinations
-            for prefix in board.held(source)
-            if prefix not in taken
-            and prefix not in board.moving
-            and not board.cooling(prefix, now, COOLDOWN_S)
-            and (score := _score(board, spread, section, source, destination, prefix))
-        ]
-        if not options:
-            exhausted.add(source)
+        best = _best(board, spread, section, now, source, destinations, taken)
+        if best is None:
+            sources.remove(source)
             continue
-        _, prefix, destination = max(options)
+        prefix, destination = best
         load = board.load(prefix)
         spread.add(source, -load)
         spread.add(destination, load)
@@ -250,6 +265,29 @@
     return tuple(moves)
 
 
+def _high(spread):
+    """Return the level above which a target is a source of moves.
+
+    Counting requests over ``NOISE_S`` cannot tell smaller differences from chance.
+    """
+    noise = 1 / math.sqrt(max(NOISE_S * spread.mean, 1e-9))
+    return spread.mean * (HIGH + min(noise, MAX_NOISE))
+
+
+def _best(board, spread, section, now, source, destinations, taken):
+    """Return ``(prefix, destination)`` with the highest score, or None."""
+    best = (0, None, None)
+    for prefix in board.held(source):
+        if prefix in taken or prefix in board.moving:
+            continue
+        if board.cooling(prefix, now, COOLDOWN_S):
+            continue
+        for destination in destinations:
+            score = _score(board, spread, section, source, destination, prefix)
+            best = max(best, (score, prefix, destination)) if score else best
+    return best[1:] if best[0] else None
+
+
 def _score(board, spread, section, source, destination, prefix):
     """Return the gain of a move per cost, or 0 if it is not worth it."""
     if source == destination:
@@ -265,22 +303,27 @@
 
 
 def _splits(board, shards, spread, section, now):
-    """Return hot shards to be split, hottest first."""
+    """Return hot shards to be split, hottest first, and the holders left for later."""
     count = len(spread.targets)
     room = SHARDS_PER_TARGET * count - len(shards)
-    limit = min(room, max(MIN_SPLITS, math.ceil(count * SPLITS_PER_TARGET)))
+    limit = max(0, min(room, _reshapes(spread)))
+    high = _high(spread)
     wanted = []
     for holder in spread.targets:
-        if board.load_of(holder) <= 0:
-            continue
-        high = spread.level(holder) > HIGH * spread.mean
-        for prefix in board.held(holder):
-            if prefix in board.moving or len(prefix) >= HASH_BITS:
-                continue
-            if _worth_splitting(board, spread, prefix, high):
-                wanted.append((-board.load(prefix), prefix))
-    chosen = sorted(wanted)[: max(0, limit)]
-    return tuple((prefix, shards[prefix].epoch) for _, prefix in chosen)
+        above = spread.level(holder) > high
+        if above or holder in board.changed:
+            wanted += [
+                (-board.load(prefix), prefix, holder)
+                for prefix in board.held(holder)
+                if _worth_splitting(board, spread, prefix, above)
+            ]
+    wanted.sort()
+    chosen = tuple((prefix, shards[prefix].epoch) for _, prefix, _ in wanted[:limit])
+    return chosen, {holder for _, _, holder in wanted[limit:]}
+
+
+def _reshapes(spread):
+    return max(MIN_SPLITS, math.ceil(len(spread.targets) * SPLITS_PER_TARGET))
 
 
 def _worth_splitting(board, spread, prefix, high):
@@ -289,7 +332,9 @@
     A shard that is nearly one hot key is split on until few other keys move with it.
     """
     load = board.load(prefix) / (spread.mean or 1.0)
-    if load < HOT_KEY_LOAD:
+    if load < HOT_KEY_LOAD or board.rate(prefix) < MIN_SPLIT_RATE:
+        return False
+    if prefix in board.moving or len(prefix) >= HASH_BITS:
         return False
     keys = 2.0 ** -len(prefix) * len(spread.targets)
     hottest = max((rate for _, rate in board.hot_within(prefix)), default=0.0)
@@ -303,7 +348,7 @@
 
 def _merges(board, shards, spread, section, now, taken):
     """Return pairs of cold siblings of one holder whose load changed."""
-    limit = max(MIN_SPLITS, math.ceil(len(spread.targets) * SPLITS_PER_TARGET))
+    limit = _reshapes(spread)
     merges = []
     for holder in board.changed & set(spread.targets):
         for prefix in board.held(holder):
--- a/packages/node/src/jujuberudder/_planner.py
+++ b/packages/node/src/jujuberudder/_planner.py
@@ -63,7 +63,7 @@
     now = trio.current_time()
     suspected = life.witness.silent(now, SUSPECT_S)
     made = plan(board, life.ownership, section, now, suspected, balance)
-    board.settle()
+    board.settle(made.later)
     for kind, shards in ((records.Assign, made.assigns), (records.Move, made.moves)):
         if shards:
             await _give(life, board, kind, shards)
--- a/packages/node/src/jujuberudder/_reports.py
+++ b/packages/node/src/jujuberudder/_reports.py
@@ -14,7 +14,12 @@
 from ._meter import TICK_S, WINDOW_TICKS
 
 MAX_REPORTED_SHARDS = 24
-CHANGE_SHARE = 0.2
+CHANGE_SHARE = 0.05
+# Estimates follow the measured window by this share a second, or at once if it differs
+# by more than chance.
+SMOOTHING = 0.1
+SMOOTHED_S = 2 / SMOOTHING
+JUMP_DEVIATIONS = 3.0
 # Ask the planners of services whose incarnations this node may have to take over.
 FOREIGN_TICKS = 3
 LOADS_AGE_S = 12.0
@@ -32,6 +37,7 @@
         self._meter = meter
         self._planner = None
         self._told = {}
+        self._estimates = {}
         self._loads = {}
 
     def make(self, life, planner):
@@ -62,18 +68,24 @@
     def _changes(self, life, service, rates):
         """Return shards owned during the whole window, largest change first."""
         shards = life.ownership.shards(service)
-        changes, told = [], {}
+        changes, told, estimates = [], {}, {}
         for name, prefix in life.ownership.owned(life.incarnation):
             epoch = shards[prefix].epoch
             if name != service or epoch > self._meter.since:
                 continue
-            rate = rates.get((service, prefix), 0.0)
+            rate = _follow(
+                self._estimates.get((prefix, epoch)), rates.get((service, prefix), 0.0)
+            )
+            estimates[prefix, epoch] = rate
             before = self._told.get((prefix, epoch))
+            if before is None:
+                changes.append((-math.inf, prefix, epoch, rate))
+                continue
             told[prefix, epoch] = before
-            change = math.inf if before is None else abs(rate - before)
-            if before is None or change > _noise(before):
+            change = abs(rate - before)
+            if change > max(CHANGE_SHARE * rate, math.sqrt(rate / SMOOTHED_S) / 2):
                 changes.append((-change, prefix, epoch, rate))
-        self._told = {name: rate for name, rate in told.items() if rate is not None}
+        self._told, self._estimates = told, estimates
         return [
             (prefix, _scaled(rate))
             for _, prefix, _, rate in sorted(changes)[:MAX_REPORTED_SHARDS]
@@ -104,10 +116,15 @@
     return round(rate * RATE_SCALE)
 
 
-def _noise(rate):
-    """Return the change of a rate that may be chance (2 standard deviations)."""
+def _follow(estimate, measured):
+    """Return the next estimate of a rate."""
+    if estimate is None:
+        return measured
     window_s = WINDOW_TICKS * TICK_S
-    return max(CHANGE_SHARE * rate, 2 * math.sqrt(rate / window_s), 1 / window_s)
+    chance = JUMP_DEVIATIONS * math.sqrt(max(estimate, 1 / window_s) / window_s)
+    if abs(measured - estimate) > chance:
+        return measured
+    return estimate + SMOOTHING * (measured - estimate)
 
 
 async def run_reports(life):
