--- a/bench/placement_load.py
+++ b/bench/placement_load.py
@@ -42,9 +42,9 @@
     misleading: float = 0.0
 
 
-LANGO = {"unavailable": 2.0, "churn": 0.5, "imbalance": 0.5}
-CASA_PLUMA = {"unavailable": 0.5, "churn": 1.0, "imbalance": 1.0}
-EVEN = {"unavailable": 1.0, "churn": 1.0, "imbalance": 1.0}
+LANGO = {"unavailable_time": 2.0, "churn": 0.5, "imbalance": 0.5}
+CASA_PLUMA = {"unavailable_time": 0.5, "churn": 1.0, "imbalance": 1.0}
+EVEN = {"unavailable_time": 1.0, "churn": 1.0, "imbalance": 1.0}
 # The exponent falls with the size so that the hottest key alone stays below the mean
 # load of a target; no placement can divide one key.
 DEPLOYMENTS = {
--- a/bench/placement_runs.py
+++ b/bench/placement_runs.py
@@ -121,7 +121,7 @@
             "drain": [],
             "slots": cluster.deployment.slots,
             "initial_shard_bits": 5,
-            "placement": cluster.deployment.weights,
+            "placement_weights": cluster.deployment.weights,
         }
         self._board = Board(SERVICE, self._ownership)
         for name in cluster.live:
--- a/packages/node/src/jujuberudder/_placement.py
+++ b/packages/node/src/jujuberudder/_placement.py
@@ -295,9 +295,9 @@
     gain = spread.gain(source, destination, board.load(prefix))
     if gain < MIN_GAIN:
         return 0
-    weights = section["placement"]
+    weights = section["placement_weights"]
     keys = 2.0 ** -len(prefix) * len(spread.targets)
-    price = (weights["churn"] + weights["unavailable"]) / 2
+    price = (weights["churn"] + weights["unavailable_time"]) / 2
     score = weights["imbalance"] * gain / (MOVE_COST + price * keys)
     return score if score >= MIN_SCORE else 0
 
