Correct reports that the next owner of a shard contradicts

A target whose reports are wrong by a constant factor drew or lost load for good. When a moved shard's two owners differ, the median of at least three differences above a factor of 1.25 now corrects both by half.

--- a/packages/node/src/jujuberudder/_board.py
+++ b/packages/node/src/jujuberudder/_board.py
@@ -1,5 +1,8 @@
 """What the planner of a service knows of its load, kept up to date by changes."""
 
+import math
+import statistics
+from collections import deque
 from typing import NamedTuple
 
 from jujuberudder_core import HASH_BITS, records
@@ -10,6 +13,13 @@
 FRESH_S = 5.0
 RATE_SCALE = 10
 SUMMARY_TARGETS = 24
+# Two owners' counts of one moved shard differ if one of them counts wrongly, or if the
+# load changed meanwhile. Only the median of several differences above this factor is
+# put down to wrong counting, half of it to each owner.
+CORRECTION_FACTOR = 1.25
+CORRECTION_SAMPLES = 3
+CORRECTION_MIN_RATE = 4.0
+MAX_CORRECTION = 8.0
 
 
 class Heard(NamedTuple):
@@ -45,6 +55,9 @@
         self._moving = set()
         self._moved_at = {}
         self._heard = {}
+        self._reporter = {}
+        self._corrections = {}
+        self._differences = {}
         self._since = {}
         self._turn = 0
         self._members = None
@@ -152,15 +165,54 @@
             shard = shards.get(prefix)
             if shard and shard.owner == report.incarnation:
                 if shard.epoch <= report.since:
-                    self._set_rate(prefix, max(0.0, rate / RATE_SCALE))
+                    self._compare(prefix, report.incarnation, rate / RATE_SCALE)
+        scale = self.correction(report.incarnation) / RATE_SCALE
         keys = tuple(
-            (format(key, f"0{HASH_BITS}b"), rate / RATE_SCALE)
-            for key, rate in report.keys
+            (format(key, f"0{HASH_BITS}b"), rate * scale) for key, rate in report.keys
         )
         self._heard[report.incarnation] = Heard(
             now, report.in_flight, report.rate / RATE_SCALE, keys
         )
 
+    def correction(self, incarnation):
+        """Return the factor that a target's reported rates are multiplied by."""
+        return self._corrections.get(incarnation, 1.0)
+
+    def _compare(self, prefix, reporter, reported):
+        """Take a rate in; two owners' counts of one shard correct each other."""
+        before = self._reporter.get(prefix)
+        self._reporter[prefix] = reporter
+        expected = self.rate(prefix)
+        given = reported * self.correction(reporter)
+        if before not in (None, reporter):
+            if min(given, expected) >= CORRECTION_MIN_RATE:
+                difference = math.log(given / expected)
+                self._weigh(before, difference)
+                self._weigh(reporter, -difference)
+        self._set_rate(prefix, reported * self.correction(reporter))
+
+    def _weigh(self, incarnation, difference):
+        seen = self._differences.setdefault(
+            incarnation, deque(maxlen=2 * CORRECTION_SAMPLES - 1)
+        )
+        seen.append(difference)
+        median = statistics.median(seen)
+        if len(seen) >= CORRECTION_SAMPLES and abs(median) > math.log(
+            CORRECTION_FACTOR
+        ):
+            seen.clear()
+            self._correct(incarnation, math.exp(median / 2))
+
+    def _correct(self, incarnation, step):
+        if incarnation not in self.members():
+            return
+        old = self.correction(incarnation)
+        new = min(max(old * step, 1 / MAX_CORRECTION), MAX_CORRECTION)
+        self._corrections[incarnation] = new
+        for prefix in list(self.held(incarnation)):
+            if self._reporter.get(prefix) == incarnation:
+                self._set_rate(prefix, self.rate(prefix) * new / old)
+
     def summary(self):
         """Return ``(incarnation, in_flight, rate)`` of a rotating part of the targets.
 
@@ -206,6 +258,8 @@
             for prefix in list(self.held(ended)):
                 self._place(prefix)
             self._heard.pop(ended, None)
+            self._corrections.pop(ended, None)
+            self._differences.pop(ended, None)
             self._since.pop(ended, None)
 
     def _observe_shard(self, record, kind):
@@ -284,6 +338,7 @@
         self._total = max(0.0, self._total - rate)
         self._moving.discard(prefix)
         self._moved_at.pop(prefix, None)
+        self._reporter.pop(prefix, None)
         if holder is None:
             return
         self._add(holder, -rate, -(2.0 ** -len(prefix)))
