--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,96 @@
+"""Load reports: what they list, and how large they get."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from jujuberudder._board import SUMMARY_TARGETS, Board
+from jujuberudder._meter import MAX_HOT_KEYS
+from jujuberudder._reports import MAX_REPORTED_SHARDS, Reporter
+from jujuberudder_core import Ownership, records, uniform_prefixes
+from jujuberudder_peers import Summary
+from jujuberudder_peers._messages import encode_message
+
+# Control cost of a node is at most 3 KB/s in all; renewals need most of it.
+MAX_REPORT_BYTES = 1024
+MAX_SUMMARY_BYTES = 768
+
+
+def make_owner(bits):
+    """Return the life of a node that owns all shards, its meter and a reporter."""
+    ownership = Ownership()
+    me = "0123456789abcdef"
+    ownership.apply(1, records.Admit("r", me, "n", "jobs", "dar-a", "", "", ""))
+    shards = tuple(
+        records.ShardOwner("jobs", prefix, 0, me) for prefix in uniform_prefixes(bits)
+    )
+    ownership.apply(2, records.Assign("a", "p", shards))
+    life = SimpleNamespace(
+        settings=SimpleNamespace(deployment="lango-gatefix", service="jobs"),
+        incarnation=me,
+        ownership=ownership,
+        serving=SimpleNamespace(in_flight=lambda: 20),
+    )
+    rates = {("jobs", prefix): 10_000.0 for prefix in uniform_prefixes(bits)}
+    meter = SimpleNamespace(since=2)
+    meter.rates = lambda: rates
+    meter.hot_keys = lambda: [(2**64 - 1 - n, 9_999.9) for n in range(MAX_HOT_KEYS)]
+    return life, meter, rates, Reporter(meter)
+
+
+def test_a_report_is_bounded():
+    """Guards against reports that grow with the shards of a node."""
+    life, _, _, reporter = make_owner(9)
+    report = reporter.make(life, "planner")
+    assert len(report.shards) == MAX_REPORTED_SHARDS
+    assert len(encode_message(report)) <= MAX_REPORT_BYTES
+
+
+def test_a_summary_is_bounded_and_rotates():
+    """Guards against replies that grow with the targets, or always name the same."""
+    ownership = Ownership()
+    for number in range(500):
+        name = f"{number:016x}"
+        admit = records.Admit("r", name, name, "jobs", "dar-a", "", "", "")
+        ownership.apply(number + 1, admit)
+    board = Board("jobs", ownership)
+    first, second = Summary(board.summary()), Summary(board.summary())
+    assert len(first.loads) == SUMMARY_TARGETS
+    assert not {one[0] for one in first.loads} & {one[0] for one in second.loads}
+    assert len(encode_message(first)) <= MAX_SUMMARY_BYTES
+
+
+def test_all_shards_are_told_once_answered_changes_only():
+    """Guards against shards that a planner never hears of, and against repetition."""
+    life, _, rates, reporter = make_owner(6)
+    heard = set()
+    for _ in range(3):
+        report = reporter.make(life, "planner")
+        heard |= {prefix for prefix, _ in report.shards}
+        reporter.answered(life, report, Summary([]), 0.0)
+    assert heard == set(uniform_prefixes(6))
+    assert reporter.make(life, "planner").shards == []
+    rates["jobs", "000111"] = 20_000.0
+    assert [prefix for prefix, _ in reporter.make(life, "planner").shards] == ["000111"]
+    assert len(reporter.make(life, "another planner").shards) == MAX_REPORTED_SHARDS
+
+
+@pytest.mark.parametrize("since, listed", [(1, 0), (2, 8)])
+def test_shards_owned_for_part_of_the_window_are_not_listed(since, listed):
+    """Guards against a new owner that reports a shard as idle."""
+    life, meter, _, reporter = make_owner(3)
+    meter.since = since
+    assert len(reporter.make(life, "planner").shards) == listed
+
+
+@pytest.mark.parametrize(
+    "measured, low, high", [(105.0, 100.0, 102.0), (200.0, 200.0, 200.0)]
+)
+def test_estimates_follow_changes_and_not_noise(measured, low, high):
+    """Guards against moves driven by chance, and against hot shards seen late."""
+    life, _, rates, reporter = make_owner(0)
+    rates["jobs", ""] = 100.0
+    reporter.make(life, "planner")
+    rates["jobs", ""] = measured
+    report = reporter.make(life, "planner")
+    assert low <= report.shards[0][1] / 10 <= high
