Plan from changed shards only and bound the reports a planner takes in

Planning walked every shard of each target that reported: 0.37 of a core at 1,500 targets. Plans now look at changed shards and overloaded targets, give up after 16 sources without a move, and targets of large services report less often than once a second, 300 reports/s in all.

--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -11,7 +11,7 @@
 import msgspec
 import numpy as np
 
-from jujuberudder._board import Board
+from jujuberudder._board import Board, report_interval
 from jujuberudder._placement import plan
 from jujuberudder_core import Ownership, records, uniform_prefixes
 from jujuberudder_peers import Report, Summary
@@ -80,8 +80,10 @@
     board.settle()
     take_s = plan_s = idle_s = 0.0
     sizes = []
+    interval = report_interval(targets)
     for second in range(1, ROUNDS + 1):
-        made = reports(ownership, names, rng, LISTED, float(second))
+        part = names[second % int(interval) :: int(interval)]
+        made = reports(ownership, part, rng, LISTED, float(second))
         sizes += map(len, made)
         started = time.process_time()
         for data in made:
--- a/packages/node/src/jujuberudder/_board.py
+++ b/packages/node/src/jujuberudder/_board.py
@@ -10,7 +10,10 @@
 # Load that a shard counts for its key share alone, as a share of the total load: an
 # idle or unmeasured service is balanced by key share.
 KEY_SHARE_WEIGHT = 0.05
-FRESH_S = 5.0
+# Reports a second that a planner takes in; more targets report less often.
+MAX_REPORTS_PER_S = 300
+REPORT_S = 1.0
+FRESH_REPORTS = 5
 RATE_SCALE = 10
 SUMMARY_TARGETS = 24
 # Two owners' counts of one moved shard differ if one of them counts wrongly, or if the
@@ -22,13 +25,18 @@
 MAX_CORRECTION = 8.0
 
 
+def report_interval(targets):
+    """Return the seconds between two reports of a target of a service."""
+    return max(REPORT_S, targets / MAX_REPORTS_PER_S)
+
+
 class Heard(NamedTuple):
     """The newest report of a target; ``rate`` is in requests/s."""
 
     at: float
     in_flight: int
     rate: float
-    keys: tuple[tuple[str, float], ...]
+    keys: tuple[tuple[int, float], ...]
 
 
 class Board:
@@ -61,6 +69,7 @@
         self._since = {}
         self._turn = 0
         self._members = None
+        self._order = []
         self._changed = set()
         for prefix in ownership.shards(service):
             self._place(prefix)
@@ -82,11 +91,11 @@
 
     @property
     def changed(self):
-        """Holders with a changed load or set of shards since `settle`."""
+        """Prefixes of shards with a changed rate or holder since `settle`."""
         return self._changed
 
     def settle(self, later=()):
-        """Forget which holders changed, except those left for later."""
+        """Forget which shards changed, except those left for later."""
         self._changed = set(later)
 
     def held(self, holder):
@@ -121,7 +130,9 @@
     def fresh(self, incarnation, now):
         """Return whether a target reported lately."""
         heard = self._heard.get(incarnation)
-        return heard is not None and now - heard.at <= FRESH_S
+        if heard is None:
+            return False
+        return now - heard.at <= FRESH_REPORTS * report_interval(len(self.members()))
 
     def cooling(self, prefix, now, cooldown_s):
         """Return whether a shard or a part of it moved less than a cooldown ago."""
@@ -137,12 +148,14 @@
         if self._members is None:
             live = self._ownership.live(self._service)
             self._members = {key: state.admit for key, state in live}
+            self._order = list(self._members)
         return self._members
 
     def hot_keys(self, holder):
         """Return ``(hash bits, requests/s)`` of the hottest keys of a holder."""
         heard = self._heard.get(holder)
-        return heard.keys if heard else ()
+        found = heard.keys if heard else ()
+        return [(format(key, f"0{HASH_BITS}b"), rate) for key, rate in found]
 
     def _base(self):
         return KEY_SHARE_WEIGHT * (self._total or 1.0)
@@ -167,9 +180,7 @@
                 if shard.epoch <= report.since:
                     self._compare(prefix, report.incarnation, rate / RATE_SCALE)
         scale = self.correction(report.incarnation) / RATE_SCALE
-        keys = tuple(
-            (format(key, f"0{HASH_BITS}b"), rate * scale) for key, rate in report.keys
-        )
+        keys = tuple((key, rate * scale) for key, rate in report.keys)
         self._heard[report.incarnation] = Heard(
             now, report.in_flight, report.rate / RATE_SCALE, keys
         )
@@ -219,11 +230,11 @@
         The parts differ from caller to caller, so that many takeovers at once do not
         all choose the same few targets.
         """
-        members = list(self.members())
-        count = min(SUMMARY_TARGETS, len(members))
+        size = len(self.members())
+        count = min(SUMMARY_TARGETS, size)
         start = self._turn
-        self._turn = (start + count) % max(1, len(members))
-        part = [members[(start + n) % len(members)] for n in range(count)]
+        self._turn = (start + count) % max(1, size)
+        part = [self._order[(start + n) % size] for n in range(count)]
         return [
             (one, self._in_flight(one), round(self.load_of(one) * RATE_SCALE))
             for one in part
@@ -277,7 +288,7 @@
     def _divide(self, prefix):
         """Give the rate of a shard to its halves; hot keys go where they are."""
         hot = self.hot_within(prefix)
-        rate, holder = self.rate(prefix), self.holder(prefix)
+        rate = self.rate(prefix)
         known = min(1.0, rate / max(1e-9, sum(r for _, r in hot))) if hot else 0.0
         rest = max(0.0, rate - sum(r for _, r in hot))
         self._drop(prefix)
@@ -286,7 +297,6 @@
             own = sum(r for bits, r in hot if bits.startswith(child)) * known
             self._set_rate(child, own + rest / 2)
             self._place(child)
-        self._changed.add(holder)
 
     def hot_within(self, prefix):
         """Return the hot keys of a shard's holder that are in the shard."""
@@ -296,6 +306,7 @@
     def _set_rate(self, prefix, rate):
         before = self._rates.get(prefix, 0.0)
         self._rates[prefix] = rate
+        self._changed.add(prefix)
         self._total = max(0.0, self._total + rate - before)
         self._add(self._holder.get(prefix), rate - before, 0.0)
 
@@ -304,7 +315,6 @@
             return
         rates, shares = self._sums.get(holder, (0.0, 0.0))
         self._sums[holder] = (max(0.0, rates + rate), max(0.0, shares + share))
-        self._changed.add(holder)
 
     def _place(self, prefix):
         """Follow the fold for one shard."""
@@ -329,6 +339,7 @@
                 del self._held[before]
                 del self._sums[before]
         self._holder[prefix] = holder
+        self._changed.add(prefix)
         self._held.setdefault(holder, set()).add(prefix)
         self._add(holder, rate, share)
 
@@ -338,6 +349,7 @@
         self._total = max(0.0, self._total - rate)
         self._moving.discard(prefix)
         self._moved_at.pop(prefix, None)
+        self._changed.discard(prefix)
         self._reporter.pop(prefix, None)
         if holder is None:
             return
--- a/packages/node/src/jujuberudder/_placement.py
+++ b/packages/node/src/jujuberudder/_placement.py
@@ -32,6 +32,8 @@
 COLD_START_S = 30.0
 COLD_START_CAPACITY = 0.2
 DESTINATIONS = 4
+# Sources without a move that pays before a plan gives up: it bounds its cost.
+MAX_TRIED = 16
 ZONE_WEIGHT = 0.5
 
 
@@ -58,7 +60,7 @@
     splits : tuple of (prefix, epoch)
     merges : tuple of (prefix, epochs)
     later : frozenset of str
-        Holders with more shards to split than one plan may.
+        Shards to split that are more than one plan may.
     """
 
     assigns: tuple = ()
@@ -185,7 +187,7 @@
     assigns = _give(board, shards, spread, sorted(board.held("")))
     moves = _evacuate(board, shards, spread, section)
     if not balance:
-        return Plan(assigns, moves)
+        return Plan(assigns, moves, later=frozenset(board.changed))
     splits, later = _splits(board, shards, spread, section, now)
     taken = {shard.prefix for shard in moves} | {prefix for prefix, _ in splits}
     moves += _even_out(board, shards, spread, section, now, taken)
@@ -242,8 +244,8 @@
     fresh = [one for one in spread.targets if board.fresh(one, now)]
     sinks = spread.least(limit + DESTINATIONS, fresh)
     high = _high(spread)
-    moves, taken = [], set(taken)
-    while len(moves) < limit and sources:
+    moves, taken, tried = [], set(taken), 0
+    while len(moves) < limit and sources and tried < MAX_TRIED:
         source = spread.most(1, sources)[0]
         destinations = spread.least(DESTINATIONS, sinks)
         if spread.level(source) <= high:
@@ -254,6 +256,7 @@
         best = _best(board, spread, section, now, source, destinations, taken)
         if best is None:
             sources.remove(source)
+            tried += 1
             continue
         prefix, destination = best
         load = board.load(prefix)
@@ -303,23 +306,21 @@
 
 
 def _splits(board, shards, spread, section, now):
-    """Return hot shards to be split, hottest first, and the holders left for later."""
+    """Return hot shards to be split, hottest first, and those left for later."""
     count = len(spread.targets)
     room = SHARDS_PER_TARGET * count - len(shards)
     limit = max(0, min(room, _reshapes(spread)))
     high = _high(spread)
-    wanted = []
-    for holder in spread.targets:
-        above = spread.level(holder) > high
-        if above or holder in board.changed:
-            wanted += [
-                (-board.load(prefix), prefix, holder)
-                for prefix in board.held(holder)
-                if _worth_splitting(board, spread, prefix, above)
-            ]
-    wanted.sort()
-    chosen = tuple((prefix, shards[prefix].epoch) for _, prefix, _ in wanted[:limit])
-    return chosen, {holder for _, _, holder in wanted[limit:]}
+    above = {one for one in spread.targets if spread.level(one) > high}
+    looked_at = board.changed.union(*map(board.held, above))
+    wanted = sorted(
+        (-board.load(prefix), prefix)
+        for prefix in looked_at
+        if board.holder(prefix) in spread.targets
+        and _worth_splitting(board, spread, prefix, board.holder(prefix) in above)
+    )
+    chosen = tuple((prefix, shards[prefix].epoch) for _, prefix in wanted[:limit])
+    return chosen, {prefix for _, prefix in wanted[limit:]}
 
 
 def _reshapes(spread):
@@ -347,22 +348,20 @@
 
 
 def _merges(board, shards, spread, section, now, taken):
-    """Return pairs of cold siblings of one holder whose load changed."""
+    """Return cold siblings of one holder, of which the rate of one changed."""
     limit = _reshapes(spread)
-    merges = []
-    for holder in board.changed & set(spread.targets):
-        for prefix in board.held(holder):
-            if len(merges) >= limit:
-                return tuple(merges)
-            parent, sibling = prefix[:-1], prefix[:-1] + "1"
-            if not prefix.endswith("0") or board.holder(sibling) != holder:
-                continue
-            if len(parent) < section["initial_shard_bits"]:
-                continue
-            if _cold(board, spread, (prefix, sibling), now, taken):
-                epochs = (shards[prefix].epoch, shards[sibling].epoch)
-                merges.append((parent, epochs))
-    return tuple(merges)
+    merges = {}
+    for changed in board.changed:
+        parent = changed[:-1]
+        if len(parent) < section["initial_shard_bits"] or len(merges) >= limit:
+            continue
+        pair = (parent + "0", parent + "1")
+        holder = board.holder(pair[0])
+        if holder not in spread.targets or board.holder(pair[1]) != holder:
+            continue
+        if _cold(board, spread, pair, now, taken):
+            merges[parent] = tuple(shards[prefix].epoch for prefix in pair)
+    return tuple(merges.items())
 
 
 def _cold(board, spread, pair, now, taken):
--- a/packages/node/src/jujuberudder/_reports.py
+++ b/packages/node/src/jujuberudder/_reports.py
@@ -5,12 +5,13 @@
 """
 
 import math
+import random
 
 import trio
 
 from jujuberudder_peers import Report, Summary
 
-from ._board import RATE_SCALE
+from ._board import RATE_SCALE, report_interval
 from ._meter import TICK_S, WINDOW_TICKS
 
 MAX_REPORTED_SHARDS = 24
@@ -135,11 +136,16 @@
     life : Life
     """
     ticks = 0
+    due = 0.0
     while True:
         await trio.sleep(TICK_S)
         life.meter.turn()
-        if life.holds_lease():
+        if life.holds_lease() and trio.current_time() >= due:
             await _report(life)
+            targets = len(life.ownership.live(life.settings.service))
+            # A random part of the interval keeps reports from coming in bursts.
+            interval = report_interval(targets) * random.uniform(0.9, 1.1)
+            due = trio.current_time() + interval - TICK_S / 2
         if ticks % FOREIGN_TICKS == 0:
             for service in _witnessed(life):
                 await _ask(life, service)
