--- a/tests/test_peer_pools.py
+++ b/tests/test_peer_pools.py
@@ -25,9 +25,13 @@
     """Guards against one pool for all peers, which one slow peer can fill."""
 
     async def hangs(scope, receive, send):
+        if scope["type"] != "http":
+            raise ValueError("only HTTP is served")
         await trio.sleep_forever()
 
     async def answers(scope, receive, send):
+        if scope["type"] != "http":
+            raise ValueError("only HTTP is served")
         await send({"type": "http.response.start", "status": 204, "headers": []})
         await send({"type": "http.response.body", "body": b""})
 
