--- a/packages/core/src/jujuberudder_core/__init__.py
+++ b/packages/core/src/jujuberudder_core/__init__.py
@@ -21,6 +21,7 @@
 from ._serving import Serving
 from ._settings import Settings, TargetSettings, load_settings, parse_settings
 from ._shards import HASH_BITS, covers_once, hash_bits, prefix_of, uniform_prefixes
+from ._snapshots import Replay, chunk
 from ._views import explain_view, nodes_view, owners_view, sections_view
 
 __all__ = [
@@ -38,6 +39,7 @@
     "Problem",
     "PublishedSection",
     "SectionBody",
+    "Replay",
     "Sections",
     "Serving",
     "Settings",
@@ -45,6 +47,7 @@
     "TargetSettings",
     "UserError",
     "convert",
+    "chunk",
     "covers_once",
     "decode",
     "encode",
--- a/packages/core/src/jujuberudder_core/_ownership.py
+++ b/packages/core/src/jujuberudder_core/_ownership.py
@@ -7,9 +7,13 @@
 
 from typing import NamedTuple
 
+import msgspec
+
 from . import _records as records
 from ._shards import covers_once, hash_bits, prefix_of
 
+MAX_DEAD = 1000
+
 
 class Incarnation(NamedTuple):
     """A start of a node.
@@ -115,9 +119,36 @@
         return self._planners
 
     @property
-    def complete(self):
-        """Whether no record is missing before the last one applied."""
-        return True
+    def position(self):
+        """Position of the last record applied, -1 before the first."""
+        return self._offset
+
+    def dump(self):
+        """Return the state as entries of a snapshot."""
+        entries = [["incarnation", *state] for state in self._incarnations.values()]
+        for service, shards in self._shards.items():
+            entries += [["shard", service, p, *s] for p, s in shards.items()]
+        entries += [["planner", name, *one] for name, one in self._planners.items()]
+        return entries
+
+    def load(self, position, entries):
+        """Replace the state by that of a snapshot."""
+        for state in (self._incarnations, self._by_node, self._planners):
+            state.clear()
+        self._shards.clear()
+        self._owned.clear()
+        self._offset = position
+        for kind, *fields in entries:
+            if kind == "incarnation":
+                state = msgspec.convert(fields, Incarnation)
+                self._incarnations[state.admit.incarnation] = state
+                if state.alive:
+                    self._by_node[state.admit.node] = state.admit.incarnation
+            elif kind == "shard":
+                service, prefix, *shard = fields
+                self._put(service, prefix, Shard(*shard))
+            elif kind == "planner":
+                self._planners[fields[0]] = Claimed(*fields[1:])
 
     def alive(self, incarnation):
         """Return whether an incarnation is admitted and not dead."""
@@ -260,15 +291,32 @@
 
     def _end(self, ended, offset, shards):
         for incarnation in ended:
-            state = self._incarnations[incarnation]
+            state = self._incarnations.pop(incarnation)
             self._incarnations[incarnation] = state._replace(
                 version=offset, alive=False
             )
+        self._prune()
         wanted = {(s.service, s.prefix): s for s in shards}
         for incarnation in ended:
             for name in sorted(self.owned(incarnation)):
                 self._hand_over(name, offset, wanted.get(name))
 
+    def _prune(self):
+        # Entries move to the end when they die, so that the oldest deaths come first.
+        # A dead witness stays as long as a takeover may have to count it as sealed.
+        dead = [key for key, state in self._incarnations.items() if not state.alive]
+        if len(dead) <= MAX_DEAD:
+            return
+        named = {
+            witness
+            for state in self._incarnations.values()
+            if state.alive
+            for witness in sum(state.witness_sets, ())
+        }
+        for incarnation in dead[: len(dead) - MAX_DEAD]:
+            if incarnation not in named:
+                del self._incarnations[incarnation]
+
     def _hand_over(self, name, offset, entry):
         # A moving shard goes to its destination only: the destination may already
         # serve on the owner's direct word.
--- a/packages/core/src/jujuberudder_core/_records.py
+++ b/packages/core/src/jujuberudder_core/_records.py
@@ -182,6 +182,22 @@
     author: str = ""
 
 
+class Snapshot(NamedTuple):
+    """A chunk of the state after the record at ``position``.
+
+    ``base`` is the position of the last complete snapshot: of several writers, those
+    that come after a complete snapshot have no effect.
+    """
+
+    id: str
+    name: str
+    base: int
+    position: int
+    part: int
+    parts: int
+    entries: list[list]
+
+
 KINDS = {
     cls.__name__.lower(): cls
     for cls in (
@@ -200,6 +216,7 @@
         Split,
         Merge,
         Section,
+        Snapshot,
     )
 }
 
--- a/packages/logservice/src/jujuberudder_logservice/_follower.py
+++ b/packages/logservice/src/jujuberudder_logservice/_follower.py
@@ -23,13 +23,18 @@
         offset plus one.
     log : callable
         ``log(event, **fields)``.
+    miss : callable
+        Called with the oldest offset kept when retention removed records unread.
     """
 
-    def __init__(self, client, stream, handle, log):
+    def __init__(self, client, stream, handle, log, miss=lambda first: None):
         self._client = client
         self._stream = stream
         self._handle = handle
         self._log = log
+        self._miss = miss
+        self._first = 0
+        self._went_back = False
         self._next = 0
         self._reads = 0
         self._changed = trio.Event()
@@ -46,6 +51,11 @@
         """Offset of the next record to read."""
         return self._next
 
+    @property
+    def first(self):
+        """Oldest offset known to be kept."""
+        return self._first
+
     @property
     def failing(self):
         """Whether the last read failed."""
@@ -88,6 +98,20 @@
             backoff = min(backoff * 2, BACKOFF_MAX_S)
 
     def _take(self, batch):
+        if batch.next < self._next:
+            self._refuse_older(batch)
+            return
+        self._went_back = False
+        if batch.first > self._next:
+            self._log(
+                "records_removed",
+                stream=self._stream,
+                read_to=self._next,
+                first=batch.first,
+            )
+            self._next = batch.first
+            self._miss(batch.first)
+        self._first = max(self._first, batch.first)
         self._read_at = trio.current_time()
         for entry in batch.records:
             if entry.offset < self._next:
@@ -102,3 +126,14 @@
         if batch.records:
             self._changed.set()
             self._changed = trio.Event()
+
+    def _refuse_older(self, batch):
+        """Ignore a stale read, or a log that lost its end: the state stays."""
+        if not self._went_back:
+            self._log(
+                "log_went_back",
+                stream=self._stream,
+                read_to=self._next,
+                next=batch.next,
+            )
+        self._went_back = True
--- a/packages/node/src/jujuberudder/_admission.py
+++ b/packages/node/src/jujuberudder/_admission.py
@@ -15,6 +15,7 @@
 KEEP_MARGIN_S = LEASE_S * 0.6
 TICK_S = 0.1
 RETRY_S = 0.3
+CONNECT_TIMEOUT_S = 1.0
 # The loss of an availability zone leaves a third of 4,500 nodes with a dead witness.
 # They replace it at this rate, two appends each, while the other two serve.
 REPLACED_PER_S = 50
@@ -117,22 +118,46 @@
 
 
 async def _end_predecessor(life, addresses):
-    """Append ``leave`` for an earlier incarnation of this node at the same address.
+    """Append ``leave`` for an earlier incarnation of this node whose process ended.
 
-    This process listens there, so the earlier one has ended and can neither renew nor
-    grant. Without this, nodes that restart together wait for each other's seals for
-    ever. The wait before it covers a VM that was replaced while it was frozen.
+    Without this, nodes that restart together wait for each other's seals for ever. The
+    wait before it covers a VM that was replaced while it was frozen.
     """
     node = life.settings.node
     for incarnation, state in life.ownership.live():
-        here = (state.admit.node, state.admit.control_address)
-        if here == (node, addresses.control):
+        if state.admit.node != node:
+            continue
+        if await has_ended(state.admit.control_address, addresses.control):
             shards = life.successors(life.ownership, {incarnation})
             record = records.Leave(new_id(), incarnation, state.version, shards)
             applied = await life.write(record)
             life.log("predecessor_ended", incarnation=incarnation, result=applied)
 
 
+async def has_ended(address, mine):
+    """Return whether the process that listened at an address of this VM has ended.
+
+    The kernel of this VM refuses connections only if nobody listens there; it accepts
+    them for a process that is frozen.
+
+    Parameters
+    ----------
+    address, mine : str
+        Control addresses, ``host:port``. Another host is never taken as ended.
+    """
+    if address == mine:
+        return True
+    (host, port), here = address.split(":"), mine.split(":")[0]
+    if host != here:
+        return False
+    with trio.socket.socket() as socket, trio.move_on_after(CONNECT_TIMEOUT_S):
+        try:
+            await socket.connect((host, int(port)))
+        except ConnectionRefusedError:
+            return True
+    return False
+
+
 async def _may_be_admitted(life, addresses):
     read = await life.catch_up()
     reason = obstacle(life.ownership, life.settings.node, addresses.control)
@@ -140,7 +165,7 @@
         reason = "log service cannot be read"
     elif life.declared_destroyed():
         reason = "a section declares this node destroyed"
-    elif not life.ownership.complete:
+    elif not life.complete():
         reason = "no snapshot read yet"
     if reason is not None:
         life.log_once("admission_waits", reason=reason)
--- a/packages/node/src/jujuberudder/_life.py
+++ b/packages/node/src/jujuberudder/_life.py
@@ -25,6 +25,7 @@
 from ._planner import SUSPECT_S, run_planner
 from ._release import run_releases
 from ._reports import Reporter, run_reports
+from ._snapshots import run_snapshots
 
 RELEASE_READ_S = 0.4
 RETRY_S = 0.3
@@ -148,6 +149,15 @@
         """Return the position up to which the configuration stream was read."""
         return self._core.sections_read()
 
+    def complete(self):
+        """Return whether no record is missing of either stream."""
+        return self._core.complete()
+
+    @property
+    def snapshot_streams(self):
+        """Both streams, as snapshots need them."""
+        return self._core.snapshot_streams
+
     def declared_destroyed(self):
         """Return whether a section in force lists this node as destroyed."""
         return self._core.declared_destroyed(self.settings.node)
@@ -327,6 +337,8 @@
             run_reports,
         ):
             nursery.start_soon(task, life)
+        for stream in life.snapshot_streams:
+            nursery.start_soon(run_snapshots, life, stream)
         nursery.start_soon(run_takeovers, _takeover_context(life))
         nursery.start_soon(_leave_when, life, stopping, nursery.cancel_scope)
         while life.state().alive:
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -15,7 +15,7 @@
     make_app,
     metered,
 )
-from jujuberudder_core import Metrics, Ownership, Sections, make_logger
+from jujuberudder_core import Metrics, Ownership, Replay, Sections, make_logger
 from jujuberudder_logservice import Follower, LogClient, Writer
 from jujuberudder_operators import make_operator_app
 from jujuberudder_peers import (
@@ -40,6 +40,7 @@
 from ._life import Life, run_life
 from ._meter import LoadMeter
 from ._metrics import Recorder, observe_node
+from ._snapshots import SnapshotStream
 from ._views import make_views
 
 # Of one address at a time; one client must not take all file descriptors.
@@ -85,13 +86,20 @@
         self._changed = trio.Event()
         self._client = client or LogClient(settings.log_address)
         streams = [f"{settings.deployment}.{name}" for name in STREAMS]
+        self._replay = Replay(self._ownership, self._apply_ownership, self._loaded)
+        self._section_replay = Replay(self._sections, self._apply_section, self._loaded)
         self._follower = Follower(
-            self._client, streams[0], self._apply_ownership, self._log
+            self._client, streams[0], self._take, self._log, self._replay.miss
         )
         self._section_follower = Follower(
-            self._client, streams[1], self._apply_section, self._log
+            self._client,
+            streams[1],
+            self._take_section,
+            self._log,
+            self._section_replay.miss,
         )
         self._writer = Writer(self._client, self._follower, streams[0])
+        self._section_writer = Writer(self._client, self._section_follower, streams[1])
         self._channel = channel or Channel(settings.address_overrides)
 
     @property
@@ -169,7 +177,9 @@
 
     def declared_destroyed(self, node):
         """Return whether a section in force lists a node as destroyed."""
-        return any(node in s.body["destroyed"] for s in self._sections.all.values())
+        return any(
+            node in s.body.get("destroyed", ()) for s in self._sections.all.values()
+        )
 
     def destroyed_at(self, incarnation):
         """Return when an operator's word that its VM is destroyed was read, or None.
@@ -183,7 +193,7 @@
         times = [
             self._section_read_at[section.name]
             for section in self._sections.all.values()
-            if state.admit.node in section.body["destroyed"]
+            if state.admit.node in section.body.get("destroyed", ())
             and state.admit.sections < section.version
         ]
         return min(times, default=None)
@@ -197,6 +207,42 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    @property
+    def snapshot_streams(self):
+        """Both streams, as snapshots need them."""
+        return (
+            SnapshotStream(self._ownership, self._follower, self._replay, self._writer),
+            SnapshotStream(
+                self._sections,
+                self._section_follower,
+                self._section_replay,
+                self._section_writer,
+            ),
+        )
+
+    def complete(self):
+        """Return whether no record is missing of either stream."""
+        return self._replay.complete and self._section_replay.complete
+
+    def _loaded(self):
+        now = trio.current_time()
+        for incarnation in self._ownership.incarnations:
+            self._read_at[incarnation] = now
+        for name in self._sections.all:
+            self._section_read_at[name] = now
+        self._log("snapshot_loaded", ownership=self._ownership.position)
+        self.touch()
+
+    def _take(self, position, record):
+        effect = self._replay.take(position, record)
+        if effect is not None:
+            self._writer.observe(position, record, effect)
+
+    def _take_section(self, position, record):
+        effect = self._section_replay.take(position, record)
+        if effect is not None:
+            self._section_writer.observe(position, record, effect)
+
     def _apply_ownership(self, offset, record):
         effect = self._ownership.apply(offset, record)
         if effect:
--- /dev/null
+++ b/tests/test_oddities.py
@@ -0,0 +1,165 @@
+"""Oddities of the log service, the names of nodes and the loss of many nodes."""
+
+import pytest
+import trio
+from fakes import Checker, Cluster, seeded, simulate
+from result import Ok
+
+from jujuberudder._admission import has_ended, obstacle
+from jujuberudder_core import Ownership, encode, records
+from jujuberudder_logservice import Batch, Entry, Follower
+
+KEEP = records.Keep("k", "a", 1)
+SLOW_S = 0.3
+LIMIT_S = 2.0
+
+
+def batch(first, following, *entries):
+    """Return a batch of ``(offset, data)``."""
+    return Batch(first, following, [Entry(*entry) for entry in entries])
+
+
+GOOD = encode(KEEP)
+READS = {
+    "stale read": (
+        [batch(0, 2, (0, GOOD), (1, GOOD)), batch(0, 1, (0, GOOD))],
+        [1, 2],
+        ["log_went_back"],
+    ),
+    "log that lost its end": (
+        [batch(0, 2, (0, GOOD), (1, GOOD)), batch(0, 1), batch(0, 1)],
+        [1, 2],
+        ["log_went_back"],
+    ),
+    "records repeated": ([batch(0, 1, (0, GOOD)), batch(0, 1, (0, GOOD))], [1], []),
+    "undecodable record": (
+        [batch(0, 2, (0, '["keep"'), (1, GOOD))],
+        [2],
+        ["record_skipped"],
+    ),
+    "unknown kind": (
+        [batch(0, 2, (0, '["nope", "x"]'), (1, GOOD))],
+        [2],
+        ["record_skipped"],
+    ),
+    "retention passed": (
+        [batch(0, 1, (0, GOOD)), batch(5, 6, (5, GOOD))],
+        [1, "missed", 6],
+        ["records_removed"],
+    ),
+}
+
+
+@pytest.mark.parametrize("batches, handled, events", READS.values(), ids=READS)
+async def test_follower_refuses_oddities(batches, handled, events):
+    """Guards against state that changes when the log service misbehaves."""
+    got, logged = [], []
+    answers = iter(batches)
+
+    class Client:
+        async def read(self, *args):
+            return Ok(next(answers))
+
+    follower = Follower(
+        Client(),
+        "s",
+        lambda position, record: got.append(position),
+        lambda event, **fields: logged.append(event),
+        lambda first: got.append("missed"),
+    )
+    for _ in batches:
+        with trio.move_on_after(0):
+            await follower.catch_up()
+    assert (got, logged) == (handled, events)
+
+
+NAMES = {
+    "same name": ("one", "127.0.0.1:9", "incarnation a of node one is alive"),
+    "same address": ("two", "127.0.0.1:1", "node one is alive at address 127.0.0.1:1"),
+    "neither": ("two", "127.0.0.1:9", None),
+}
+
+
+@pytest.mark.parametrize("node, address, reason", NAMES.values(), ids=NAMES)
+def test_names_and_addresses_in_use(node, address, reason):
+    """Guards against two nodes with one name or address, and a silent wait."""
+    ownership = Ownership()
+    addresses = ("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+    ownership.apply(1, records.Admit("r", "a", "one", "jobs", "z", *addresses))
+    assert obstacle(ownership, node, address) == reason
+
+
+@pytest.mark.parametrize("listens, ended", [(True, False), (False, True)])
+async def test_predecessor_has_ended_only_if_nobody_listens(listens, ended):
+    """Guards against ending an incarnation whose process still runs."""
+    with trio.socket.socket() as socket:
+        await socket.bind(("127.0.0.1", 0))
+        if listens:
+            socket.listen()
+        address = "127.0.0.1:{}".format(socket.getsockname()[1])
+        assert await has_ended(address, "127.0.0.1:1") is ended
+
+
+async def test_predecessor_on_another_host_has_not_ended():
+    """Guards against taking an unreachable VM for one that ended."""
+    assert not await has_ended("127.0.0.2:1", "127.0.0.1:1")
+
+
+@seeded
+def test_keep_counts_from_its_send(_):
+    """Guards against a lease that counts from the answer of a slow log."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery, ("a", "b"))
+            host = cluster.hosts["n0"]
+            sent, counted = [], []
+            append = host.append
+
+            async def slow(stream, data):
+                sent.append(trio.current_time())
+                appended = await append(stream, data)
+                await trio.sleep(SLOW_S)
+                return appended
+
+            host.append = slow
+            await trio.sleep(SLOW_S)
+            extend = host.core.life.lease.extend
+
+            def watch(sent_at, witnesses=()):
+                counted.append(sent_at)
+                extend(sent_at, witnesses)
+
+            host.core.life.lease.extend = watch
+            await trio.sleep(5)
+            assert len(counted) > 2
+            assert set(counted) <= set(sent)
+            nursery.cancel_scope.cancel()
+
+    simulate(main)
+
+
+@seeded
+def test_lost_zone_is_taken_over_in_few_records(_):
+    """Guards against one append per lost node, and against duplicates."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery, ("a",) * 5 + ("b", "c", "d") * 2)
+            checker = Checker(cluster)
+            cluster.start(checker.run)
+            await trio.sleep(5)
+            for host in cluster.hosts.values():
+                if host.zone == "a":
+                    host.scope.cancel()
+            with trio.fail_after(LIMIT_S):
+                await trio.sleep(0.1)
+                while not checker.served():
+                    await trio.sleep(0.01)
+            await trio.sleep(3)
+            dead = [r for r in cluster.records() if type(r) is records.Dead]
+            assert sum(len(record.bases) for record in dead) == 5
+            assert len(dead) < 5
+            nursery.cancel_scope.cancel()
+
+    simulate(main)
--- /dev/null
+++ b/tests/test_snapshots.py
@@ -0,0 +1,164 @@
+"""State survives retention: snapshots, gaps and readers that start late."""
+
+import pytest
+import trio
+from fakes import Checker, Cluster, seeded, simulate
+
+from jujuberudder_core import (
+    Ownership,
+    Replay,
+    Sections,
+    chunk,
+    decode,
+    encode,
+    records,
+)
+from jujuberudder_core import _ownership as ownership_module
+
+SECTION = "{service: jobs, routes: [{path_prefix: /}]}"
+ZONES = ("a", "b", "c") * 2
+
+
+def admit(name, sections=0):
+    """Return an admission."""
+    addresses = (f"{name}:1", f"{name}:2", f"{name}:3")
+    return records.Admit(
+        f"r{name}", name, f"node-{name}", "jobs", "a", *addresses, (), sections
+    )
+
+
+def shard(owner, epoch=0, prefix=""):
+    """Return one entry of an assignment, a move or a takeover."""
+    return records.ShardOwner("jobs", prefix, epoch, owner)
+
+
+HISTORY = [
+    admit("a"),
+    admit("b", sections=7),
+    records.Assign("x", "a", (shard("a"),)),
+    records.Claim("x", "jobs", 0, "a"),
+    records.Move("x", "a", (shard("b", 3),)),
+    records.Witnesses("x", "a", 1, ("b",)),
+    records.Withdraw("x", "b", 2, ()),
+    records.Dead("x", "b", (records.Base("a", 6),), ()),
+]
+
+
+def fold(history):
+    """Return the fold of a history."""
+    ownership = Ownership()
+    for position, record in enumerate(history, 1):
+        ownership.apply(position, record)
+    return ownership
+
+
+@pytest.mark.parametrize("length", range(1, len(HISTORY) + 1))
+def test_state_survives_a_snapshot(length):
+    """Guards against state that a snapshot loses or changes."""
+    before = fold(HISTORY[:length])
+    parts = [
+        decode(encode(part)).ok_value
+        for part in chunk("s", 0, before.position, before.dump())
+    ]
+    after = Ownership()
+    replay = Replay(after, after.apply)
+    replay.miss(before.position)
+    for number, part in enumerate(parts):
+        replay.take(before.position + 1 + number, part)
+    assert replay.complete
+    assert after.dump() == before.dump()
+    for incarnation in before.incarnations:
+        assert after.owned(incarnation) == before.owned(incarnation)
+
+
+CHUNKS = [records.Snapshot(f"r{n}", "s", 0, 5, n, 2, []) for n in range(2)]
+OLD = [records.Snapshot("r", "o", 0, 3, 0, 1, [])]
+READS = {
+    "whole snapshot": (CHUNKS, True),
+    "reordered and repeated": ([CHUNKS[1], CHUNKS[1], CHUNKS[0]], True),
+    "a part is missing": (CHUNKS[1:], False),
+    "older than what was removed": (OLD, False),
+    "no snapshot": ([HISTORY[0]], False),
+}
+
+
+@pytest.mark.parametrize("read, complete", READS.values(), ids=READS)
+def test_reader_waits_for_a_complete_snapshot(read, complete):
+    """Guards against a state with a gap after retention removed records."""
+    ownership = Ownership()
+    replay = Replay(ownership, ownership.apply)
+    replay.miss(4)
+    for position, record in enumerate(read, 6):
+        replay.take(position, record)
+    assert replay.complete is complete
+
+
+def test_records_kept_meanwhile_are_applied_once():
+    """Guards against records lost or doubled between a snapshot and its end."""
+    before = fold(HISTORY[:3])
+    (part,) = chunk("s", 0, 3, before.dump())
+    handled = []
+    replay = Replay(Ownership(), lambda *one: handled.append(one[0]))
+    replay.miss(2)
+    for position, record in ((3, HISTORY[2]), (4, HISTORY[3]), (5, part)):
+        replay.take(position, record)
+    replay.take(6, HISTORY[4])
+    assert handled == [4, 6]
+
+
+def test_second_writer_has_no_effect():
+    """Guards against two complete snapshots on one base."""
+    ownership = fold(HISTORY)
+    replay = Replay(ownership, ownership.apply)
+    (first,) = chunk("s", 0, 8, ownership.dump())
+    (second,) = chunk("t", 0, 8, ownership.dump())
+    assert [replay.take(9, first), replay.take(10, second)] == [True, False]
+
+
+def test_section_versions_survive_a_snapshot():
+    """Guards against a section that reverts or changes its version."""
+    before, after = Sections(), Sections()
+    before.apply(5, records.Section("x", "jobs", 0, SECTION))
+    after.load(before.position, before.dump())
+    assert after.all == before.all
+
+
+def test_dead_incarnations_are_pruned(monkeypatch):
+    """Guards against state that grows with each death, and pruned live witnesses."""
+    monkeypatch.setattr(ownership_module, "MAX_DEAD", 2)
+    history = [admit(str(n)) for n in range(6)]
+    history.append(records.Witnesses("x", "5", 6, ("0",)))
+    for n in range(5):
+        history.append(records.Dead("x", "5", (records.Base(str(n), n + 1),), ()))
+    assert list(fold(history).incarnations) == ["5", "0", "3", "4"]
+
+
+@seeded
+def test_nodes_re_append_after_retention_passed(_):
+    """Guards against state lost with the log, and against unbounded re-appends."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery, ZONES)
+            checker = Checker(cluster)
+            cluster.start(checker.run)
+            await trio.sleep(3)
+            before = cluster.newest().ownership.shards("jobs")
+            for stream in list(cluster.log.streams):
+                cluster.log.expire(stream)
+            await trio.sleep(30)
+            appended = cluster.log.appends
+            await trio.sleep(30)
+            assert cluster.log.appends == appended
+            cluster.start(cluster.add("n9", "b").run)
+            await trio.sleep(5)
+            late = cluster.hosts["n9"].core
+            assert late.complete()
+            assert late.sections.get("jobs").version == 1
+            assert set(late.ownership.shards("jobs")) == set(before)
+            assert checker.served()
+            kinds = [type(record) for record in cluster.records()]
+            assert 1 <= kinds.count(records.Snapshot) <= 3
+            nursery.cancel_scope.cancel()
+
+    simulate(main)
