--- a/packages/logservice/src/jujuberudder_logservice/_follower.py
+++ b/packages/logservice/src/jujuberudder_logservice/_follower.py
@@ -23,11 +23,12 @@
         offset plus one.
     log : callable
         ``log(event, **fields)``.
-    miss : callable
-        Called with the oldest offset kept when retention removed records unread.
+    miss : callable or None
+        Called with the oldest offset kept when retention removed records unread. Without
+        it, nothing is handed over after a gap.
     """
 
-    def __init__(self, client, stream, handle, log, miss=lambda first: None):
+    def __init__(self, client, stream, handle, log, miss=None):
         self._client = client
         self._stream = stream
         self._handle = handle
@@ -35,6 +36,7 @@
         self._miss = miss
         self._first = 0
         self._went_back = False
+        self._missed = False
         self._next = 0
         self._reads = 0
         self._changed = trio.Event()
@@ -71,13 +73,14 @@
         Returns
         -------
         done : bool
-            False if the log service could not be read.
+            False if the log service could not be read or records were missed.
         """
         while True:
             batch = await self._client.read(self._stream, self._next)
             if batch.is_err():
                 return False
-            self._take(batch.ok_value)
+            if not self._take(batch.ok_value):
+                return False
             if self._next >= batch.ok_value.next:
                 return True
 
@@ -86,33 +89,26 @@
         backoff = BACKOFF_MIN_S
         while True:
             batch = await self._client.read(self._stream, self._next, WAIT_S)
-            if batch.is_ok():
+            if batch.is_ok() and self._take(batch.ok_value):
                 self._failing = False
                 backoff = BACKOFF_MIN_S
-                self._take(batch.ok_value)
                 continue
-            if not self._failing:
+            if batch.is_err() and not self._failing:
                 self._log("log_read_failed", stream=self._stream, error=batch.err_value)
             self._failing = True
             await trio.sleep(backoff * random.uniform(0.5, 1.0))
             backoff = min(backoff * 2, BACKOFF_MAX_S)
 
     def _take(self, batch):
+        """Hand over records; return False if the batch cannot follow what was read."""
+        self._read_at = trio.current_time()
         if batch.next < self._next:
             self._refuse_older(batch)
-            return
+            return False
         self._went_back = False
-        if batch.first > self._next:
-            self._log(
-                "records_removed",
-                stream=self._stream,
-                read_to=self._next,
-                first=batch.first,
-            )
-            self._next = batch.first
-            self._miss(batch.first)
+        if batch.first > self._next and not self._skip_to(batch.first):
+            return False
         self._first = max(self._first, batch.first)
-        self._read_at = trio.current_time()
         for entry in batch.records:
             if entry.offset < self._next:
                 continue
@@ -126,6 +122,21 @@
         if batch.records:
             self._changed.set()
             self._changed = trio.Event()
+        return True
+
+    def _skip_to(self, first):
+        """Go on after a gap if the handler loads snapshots; return whether it does."""
+        # A fold of only the later records gave a key a second owner.
+        if not self._missed:
+            self._log(
+                "records_removed", stream=self._stream, read_to=self._next, first=first
+            )
+        self._missed = self._miss is None
+        if self._missed:
+            return False
+        self._next = first
+        self._miss(first)
+        return True
 
     def _refuse_older(self, batch):
         """Ignore a stale read, or a log that lost its end: the state stays."""
--- a/packages/node/src/jujuberudder/_board.py
+++ b/packages/node/src/jujuberudder/_board.py
@@ -1,5 +1,8 @@
 """What the planner of a service knows of its load, kept up to date by changes."""
 
+import math
+import statistics
+from collections import deque
 from typing import NamedTuple
 
 from jujuberudder_core import HASH_BITS, records
@@ -7,9 +10,24 @@
 # Load that a shard counts for its key share alone, as a share of the total load: an
 # idle or unmeasured service is balanced by key share.
 KEY_SHARE_WEIGHT = 0.05
-FRESH_S = 5.0
+# Reports a second that a planner takes in; more targets report less often.
+MAX_REPORTS_PER_S = 300
+REPORT_S = 1.0
+FRESH_REPORTS = 5
 RATE_SCALE = 10
 SUMMARY_TARGETS = 24
+# Two owners' counts of one moved shard differ if one of them counts wrongly, or if the
+# load changed meanwhile. Only the median of several differences above this factor is
+# put down to wrong counting, half of it to each owner.
+CORRECTION_FACTOR = 1.25
+CORRECTION_SAMPLES = 3
+CORRECTION_MIN_RATE = 4.0
+MAX_CORRECTION = 8.0
+
+
+def report_interval(targets):
+    """Return the seconds between two reports of a target of a service."""
+    return max(REPORT_S, targets / MAX_REPORTS_PER_S)
 
 
 class Heard(NamedTuple):
@@ -18,7 +36,7 @@
     at: float
     in_flight: int
     rate: float
-    keys: tuple[tuple[str, float], ...]
+    keys: tuple[tuple[int, float], ...]
 
 
 class Board:
@@ -45,9 +63,13 @@
         self._moving = set()
         self._moved_at = {}
         self._heard = {}
+        self._reporter = {}
+        self._corrections = {}
+        self._differences = {}
         self._since = {}
         self._turn = 0
         self._members = None
+        self._order = []
         self._changed = set()
         for prefix in ownership.shards(service):
             self._place(prefix)
@@ -69,12 +91,12 @@
 
     @property
     def changed(self):
-        """Holders with a changed load or set of shards since `settle`."""
+        """Prefixes of shards with a changed rate or holder since `settle`."""
         return self._changed
 
-    def settle(self):
-        """Forget which holders changed."""
-        self._changed = set()
+    def settle(self, later=()):
+        """Forget which shards changed, except those left for later."""
+        self._changed = set(later)
 
     def held(self, holder):
         """Return the prefixes that a holder has; ``""`` holds those without owner."""
@@ -108,7 +130,9 @@
     def fresh(self, incarnation, now):
         """Return whether a target reported lately."""
         heard = self._heard.get(incarnation)
-        return heard is not None and now - heard.at <= FRESH_S
+        if heard is None:
+            return False
+        return now - heard.at <= FRESH_REPORTS * report_interval(len(self.members()))
 
     def cooling(self, prefix, now, cooldown_s):
         """Return whether a shard or a part of it moved less than a cooldown ago."""
@@ -124,12 +148,14 @@
         if self._members is None:
             live = self._ownership.live(self._service)
             self._members = {key: state.admit for key, state in live}
+            self._order = list(self._members)
         return self._members
 
     def hot_keys(self, holder):
         """Return ``(hash bits, requests/s)`` of the hottest keys of a holder."""
         heard = self._heard.get(holder)
-        return heard.keys if heard else ()
+        found = heard.keys if heard else ()
+        return [(format(key, f"0{HASH_BITS}b"), rate) for key, rate in found]
 
     def _base(self):
         return KEY_SHARE_WEIGHT * (self._total or 1.0)
@@ -152,26 +178,63 @@
             shard = shards.get(prefix)
             if shard and shard.owner == report.incarnation:
                 if shard.epoch <= report.since:
-                    self._set_rate(prefix, max(0.0, rate / RATE_SCALE))
-        keys = tuple(
-            (format(key, f"0{HASH_BITS}b"), rate / RATE_SCALE)
-            for key, rate in report.keys
-        )
+                    self._compare(prefix, report.incarnation, rate / RATE_SCALE)
+        scale = self.correction(report.incarnation) / RATE_SCALE
+        keys = tuple((key, rate * scale) for key, rate in report.keys)
         self._heard[report.incarnation] = Heard(
             now, report.in_flight, report.rate / RATE_SCALE, keys
         )
 
+    def correction(self, incarnation):
+        """Return the factor that a target's reported rates are multiplied by."""
+        return self._corrections.get(incarnation, 1.0)
+
+    def _compare(self, prefix, reporter, reported):
+        """Take a rate in; two owners' counts of one shard correct each other."""
+        before = self._reporter.get(prefix)
+        self._reporter[prefix] = reporter
+        expected = self.rate(prefix)
+        given = reported * self.correction(reporter)
+        if before not in (None, reporter):
+            if min(given, expected) >= CORRECTION_MIN_RATE:
+                difference = math.log(given / expected)
+                self._weigh(before, difference)
+                self._weigh(reporter, -difference)
+        self._set_rate(prefix, reported * self.correction(reporter))
+
+    def _weigh(self, incarnation, difference):
+        seen = self._differences.setdefault(
+            incarnation, deque(maxlen=2 * CORRECTION_SAMPLES - 1)
+        )
+        seen.append(difference)
+        median = statistics.median(seen)
+        if len(seen) >= CORRECTION_SAMPLES and abs(median) > math.log(
+            CORRECTION_FACTOR
+        ):
+            seen.clear()
+            self._correct(incarnation, math.exp(median / 2))
+
+    def _correct(self, incarnation, step):
+        if incarnation not in self.members():
+            return
+        old = self.correction(incarnation)
+        new = min(max(old * step, 1 / MAX_CORRECTION), MAX_CORRECTION)
+        self._corrections[incarnation] = new
+        for prefix in list(self.held(incarnation)):
+            if self._reporter.get(prefix) == incarnation:
+                self._set_rate(prefix, self.rate(prefix) * new / old)
+
     def summary(self):
         """Return ``(incarnation, in_flight, rate)`` of a rotating part of the targets.
 
         The parts differ from caller to caller, so that many takeovers at once do not
         all choose the same few targets.
         """
-        members = list(self.members())
-        count = min(SUMMARY_TARGETS, len(members))
+        size = len(self.members())
+        count = min(SUMMARY_TARGETS, size)
         start = self._turn
-        self._turn = (start + count) % max(1, len(members))
-        part = [members[(start + n) % len(members)] for n in range(count)]
+        self._turn = (start + count) % max(1, size)
+        part = [self._order[(start + n) % size] for n in range(count)]
         return [
             (one, self._in_flight(one), round(self.load_of(one) * RATE_SCALE))
             for one in part
@@ -206,6 +269,8 @@
             for prefix in list(self.held(ended)):
                 self._place(prefix)
             self._heard.pop(ended, None)
+            self._corrections.pop(ended, None)
+            self._differences.pop(ended, None)
             self._since.pop(ended, None)
 
     def _observe_shard(self, record, kind):
@@ -223,7 +288,7 @@
     def _divide(self, prefix):
         """Give the rate of a shard to its halves; hot keys go where they are."""
         hot = self.hot_within(prefix)
-        rate, holder = self.rate(prefix), self.holder(prefix)
+        rate = self.rate(prefix)
         known = min(1.0, rate / max(1e-9, sum(r for _, r in hot))) if hot else 0.0
         rest = max(0.0, rate - sum(r for _, r in hot))
         self._drop(prefix)
@@ -232,7 +297,6 @@
             own = sum(r for bits, r in hot if bits.startswith(child)) * known
             self._set_rate(child, own + rest / 2)
             self._place(child)
-        self._changed.add(holder)
 
     def hot_within(self, prefix):
         """Return the hot keys of a shard's holder that are in the shard."""
@@ -242,6 +306,7 @@
     def _set_rate(self, prefix, rate):
         before = self._rates.get(prefix, 0.0)
         self._rates[prefix] = rate
+        self._changed.add(prefix)
         self._total = max(0.0, self._total + rate - before)
         self._add(self._holder.get(prefix), rate - before, 0.0)
 
@@ -250,7 +315,6 @@
             return
         rates, shares = self._sums.get(holder, (0.0, 0.0))
         self._sums[holder] = (max(0.0, rates + rate), max(0.0, shares + share))
-        self._changed.add(holder)
 
     def _place(self, prefix):
         """Follow the fold for one shard."""
@@ -275,6 +339,7 @@
                 del self._held[before]
                 del self._sums[before]
         self._holder[prefix] = holder
+        self._changed.add(prefix)
         self._held.setdefault(holder, set()).add(prefix)
         self._add(holder, rate, share)
 
@@ -284,6 +349,8 @@
         self._total = max(0.0, self._total - rate)
         self._moving.discard(prefix)
         self._moved_at.pop(prefix, None)
+        self._changed.discard(prefix)
+        self._reporter.pop(prefix, None)
         if holder is None:
             return
         self._add(holder, -rate, -(2.0 ** -len(prefix)))
