--- a/packages/core/src/jujuberudder_core/_sections.py
+++ b/packages/core/src/jujuberudder_core/_sections.py
@@ -8,6 +8,7 @@
 from ._documents import Problem, convert, read_document
 from ._errors import Failure
 from ._instruments import check_renames
+from ._records import Section
 
 DASHBOARDS = "dashboards"
 
@@ -312,6 +313,8 @@
         if offset <= self._offset:
             return Ok(False)
         self._offset = offset
+        if not isinstance(record, Section):
+            return Ok(False)
         if record.base != self.version(record.name):
             return Ok(False)
         checked = self.check(record.name, record.text)
--- a/packages/ctl/src/jujuberudderctl/_source.py
+++ b/packages/ctl/src/jujuberudderctl/_source.py
@@ -12,6 +12,7 @@
 from jujuberudder_core import (
     Failure,
     Ownership,
+    Replay,
     Sections,
     UserError,
     explain_view,
@@ -179,7 +180,7 @@
             history.append(Change(position, record, outcome))
         return outcome.unwrap_or(False)
 
-    async with _stream(access, "sections", handle) as (follower, writer):
+    async with _stream(access, "sections", sections, handle) as (follower, writer):
         yield Configuration(sections, history, follower, writer)
 
 
@@ -188,19 +189,20 @@
     """Yield ``(ownership, refresh)`` of a deployment; raises as `configuration`."""
     fold = Ownership()
 
-    async with _stream(access, "ownership", fold.apply) as (follower, _):
+    async with _stream(access, "ownership", fold, fold.apply) as (follower, _):
         yield fold, follower.catch_up
 
 
 @asynccontextmanager
-async def _stream(access, name, handle):
+async def _stream(access, name, fold, handle):
     client = LogClient(access.log_address)
     stream = f"{access.deployment}.{name}"
 
     def observe(position, record):
         writer.observe(position, record, handle(position, record))
 
-    follower = Follower(client, stream, observe, _ignore)
+    replay = Replay(fold, observe)
+    follower = Follower(client, stream, replay.take, _ignore, replay.miss)
     writer = Writer(client, follower, stream)
     try:
         if not await follower.catch_up():
@@ -208,6 +210,9 @@
             reason = read.err_value.reason if read.is_err() else "it came back"
             message = f"log service {access.log_address} cannot be read: {reason}"
             raise UserError(message, EXIT_UNREACHABLE)
+        if not replay.complete:
+            message = f"log service {access.log_address} kept no snapshot of {stream}"
+            raise UserError(message, EXIT_UNREACHABLE)
         yield follower, writer
     finally:
         with trio.move_on_after(1, shield=True):
--- a/packages/logservice/src/jujuberudder_logservice/_follower.py
+++ b/packages/logservice/src/jujuberudder_logservice/_follower.py
@@ -24,8 +24,8 @@
     log : callable
         ``log(event, **fields)``.
     miss : callable or None
-        Called with the oldest offset kept when retention removed records unread. Without
-        it, nothing is handed over after a gap.
+        Called with the oldest offset kept when retention removed records unread.
+        Nothing is handed over after a gap if it is None.
     """
 
     def __init__(self, client, stream, handle, log, miss=None):
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -123,6 +123,12 @@
     assert after.all == before.all
 
 
+def test_sections_skip_other_records():
+    """Guards against a reader without snapshots that ends at a chunk of one."""
+    sections = Sections()
+    assert sections.apply(1, OLD[0]).ok_value is False
+
+
 def test_dead_incarnations_are_pruned(monkeypatch):
     """Guards against state that grows with each death, and pruned live witnesses."""
     monkeypatch.setattr(ownership_module, "MAX_DEAD", 2)
