Check right before the first byte without httpcore's trace

Cause: the trace hooks cost six calls per exchange. Change: with a pool that hands out connections, the check runs right before the request is handed to one; requests without a body are not read for one.

--- a/packages/clients/src/jujuberudder_clients/_app.py
+++ b/packages/clients/src/jujuberudder_clients/_app.py
@@ -54,7 +54,8 @@
 
 async def _fill(request):
     """Buffer the start of the body, unless the caller waits to be asked for it."""
-    if request.body.awaited or request.deadline <= trio.current_time():
+    body = request.body
+    if body.complete or body.awaited or request.deadline <= trio.current_time():
         return None
     try:
         with trio.move_on_at(request.deadline):
--- a/packages/clients/src/jujuberudder_clients/_body.py
+++ b/packages/clients/src/jujuberudder_clients/_body.py
@@ -21,15 +21,17 @@
         Maximum size in bytes.
     invite : async callable or None
         Asks a caller that sent ``Expect: 100-continue`` for the body.
+    empty : bool
+        Whether the head says that there is no body.
     """
 
-    def __init__(self, receive, limit, invite=None):
+    def __init__(self, receive, limit, invite=None, empty=False):
         self._receive = receive
         self._limit = limit
         self._invite = invite
         self._chunks = []
         self._size = 0
-        self._complete = False
+        self._complete = empty
         self._streamed = False
 
     @property
--- a/packages/clients/src/jujuberudder_clients/_request.py
+++ b/packages/clients/src/jujuberudder_clients/_request.py
@@ -200,6 +200,9 @@
 
 
 def _body(scope, receive, limit):
-    expected = (headers.get(scope["headers"], b"expect") or "").lower()
-    invite = scope.get("state", {}).get("invite")
-    return RequestBody(receive, limit, invite if expected == "100-continue" else None)
+    given = scope["headers"]
+    expected = (headers.get(given, b"expect") or "").lower() == "100-continue"
+    invite = scope.get("state", {}).get("invite") if expected else None
+    chunked = headers.count(given, b"transfer-encoding") > 0
+    empty = not chunked and int(headers.get(given, b"content-length") or 0) == 0
+    return RequestBody(receive, limit, invite, empty)
--- a/packages/targets/src/jujuberudder_targets/_exchange.py
+++ b/packages/targets/src/jujuberudder_targets/_exchange.py
@@ -63,10 +63,6 @@
     framed: bool
 
 
-class _Stopped(Exception):
-    """The check right before the first byte failed."""
-
-
 @asynccontextmanager
 async def exchange(pool, outgoing, step):
     """Send a request and yield its answer while the connection is held.
@@ -86,26 +82,20 @@
     """
     sent = False
     sending = Sending(invited=not outgoing.expect)
-
-    async def trace(name, info):
-        nonlocal sent
-        if name.endswith("send_request_headers.started"):
-            ready = outgoing.before_first_byte()
-            if ready.is_err():
-                raise _Stopped(ready.err_value)
-            info["request"].headers = ready.ok_value
-            sent = True
-
     try:
         connection = await pool.take(outgoing.address)
-        response = await _send(connection, outgoing, trace, sending)
-    except _Stopped as stopped:
-        yield Err(Failure("check", outgoing.address, str(stopped)))
-        return
+        ready = outgoing.before_first_byte()
+        if ready.is_ok():
+            sent = True
+            response = await _send(connection, outgoing, ready.ok_value, sending)
     except ERRORS as error:
         maybe_done = sent and sending.invited
         yield Err(Failure(step, outgoing.address, _describe(error), maybe_done))
         return
+    if ready.is_err():
+        await pool.put(outgoing.address, connection)
+        yield Err(Failure("check", outgoing.address, ready.err_value))
+        return
     try:
         yield Ok(_answer(outgoing.method, response))
     finally:
@@ -128,14 +118,12 @@
     )
 
 
-async def _send(connection, outgoing, trace, sending):
+async def _send(connection, outgoing, headers, sending):
     target = httpcore.URL(scheme=b"http", host=b"", port=None, target=outgoing.path)
     body = outgoing.body
     if not outgoing.whole:
         body = _until_answered(body, sending)
-    request = httpcore.Request(
-        outgoing.method, target, content=body, extensions={"trace": trace}
-    )
+    request = httpcore.Request(outgoing.method, target, headers=headers, content=body)
     if outgoing.whole:
         return await connection.handle_async_request(request)
     return await _send_watched(connection, request, sending)
--- a/packages/targets/src/jujuberudder_targets/_pool.py
+++ b/packages/targets/src/jujuberudder_targets/_pool.py
@@ -53,9 +53,7 @@
     async def put(self, address, connection):
         """Keep a connection whose exchange is complete; close one in doubt."""
         idle = self._idle.setdefault(address, [])
-        if not connection.is_idle():
-            return
-        if _has_more(connection) or len(idle) >= MAX_IDLE:
+        if not connection.is_idle() or _has_more(connection) or len(idle) >= MAX_IDLE:
             await connection.aclose()
             return
         idle.append(connection)
