--- a/packages/clients/src/jujuberudder_clients/_answers.py
+++ b/packages/clients/src/jujuberudder_clients/_answers.py
@@ -10,7 +10,6 @@
 ELSEWHERE = "elsewhere "
 REMOVED = headers.INTERNAL | {
     headers.REQUEST_ID,
-    headers.LOAD,
     headers.CALL,
     b"transfer-encoding",
     b"date",
@@ -18,7 +17,7 @@
 }
 
 
-async def relay(context, request, answer, outcome, extra=()):
+async def relay(context, request, answer, outcome):
     """Pass on an answer as it arrives; one that breaks off is broken here too.
 
     Parameters
@@ -27,8 +26,6 @@
     request : Request
     answer : Answer
     outcome : str
-    extra : list of (bytes, bytes)
-        Further headers.
 
     Returns
     -------
@@ -37,7 +34,7 @@
     request.progress.answered = True
     kept = headers.without(headers.end_to_end(answer.headers), REMOVED)
     kept += [(headers.REQUEST_ID, request.id.encode())]
-    kept += [(headers.OUTCOME, outcome.encode()), *extra]
+    kept += [(headers.OUTCOME, outcome.encode())]
     lower = [(name.lower(), value) for name, value in kept]
     start = {"type": "http.response.start", "status": answer.status, "headers": lower}
     await request.send(start)
@@ -54,7 +51,7 @@
     return True
 
 
-async def refuse(context, send, request_id, refusal, extra=()):
+async def refuse(context, send, request_id, refusal):
     """Answer with a refusal."""
     context.log(
         "refused",
@@ -71,7 +68,6 @@
         (headers.REQUEST_ID, request_id.encode()),
         (headers.OUTCOME, refusal.outcome.encode()),
         (headers.REASON, _one_line(where + refusal.reason)),
-        *extra,
     ]
     if refusal.status == 503:
         sent.append((b"retry-after", b"%d" % math.ceil(refusal.retry_after_s)))
--- a/packages/clients/src/jujuberudder_clients/_choice.py
+++ b/packages/clients/src/jujuberudder_clients/_choice.py
@@ -5,18 +5,15 @@
 
 import trio
 
-from . import _headers as headers
-
 # Weight of the newest observation in a mean.
 OBSERVED_WEIGHT = 0.2
 FIRST_LATENCY_S = 0.01
 LATENCY_FLOOR_S = 0.001
-# A report says little after this time.
-REPORT_AGE_S = 0.5
 # With 1, targets are 3 to 8 points more imbalanced in bench/choice.py.
 QUEUE_WEIGHT = 4.0
-# Round trip between availability zones and its price, as a delay.
-CROSSING_S = 0.008
+# Price and delay of crossing availability zones. A fourth of it crosses 1.4 to 1.8
+# times as often in bench/choice.py, at the same latency.
+CROSSING_S = 0.032
 # A target whose last requests all failed costs as much as this delay.
 FAILURE_S = 1.0
 # What was seen of a target that gets no requests fades, so that it is tried again.
@@ -26,16 +23,13 @@
 
 
 class Observed:
-    """What this node saw of one target and what the target's node reported."""
+    """What this node saw of one target."""
 
     def __init__(self):
         self.in_flight = 0
         self.latency_s = FIRST_LATENCY_S
         self.failures = 0.0
         self.avoid_until = -math.inf
-        self.reported = 0.0
-        self.reported_at = -math.inf
-        self.slots = 1
         self.seen_at = -math.inf
 
     def fade(self, now):
@@ -59,18 +53,12 @@
         return self
 
     def answered(self, answer):
-        """Note the head of an answer: its delay and the load that it reports."""
+        """Note the head of an answer."""
         observed, now = self._observed, trio.current_time()
         # A target that fails fast must not look like a fast one.
         self.failed = answer.status >= 500
         observed.fade(now)
         _approach(observed, "latency_s", now - self._started)
-        report = headers.get(answer.headers, headers.LOAD) or ""
-        load, _, slots = report.partition("/")
-        if load.isdigit() and slots.isdigit():
-            observed.reported = int(load)
-            observed.slots = max(1, int(slots))
-            observed.reported_at = now
 
     def __exit__(self, *error):
         observed = self._observed
@@ -94,7 +82,7 @@
     here : callable
         Returns the incarnation of this node.
     load : callable
-        Returns ``(requests, slots)`` of the target beside this node.
+        Returns the requests at the target beside this node.
     generator : random.Random, default=None
         Breaks ties.
     """
@@ -109,31 +97,29 @@
         """Return the Flight of a request to a node."""
         return Flight(self._observed.setdefault(incarnation, Observed()))
 
-    def choose(self, candidates):
+    def choose(self, candidates, slots):
         """Return ``(incarnation, reason)``.
 
         Parameters
         ----------
         candidates : dict of str to bool
             Whether each incarnation is in the availability zone of this node.
+        slots : int
+            Of each target.
         """
         for gone in self._observed.keys() - candidates.keys():
             if not self._observed[gone].in_flight:
                 del self._observed[gone]
         now = trio.current_time()
-        costs = {c: self._cost(c, same, now) for c, same in candidates.items()}
+        costs = {c: self._cost(c, same, slots, now) for c, same in candidates.items()}
         chosen = min(costs, key=lambda c: (costs[c], self._random.random()))
         return chosen, f"least expected delay {costs[chosen] * 1000:.1f} ms"
 
-    def _cost(self, incarnation, same_zone, now):
+    def _cost(self, incarnation, same_zone, slots, now):
         observed = self._observed.setdefault(incarnation, Observed())
+        queued = observed.in_flight
         if incarnation == self._here():
-            queued, slots = self._load()
-        else:
-            age_s = now - observed.reported_at
-            reported = observed.reported * math.exp(-age_s / REPORT_AGE_S)
-            # What this node has in flight there is seen, so it beats the report.
-            queued, slots = max(observed.in_flight, reported), observed.slots
+            queued = self._load()
         observed.fade(now)
         service_s = max(LATENCY_FLOOR_S, observed.latency_s)
         cost = service_s * (1 + QUEUE_WEIGHT * queued / slots)
--- a/packages/clients/src/jujuberudder_clients/_headers.py
+++ b/packages/clients/src/jujuberudder_clients/_headers.py
@@ -10,8 +10,6 @@
 SHARD = b"jujuberudder-shard"
 EPOCH = b"jujuberudder-epoch"
 CLIENT = b"jujuberudder-client"
-# Load of the answering node beside its target: "requests/slots".
-LOAD = b"jujuberudder-load"
 # Set by nodes on what they hand to a target; a target copies it to calls it makes.
 CALL = b"jujuberudder-call"
 
--- a/packages/clients/src/jujuberudder_clients/_hops.py
+++ b/packages/clients/src/jujuberudder_clients/_hops.py
@@ -213,7 +213,7 @@
     if not answer.framed:
         reason = "the answer has no length, so its end cannot be told"
         return Refusal("unknown", 502, reason, request.idempotent)
-    await relay(context, request, answer, told or "unknown", _load(context, request))
+    await relay(context, request, answer, told or "unknown")
     return None
 
 
@@ -241,11 +241,3 @@
         return Refusal(told, answer.status, reason, elsewhere and request.idempotent)
     after = headers.get(answer.headers, b"retry-after") or "1"
     return Refusal(told, answer.status, reason, elsewhere, int(after))
-
-
-def _load(context, request):
-    """Return the header that tells a sending node the load of this one."""
-    if not request.hops:
-        return []
-    admission = context.admission
-    return [(headers.LOAD, b"%d/%d" % (admission.load, admission.capacity()))]
--- a/packages/clients/src/jujuberudder_clients/_route.py
+++ b/packages/clients/src/jujuberudder_clients/_route.py
@@ -112,7 +112,7 @@
     }
     if not candidates:
         return Hop("wait", "no target")
-    chosen, reason = context.choice.choose(candidates)
+    chosen, reason = context.choice.choose(candidates, section.body["slots"])
     if chosen == me:
         return Hop("local", reason)
     return Hop("forward", reason, chosen)
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -337,7 +337,7 @@
         target_pool=Pool(),
         node_pool=Pool(),
         health=health,
-        choice=Choice(here, lambda: (admission.load, admission.capacity())),
+        choice=Choice(here, lambda: admission.load),
         budget=RetryBudget(),
         first_answers=FirstAnswers(),
         drain=Drain(lambda: _draining(core)),
