--- a/packages/clients/src/jujuberudder_clients/_choice.py
+++ b/packages/clients/src/jujuberudder_clients/_choice.py
@@ -11,7 +11,7 @@
 LATENCY_FLOOR_S = 0.001
 # With 1, targets are 3 to 8 points more imbalanced in bench/choice.py.
 QUEUE_WEIGHT = 4.0
-# Price and delay of crossing availability zones. A fourth of it crosses 1.4 to 1.8
+# Price and delay of crossing availability zones. A fourth of it crosses 1.2 to 1.7
 # times as often in bench/choice.py, at the same latency.
 CROSSING_S = 0.032
 # A target whose last requests all failed costs as much as this delay.
@@ -97,7 +97,7 @@
         """Return the Flight of a request to a node."""
         return Flight(self._observed.setdefault(incarnation, Observed()))
 
-    def choose(self, candidates, slots):
+    def choose(self, candidates, slots, weights=None):
         """Return ``(incarnation, reason)``.
 
         Parameters
@@ -106,12 +106,18 @@
             Whether each incarnation is in the availability zone of this node.
         slots : int
             Of each target.
+        weights : dict of str to float, default=None
+            Divide the expected delay of each incarnation; 1 if missing.
         """
         for gone in self._observed.keys() - candidates.keys():
             if not self._observed[gone].in_flight:
                 del self._observed[gone]
         now = trio.current_time()
-        costs = {c: self._cost(c, same, slots, now) for c, same in candidates.items()}
+        weights = weights or {}
+        costs = {
+            c: self._cost(c, same, slots, now) / weights.get(c, 1.0)
+            for c, same in candidates.items()
+        }
         chosen = min(costs, key=lambda c: (costs[c], self._random.random()))
         return chosen, f"least expected delay {costs[chosen] * 1000:.1f} ms"
 
--- a/packages/clients/src/jujuberudder_clients/_request.py
+++ b/packages/clients/src/jujuberudder_clients/_request.py
@@ -10,6 +10,7 @@
 
 from . import _headers as headers
 from ._body import RequestBody
+from ._metered import USED_SECTION
 from ._route import find_key, find_section
 
 REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}\Z")
@@ -52,12 +53,15 @@
         Whether the answer to the caller has begun.
     maybe_run : Refusal or None
         Of an earlier attempt that may have run.
+    repeats : int
+        How often the request was sent again at the cost of the retry budget.
     """
 
     def __init__(self):
         self.sent = False
         self.answered = False
         self.maybe_run = None
+        self.repeats = 0
 
 
 class Request(NamedTuple):
@@ -115,6 +119,7 @@
     if problem is not None:
         return Err(problem)
     section = find_section(context.sections, scope)
+    scope[USED_SECTION] = section
     if section is None:
         return Err(Refusal("not-run", 404, "no section for this host and path"))
     body = section.body
--- /dev/null
+++ b/packages/node/src/jujuberudder/_metrics.py
@@ -0,0 +1,322 @@
+"""What a node measures of itself."""
+
+from collections import Counter
+from typing import NamedTuple
+
+import trio
+
+from jujuberudder_core import records
+from jujuberudder_operators import Text
+from jujuberudder_peers import Ended, Granted, Refused, Renew, Seal, Understood
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+SHARD_CAUSES = {
+    records.Assign: "assign",
+    records.Dead: "takeover",
+    records.Leave: "leave",
+    records.Release: "move",
+}
+MAX_TAKEOVERS = 1000
+MOVE_STEPS = {
+    records.Move: "started",
+    records.Release: "done",
+    records.Cancel: "cancelled",
+}
+
+
+class Takeover(NamedTuple):
+    """A takeover that this node started.
+
+    Parameters
+    ----------
+    heard_at : float or None
+        When the lost incarnation was last heard of.
+    sealed_at : float
+        When a witness was last sealed.
+    availability_zone : str
+        Of the lost incarnation.
+    shards : Counter
+        Number of its shards by service.
+    handed_in : bool
+        Whether another node appends the death.
+    """
+
+    heard_at: float | None
+    sealed_at: float
+    availability_zone: str
+    shards: Counter
+    handed_in: bool = False
+
+
+class Recorder:
+    """Turns the records, messages and events of a node into metrics.
+
+    Parameters
+    ----------
+    metrics : Metrics
+    """
+
+    def __init__(self, metrics):
+        self._metrics = metrics
+        self._takeovers = {}
+
+    @property
+    def metrics(self):
+        """Metrics of the node."""
+        return self._metrics
+
+    def counts(self, record):
+        """Count the shards that a record which took effect concerns."""
+        if isinstance(record, records.Dead):
+            self._died(record)
+        kind = type(record)
+        for service, shards in _shards(record).items():
+            if kind in SHARD_CAUSES:
+                self._metrics.add(
+                    "jujuberudder_shard_owner_changes_total",
+                    shards,
+                    service=service,
+                    cause=SHARD_CAUSES[kind],
+                )
+            if kind in MOVE_STEPS:
+                step = MOVE_STEPS[kind]
+                self._metrics.add(
+                    "jujuberudder_moves_total", shards, service=service, step=step
+                )
+
+    def written(self, record, applied, sent_at):
+        """Count an append to the ownership stream and what became of it.
+
+        Parameters
+        ----------
+        record : NamedTuple
+        applied : Result[Applied, Failure]
+        sent_at : float
+            When the append was sent.
+        """
+        result = "failed"
+        if applied.is_ok():
+            result = "applied" if applied.ok_value.effect else "superseded"
+        self._metrics.add(
+            "jujuberudder_log_appends_total", stream="ownership", result=result
+        )
+        if isinstance(record, records.Dead):
+            self._taken_over(record, result, sent_at)
+
+    def called(self, lease, message, reply, sent_at):
+        """Record the reply to a control message.
+
+        Parameters
+        ----------
+        lease : Lease
+        message : NamedTuple
+        reply : Result[NamedTuple, Failure]
+        sent_at : float
+        """
+        now = trio.current_time()
+        if isinstance(message, Renew):
+            result = _renewal_result(reply)
+            self._metrics.add("jujuberudder_lease_renewals_total", result=result)
+            if result == "granted":
+                margin = lease.remaining(now)
+                self._metrics.record("jujuberudder_lease_margin_seconds", margin)
+        elif isinstance(message, Seal):
+            self._step("seal", now - sent_at)
+            self._update(message.incarnation, sealed_at=now)
+        elif isinstance(message, Ended) and isinstance(reply.ok(), Understood):
+            # Another node appends the death; this one knows how long it took.
+            self._update(message.incarnation, handed_in=True)
+
+    def _update(self, incarnation, **changes):
+        if incarnation in self._takeovers:
+            takeover = self._takeovers[incarnation]
+            self._takeovers[incarnation] = takeover._replace(**changes)
+
+    def event(self, event, fields, life):
+        """Note the start of a takeover by the event that is logged for it.
+
+        Parameters
+        ----------
+        event : str
+        fields : dict
+        life : Life
+        """
+        if event != "takeover_started":
+            return
+        now = trio.current_time()
+        incarnation = fields["incarnation"]
+        if len(self._takeovers) >= MAX_TAKEOVERS:
+            # Takeovers that came to nothing are never removed otherwise.
+            del self._takeovers[next(iter(self._takeovers))]
+        state = life.ownership.incarnations[incarnation]
+        # Without witnesses, the newest record stands for the last renewal.
+        heard_at = life.witness.heard_at(incarnation) or life.read_at.get(incarnation)
+        self._takeovers[incarnation] = Takeover(
+            heard_at,
+            now,
+            state.admit.availability_zone,
+            Counter(service for service, _ in life.ownership.owned(incarnation)),
+        )
+        if heard_at is not None:
+            self._step("detect", now - heard_at)
+
+    def _taken_over(self, record, result, sent_at):
+        """Record a takeover whose ``dead`` record this node appended."""
+        self._step("append", trio.current_time() - sent_at)
+        for base in record.bases:
+            self._metrics.add("jujuberudder_takeovers_total", result=result)
+            takeover = self._takeovers.pop(base.incarnation, None)
+            if takeover is None:
+                continue
+            self._step("wait", max(0.0, sent_at - takeover.sealed_at))
+            if result == "applied" and not takeover.handed_in:
+                self._unavailable(takeover)
+
+    def _died(self, record):
+        """Record the takeovers that this node handed in to another one."""
+        for base in record.bases:
+            takeover = self._takeovers.get(base.incarnation)
+            if takeover is not None and takeover.handed_in:
+                del self._takeovers[base.incarnation]
+                wait_s = trio.current_time() - takeover.sealed_at
+                self._step("wait", max(0.0, wait_s))
+                self._unavailable(takeover)
+
+    def _unavailable(self, takeover):
+        """Add the time since the lost owner was last heard of, for each shard."""
+        if takeover.heard_at is None:
+            return
+        for service, shards in takeover.shards.items():
+            self._metrics.add(
+                "jujuberudder_unavailable_seconds_total",
+                shards * (trio.current_time() - takeover.heard_at),
+                service=service,
+                owner_availability_zone=takeover.availability_zone,
+            )
+
+    def _step(self, step, seconds):
+        self._metrics.record("jujuberudder_takeover_step_seconds", seconds, step=step)
+
+
+def _renewal_result(reply):
+    if isinstance(reply.ok(), Granted):
+        return "granted"
+    if isinstance(reply.ok(), Refused):
+        return "refused"
+    return "failed"
+
+
+def _shards(record):
+    """Return the number of shards in a record by service."""
+    if hasattr(record, "prefix"):
+        return {record.service: 1}
+    return Counter(entry.service for entry in getattr(record, "shards", ()))
+
+
+def observe_node(core, context):
+    """Let the metrics of a node read its state at each scrape.
+
+    Parameters
+    ----------
+    core : NodeCore
+    context : RouteContext
+    """
+    service = core.settings.service
+    observe = core.recorder.metrics.observe
+
+    def section(name):
+        body = core.section_bodies().get(service)
+        return [(body[name], {"service": service})] if body else []
+
+    def own(read):
+        return lambda: [(read(), {"service": service})]
+
+    def lease(read):
+        return lambda: [(read(core.life.lease), {})] if core.life else []
+
+    observe("jujuberudder_slots", lambda: section("slots"))
+    observe("jujuberudder_queue_limit", lambda: section("queue"))
+    observe("jujuberudder_slots_used", own(lambda: context.admission.used))
+    observe("jujuberudder_queue_waiting", own(lambda: context.admission.waiting))
+    observe("jujuberudder_retries_total", lambda: [(context.budget.spent, {})])
+    observe("jujuberudder_retry_budget", lambda: [(context.budget.tokens, {})])
+    observe("jujuberudder_target_up", own(lambda: int(context.health.up)))
+    observe(
+        "jujuberudder_lease_held",
+        lease(lambda held: int(held.held(trio.current_time()))),
+    )
+    observe(
+        "jujuberudder_lease_remaining_seconds",
+        lease(lambda held: held.remaining(trio.current_time())),
+    )
+    _observe_shards(core, observe)
+    _observe_streams(core, observe)
+
+
+def _observe_shards(core, observe):
+    ownership = core.ownership
+
+    def by_service(measure):
+        return lambda: [
+            (measure(service), {"service": service}) for service in ownership.services()
+        ]
+
+    def owned(service):
+        me = core.life.incarnation if core.life else ""
+        return sum(name == service for name, _ in ownership.owned(me))
+
+    def unserved(service):
+        shards = ownership.shards(service).values()
+        return sum(not ownership.alive(shard.owner) for shard in shards)
+
+    def imbalances():
+        for service in ownership.services():
+            counts = dict.fromkeys((i for i, _ in ownership.live(service)), 0)
+            counts |= Counter(
+                shard.owner for shard in ownership.shards(service).values()
+            )
+            loads = core.life.loads_by_target(service) if core.life else {}
+            for of, values in (("shards", counts), ("requests", loads)):
+                if any(values.values()):
+                    mean = sum(values.values()) / len(values)
+                    labels = {"service": service, "of": of}
+                    yield max(values.values()) / mean, labels
+
+    observe("jujuberudder_shards", by_service(lambda s: len(ownership.shards(s))))
+    observe("jujuberudder_shards_owned", by_service(owned))
+    observe("jujuberudder_shards_unserved", by_service(unserved))
+    observe("jujuberudder_imbalance", imbalances)
+
+
+def _observe_streams(core, observe):
+    names = ("ownership", "sections")
+
+    def streams(measure):
+        return lambda: [
+            (measure(follower), {"stream": name})
+            for name, follower in zip(names, core.followers)
+        ]
+
+    def versions():
+        sections = core.sections.all.items()
+        return [(s.version, {"section": name}) for name, s in sections]
+
+    observe("jujuberudder_log_position", streams(lambda follower: follower.next))
+    observe(
+        "jujuberudder_log_read_age_seconds",
+        streams(lambda follower: max(0.0, trio.current_time() - follower.read_at)),
+    )
+    observe("jujuberudder_section_version", versions)
+    observe(
+        "jujuberudder_sections_rejected_total", lambda: [(core.sections.rejected, {})]
+    )
+
+
+def metrics_view(core):
+    """Return the view that serves the metrics as Prometheus text."""
+
+    def view(query):
+        text = core.recorder.metrics.render(core.sections.renames)
+        return Text(CONTENT_TYPE, text)
+
+    return view
--- a/packages/peers/src/jujuberudder_peers/_witness.py
+++ b/packages/peers/src/jujuberudder_peers/_witness.py
@@ -42,6 +42,10 @@
         self._last_seen.pop(incarnation, None)
         self._sealed.discard(incarnation)
 
+    def heard_at(self, incarnation):
+        """Return when an incarnation was last heard of, or None."""
+        return self._last_seen.get(incarnation)
+
     def granted(self, incarnation):
         """Return whether a renewal of the incarnation was ever acknowledged."""
         return incarnation in self._granted_until
