--- a/tests/raw_http.py
+++ b/tests/raw_http.py
@@ -5,6 +5,7 @@
 import h11
 import trio
 
+from jujuberudder_core import parse_section
 from jujuberudder_standins import Deployment
 
 JOBS = """\
@@ -151,6 +152,7 @@
         Client addresses: of the owner, and of a node that has to forward.
     deployment : Deployment
     """
+    assert parse_section(section).is_ok()
     target = RawTarget(script)
     deployment = Deployment("lango", nursery)
     await deployment.start_log()
