--- a/packages/clients/src/jujuberudder_clients/_route.py
+++ b/packages/clients/src/jujuberudder_clients/_route.py
@@ -113,7 +113,8 @@
     if not candidates:
         return Hop("wait", "no target")
     candidates, weights = _weighted(context, section, candidates)
-    chosen, reason = context.choice.choose(candidates, weights)
+    slots = section.body["slots"]
+    chosen, reason = context.choice.choose(candidates, slots, weights)
     if chosen == me:
         return Hop("local", reason)
     return Hop("forward", reason, chosen)
