--- a/packages/ctl/src/jujuberudderctl/_exits.py
+++ b/packages/ctl/src/jujuberudderctl/_exits.py
@@ -32,11 +32,14 @@
     ------
     UserError
         The first one that ended the command.
+    KeyboardInterrupt
     """
     try:
         return trio.run(command, *args, strict_exception_groups=True)
     except* UserError as group:
         raise _first(group) from None
+    except* KeyboardInterrupt:
+        raise KeyboardInterrupt from None
 
 
 def _first(group):
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -1,6 +1,8 @@
 """``jujuberudderctl`` as a process against the log stand-in and real nodes."""
 
 import json
+import signal
+import subprocess
 import sys
 
 import pytest
@@ -282,6 +284,26 @@
     assert message in done.error
 
 
+@pytest.mark.parametrize("command", ["show", "status"])
+async def test_interrupt_is_no_traceback(platform, command):
+    """Guards against a traceback when an operator gives up waiting."""
+    asked = trio.Event()
+
+    async def before(scope):
+        asked.set()
+        await trio.sleep_forever()
+
+    platform.before = before
+    where = ("--log-address", platform.address, "--deployment", "lango")
+    line = [sys.executable, "-m", "jujuberudderctl", command, *where]
+    process = await trio.lowlevel.open_process(line, stderr=subprocess.PIPE)
+    with trio.fail_after(20):
+        await asked.wait()
+        process.send_signal(signal.SIGINT)
+        error = b"".join([part async for part in process.stderr])
+        assert (await process.wait(), error) == (130, b"")
+
+
 async def test_no_peer_named():
     """Guards against a traceback when neither node nor log service is named."""
     done = await ctl("show")
