Set slow start by the section in the admission tests

Change: their sections switch slow start off; the assertions are unchanged. Records of other kinds in the configuration stream have no effect. Result: admission, retention and section tests pass (65).

--- a/packages/core/src/jujuberudder_core/_sections.py
+++ b/packages/core/src/jujuberudder_core/_sections.py
@@ -8,6 +8,7 @@
 from ._documents import Problem, convert, read_document
 from ._errors import Failure
 from ._instruments import check_renames
+from ._records import Section
 
 DASHBOARDS = "dashboards"
 
@@ -306,12 +307,14 @@
         Returns
         -------
         outcome : Result[bool, Failure]
-            Ok(False) if the base is superseded; Err if the section is invalid, in
-            which case the last good one stays in force.
+            Ok(False) if the base is superseded or the record is of another kind; Err
+            if the section is invalid, in which case the last good one stays in force.
         """
         if offset <= self._offset:
             return Ok(False)
         self._offset = offset
+        if not isinstance(record, Section):
+            return Ok(False)
         if record.base != self.version(record.name):
             return Ok(False)
         checked = self.check(record.name, record.text)
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -220,7 +220,7 @@
                 self._section_read_at[record.name] = trio.current_time()
             self._log(
                 "section_applied",
-                section=record.name,
+                section=getattr(record, "name", ""),
                 version=offset,
                 effect=outcome.ok_value,
             )
--- a/packages/targets/src/jujuberudder_targets/_admission.py
+++ b/packages/targets/src/jujuberudder_targets/_admission.py
@@ -13,7 +13,6 @@
 SERVICE_TIME_WEIGHT = 0.1
 # A call of a service that was itself called never waits, so that calls in a circle end.
 MAX_WAITING_DEPTH = 1
-SLOW_START_S = 5.0
 SLOW_START_SHARE = 0.25
 SHED_SHARE = 0.7
 # Answers that shed together count once.
@@ -35,7 +34,7 @@
     slots: int
     queue: int
     call_slots: int = 0
-    slow_start_s: float = SLOW_START_S
+    slow_start_s: float = 5.0
 
 
 class Claim(NamedTuple):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,15 +8,13 @@
 from raw_http import JOBS, OK, RawTarget, header, read_reply, start_raw, talk
 
 from jujuberudder_standins import Deployment
-from jujuberudder_targets import Admission, Claim, Limits, _admission
+from jujuberudder_targets import Admission, Claim, Limits
 
 SHEDS = b"HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
 
 
-@pytest.fixture
-def warm(monkeypatch):
-    """Let targets take full load at once."""
-    monkeypatch.setattr(_admission, "SLOW_START_S", 0.001)
+# Targets take full load at once.
+WARM = "slow_start_ms: 0\n"
 
 
 class Gate:
@@ -85,11 +83,11 @@
 
 
 @pytest.mark.parametrize("name", CONTENTION)
-async def test_contention(name, warm):
+async def test_contention(name):
     """Guards against a client, a key or a late deadline that takes all slots."""
     case = CONTENTION[name]
     gate, replies = Gate(), []
-    section = JOBS + "slots: 2\ncall_slots: 0\n"
+    section = JOBS + "slots: 2\ncall_slots: 0\n" + WARM
     async with trio.open_nursery() as nursery:
         _, addresses, _ = await start_raw(nursery, gate.script, section)
         await trio.sleep(0.1)
@@ -230,7 +228,7 @@
 
 
 @pytest.mark.parametrize("circle", [False, True], ids=["there", "there and back"])
-async def test_services_that_call_each_other(circle, warm):
+async def test_services_that_call_each_other(circle):
     """Guards against client requests that hold all slots which their calls need."""
     nodes = {}
     calls = []
@@ -256,7 +254,7 @@
         deployment = Deployment("casa-pluma", nursery)
         await deployment.start_log()
         for service, other in (("orders", "proofs"), ("proofs", "orders")):
-            deployment.publish(service, SECTION.format(service))
+            deployment.publish(service, SECTION.format(service) + WARM)
             target = RawTarget(calls_to(other, depth))
             address = await nursery.start(target.serve)
             member = await deployment.start_member(
--- a/tests/test_in_force.py
+++ b/tests/test_in_force.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from jujuberudder_core import start_logging
+from jujuberudder_core import encode, records, start_logging
 from jujuberudder_standins import Deployment, LogStandin, TargetStandin, serve_app
 
 JOBS = "service: jobs\nroutes: [{path_prefix: /jobs/}]\n"
@@ -312,6 +312,8 @@
     deployment.publish("other", OTHER)
     deployment.publish("jobs", JOBS)
     deployment.publish("jobs", text, 2)
+    for data in ("[]", encode(records.Keep("x", "y", 1))):
+        deployment.log.put("lango.sections", data)
 
     async def rejected():
         states = [await status(member) for member in deployment.members.values()]
--- a/tests/test_sections.py
+++ b/tests/test_sections.py
@@ -176,6 +176,10 @@
         {"jobs": 3},
     ),
     "name of another service": ([(1, section("other", 0, BASE))], {}),
+    "record of another kind": (
+        [(1, records.Keep("x", "jobs", 0)), (2, section("jobs", 0, BASE))],
+        {"jobs": 2},
+    ),
     "two teams": (
         [(1, section("jobs", 0, BASE)), (2, section("other", 0, ON_HOST))],
         {"jobs": 1, "other": 2},
