Let ctl go on from a node's sections once retention removed the start

Cause: a reader that missed records hands over nothing, so that after retention the operators' program could neither read nor publish. Result: a test publishes through a node after the first records were removed.

--- a/packages/core/src/jujuberudder_core/_sections.py
+++ b/packages/core/src/jujuberudder_core/_sections.py
@@ -326,6 +326,25 @@
         )
         return Ok(True)
 
+    @property
+    def position(self):
+        """Position of the last record applied, -1 before the first."""
+        return self._offset
+
+    def dump(self):
+        """Return the sections in force as entries of a snapshot."""
+        return [[s.name, s.version, s.text] for s in self._sections.values()]
+
+    def load(self, position, entries):
+        """Replace the sections by those of a snapshot; versions stay as they were."""
+        self._offset = position
+        self._sections.clear()
+        for name, version, text in entries:
+            checked = self.check(name, text)
+            if checked.is_ok():
+                body = checked.ok_value
+                self._sections[name] = PublishedSection(name, version, body, text)
+
     def check(self, name, text):
         """Return the body of a section that may come into force beside the others.
 
--- a/packages/ctl/src/jujuberudderctl/_source.py
+++ b/packages/ctl/src/jujuberudderctl/_source.py
@@ -179,7 +179,15 @@
             history.append(Change(position, record, outcome))
         return outcome.unwrap_or(False)
 
-    async with _stream(access, "sections", handle) as (follower, writer):
+    async def restore():
+        if access.node is None:
+            raise _past_retention(access)
+        seen = await ask_or_fail(access.node, "/v1/sections")
+        entries = [(n, s["version"], s["text"]) for n, s in seen["sections"].items()]
+        sections.load(seen["position"], entries)
+        return seen["position"]
+
+    async with _stream(access, "sections", handle, restore) as (follower, writer):
         yield Configuration(sections, history, follower, writer)
 
 
@@ -188,12 +196,28 @@
     """Yield ``(ownership, refresh)`` of a deployment; raises as `configuration`."""
     fold = Ownership()
 
-    async with _stream(access, "ownership", fold.apply) as (follower, _):
+    async def restore():
+        raise _past_retention(access)
+
+    async with _stream(access, "ownership", fold.apply, restore) as (follower, _):
         yield fold, follower.catch_up
 
 
+def _past_retention(access):
+    message = (
+        f"log service {access.log_address} no longer holds the start of the stream; "
+        "name a node with --node"
+    )
+    return UserError(message, EXIT_UNREACHABLE)
+
+
 @asynccontextmanager
-async def _stream(access, name, handle):
+async def _stream(access, name, handle, restore):
+    """Yield ``(follower, writer)`` at the end of a stream.
+
+    ``restore`` brings the fold to a position and returns it, in case the log no longer
+    holds the start.
+    """
     client = LogClient(access.log_address)
     stream = f"{access.deployment}.{name}"
 
@@ -203,8 +227,14 @@
     follower = Follower(client, stream, observe, _ignore)
     writer = Writer(client, follower, stream)
     try:
-        if not await follower.catch_up():
-            read = await client.read(stream, 0)
+        done = await follower.catch_up()
+        read = None if done else await client.read(stream, 0)
+        if read is not None and read.is_ok() and read.ok_value.first > 0:
+            start = await restore()
+            follower = Follower(client, stream, observe, _ignore, start)
+            writer = Writer(client, follower, stream)
+            done = await follower.catch_up()
+        if not done:
             reason = read.err_value.reason if read.is_err() else "it came back"
             message = f"log service {access.log_address} cannot be read: {reason}"
             raise UserError(message, EXIT_UNREACHABLE)
@@ -237,7 +267,7 @@
 async def read_sections(access):
     """Return the sections in force: version and text by name."""
     if access.node:
-        return await ask_or_fail(access.node, "/v1/sections")
+        return (await ask_or_fail(access.node, "/v1/sections"))["sections"]
     async with configuration(access) as stream:
         return sections_view(stream.sections)
 
--- a/packages/logservice/src/jujuberudder_logservice/_follower.py
+++ b/packages/logservice/src/jujuberudder_logservice/_follower.py
@@ -23,14 +23,16 @@
         offset plus one.
     log : callable
         ``log(event, **fields)``.
+    start : int
+        Offset of the first record to read.
     """
 
-    def __init__(self, client, stream, handle, log):
+    def __init__(self, client, stream, handle, log, start=0):
         self._client = client
         self._stream = stream
         self._handle = handle
         self._log = log
-        self._next = 0
+        self._next = start
         self._reads = 0
         self._changed = trio.Event()
         self._failing = False
--- a/packages/node/src/jujuberudder/_views.py
+++ b/packages/node/src/jujuberudder/_views.py
@@ -27,13 +27,18 @@
     return {
         "/v1/status": lambda query: _status(core, context),
         "/v1/owners": lambda query: owners_view(core.ownership),
-        "/v1/sections": lambda query: sections_view(core.sections),
+        "/v1/sections": lambda query: _configuration(core),
         "/v1/nodes": lambda query: nodes_view(core.ownership),
         "/v1/explain": explain,
         "/metrics": metrics_view(core),
     }
 
 
+def _configuration(core):
+    """Return the sections in force and the position up to which they were read."""
+    return {"position": core.sections_read(), "sections": sections_view(core.sections)}
+
+
 def _status(core, context):
     settings, life = core.settings, core.life
     return {
--- a/tests/test_in_force.py
+++ b/tests/test_in_force.py
@@ -267,8 +267,8 @@
         await processes.kill()
 
 
-async def test_running_nodes_keep_versions_that_retention_removed(nursery):
-    """Guards against a node that drops a section whose record the log removed."""
+async def test_versions_that_retention_removed(nursery, tmp_path):
+    """Guards against a section that is lost, or fixed, once its record is removed."""
     deployment = Deployment("lango", nursery)
     deployment.log = LogStandin(retention=2)
     await deployment.start_log()
@@ -290,6 +290,17 @@
     assert await version(member) == 1
     deployment.publish("jobs", JOBS + "slots: 3\n", 1)
     await until(lambda: reached(6))
+    for number in range(2):
+        name = f"other-{number}"
+        text = f"service: {name}\nroutes: [{{host: '{name}'}}]\nslots: 2"
+        deployment.publish(name, text, number + 2)
+    text = JOBS + "slots: 4\n"
+    code, out, error = await publish(deployment, tmp_path / "s", text, "--base", "6")
+    assert (code, out) == (0, "jobs: version 9 published\n"), error
+    await until(lambda: reached(9))
+    where = ("--log-address", deployment.log_address, "--deployment", "lango")
+    code, _, error = await ctl("show", *where)
+    assert (code, "name a node with --node" in error) == (4, True)
 
 
 INVALID = {
