--- a/packages/core/src/jujuberudder_core/_sections.py
+++ b/packages/core/src/jujuberudder_core/_sections.py
@@ -307,8 +307,8 @@
         Returns
         -------
         outcome : Result[bool, Failure]
-            Ok(False) if the base is superseded; Err if the section is invalid, in
-            which case the last good one stays in force.
+            Ok(False) if the base is superseded or the record is of another kind; Err
+            if the section is invalid, in which case the last good one stays in force.
         """
         if offset <= self._offset:
             return Ok(False)
--- a/packages/ctl/src/jujuberudderctl/_source.py
+++ b/packages/ctl/src/jujuberudderctl/_source.py
@@ -180,7 +180,16 @@
             history.append(Change(position, record, outcome))
         return outcome.unwrap_or(False)
 
-    async with _stream(access, "sections", sections, handle) as (follower, writer):
+    async def restore():
+        if access.node is None:
+            raise _past_retention(access)
+        seen = await ask_or_fail(access.node, "/v1/sections")
+        entries = [(n, s["version"], s["text"]) for n, s in seen["sections"].items()]
+        sections.load(seen["position"], entries)
+        return seen["position"]
+
+    opened = _stream(access, "sections", sections, handle, restore)
+    async with opened as (follower, writer):
         yield Configuration(sections, history, follower, writer)
 
 
@@ -189,12 +198,29 @@
     """Yield ``(ownership, refresh)`` of a deployment; raises as `configuration`."""
     fold = Ownership()
 
-    async with _stream(access, "ownership", fold, fold.apply) as (follower, _):
+    async def restore():
+        raise _past_retention(access)
+
+    opened = _stream(access, "ownership", fold, fold.apply, restore)
+    async with opened as (follower, _):
         yield fold, follower.catch_up
 
 
+def _past_retention(access):
+    message = (
+        f"log service {access.log_address} holds neither the start of the stream nor a "
+        "snapshot; name a node with --node"
+    )
+    return UserError(message, EXIT_UNREACHABLE)
+
+
 @asynccontextmanager
-async def _stream(access, name, fold, handle):
+async def _stream(access, name, fold, handle, restore):
+    """Yield ``(follower, writer)`` at the end of a stream.
+
+    ``restore`` brings the fold to a position and returns it, in case the log holds
+    neither the start nor a snapshot.
+    """
     client = LogClient(access.log_address)
     stream = f"{access.deployment}.{name}"
 
@@ -205,14 +231,17 @@
     follower = Follower(client, stream, replay.take, _ignore, replay.miss)
     writer = Writer(client, follower, stream)
     try:
-        if not await follower.catch_up():
+        done = await follower.catch_up()
+        if done and not replay.complete:
+            start = await restore()
+            follower = Follower(client, stream, observe, _ignore, start=start)
+            writer = Writer(client, follower, stream)
+            done = await follower.catch_up()
+        if not done:
             read = await client.read(stream, 0)
             reason = read.err_value.reason if read.is_err() else "it came back"
             message = f"log service {access.log_address} cannot be read: {reason}"
             raise UserError(message, EXIT_UNREACHABLE)
-        if not replay.complete:
-            message = f"log service {access.log_address} kept no snapshot of {stream}"
-            raise UserError(message, EXIT_UNREACHABLE)
         yield follower, writer
     finally:
         with trio.move_on_after(1, shield=True):
@@ -242,7 +271,7 @@
 async def read_sections(access):
     """Return the sections in force: version and text by name."""
     if access.node:
-        return await ask_or_fail(access.node, "/v1/sections")
+        return (await ask_or_fail(access.node, "/v1/sections"))["sections"]
     async with configuration(access) as stream:
         return sections_view(stream.sections)
 
