--- a/packages/logservice/src/jujuberudder_logservice/_follower.py
+++ b/packages/logservice/src/jujuberudder_logservice/_follower.py
@@ -23,13 +23,20 @@
         offset plus one.
     log : callable
         ``log(event, **fields)``.
+    miss : callable or None
+        Called with the oldest offset kept when retention removed records unread.
+        Nothing is handed over after a gap if it is None.
     """
 
-    def __init__(self, client, stream, handle, log):
+    def __init__(self, client, stream, handle, log, miss=None):
         self._client = client
         self._stream = stream
         self._handle = handle
         self._log = log
+        self._miss = miss
+        self._first = 0
+        self._went_back = False
+        self._missed = False
         self._next = 0
         self._reads = 0
         self._changed = trio.Event()
@@ -46,6 +53,11 @@
         """Offset of the next record to read."""
         return self._next
 
+    @property
+    def first(self):
+        """Oldest offset known to be kept."""
+        return self._first
+
     @property
     def failing(self):
         """Whether the last read failed."""
@@ -88,17 +100,15 @@
             backoff = min(backoff * 2, BACKOFF_MAX_S)
 
     def _take(self, batch):
-        """Hand over records; return False if some before them are kept no longer."""
+        """Hand over records; return False if the batch cannot follow what was read."""
         self._read_at = trio.current_time()
-        if batch.first > self._next:
-            # A fold of only the later records gave a key a second owner.
-            self._log(
-                "records_missed",
-                stream=self._stream,
-                wanted=self._next,
-                first=batch.first,
-            )
+        if batch.next < self._next:
+            self._refuse_older(batch)
+            return False
+        self._went_back = False
+        if batch.first > self._next and not self._skip_to(batch.first):
             return False
+        self._first = max(self._first, batch.first)
         for entry in batch.records:
             if entry.offset < self._next:
                 continue
@@ -113,3 +123,28 @@
             self._changed.set()
             self._changed = trio.Event()
         return True
+
+    def _skip_to(self, first):
+        """Go on after a gap if the handler loads snapshots; return whether it does."""
+        # A fold of only the later records gave a key a second owner.
+        if not self._missed:
+            self._log(
+                "records_removed", stream=self._stream, read_to=self._next, first=first
+            )
+        self._missed = self._miss is None
+        if self._missed:
+            return False
+        self._next = first
+        self._miss(first)
+        return True
+
+    def _refuse_older(self, batch):
+        """Ignore a stale read, or a log that lost its end: the state stays."""
+        if not self._went_back:
+            self._log(
+                "log_went_back",
+                stream=self._stream,
+                read_to=self._next,
+                next=batch.next,
+            )
+        self._went_back = True
