--- a/packages/ctl/src/jujuberudderctl/_source.py
+++ b/packages/ctl/src/jujuberudderctl/_source.py
@@ -12,6 +12,7 @@
 from jujuberudder_core import (
     Failure,
     Ownership,
+    Replay,
     Sections,
     UserError,
     explain_view,
@@ -179,15 +180,7 @@
             history.append(Change(position, record, outcome))
         return outcome.unwrap_or(False)
 
-    async def restore():
-        if access.node is None:
-            raise _past_retention(access)
-        seen = await ask_or_fail(access.node, "/v1/sections")
-        entries = [(n, s["version"], s["text"]) for n, s in seen["sections"].items()]
-        sections.load(seen["position"], entries)
-        return seen["position"]
-
-    async with _stream(access, "sections", handle, restore) as (follower, writer):
+    async with _stream(access, "sections", sections, handle) as (follower, writer):
         yield Configuration(sections, history, follower, writer)
 
 
@@ -196,48 +189,30 @@
     """Yield ``(ownership, refresh)`` of a deployment; raises as `configuration`."""
     fold = Ownership()
 
-    async def restore():
-        raise _past_retention(access)
-
-    async with _stream(access, "ownership", fold.apply, restore) as (follower, _):
+    async with _stream(access, "ownership", fold, fold.apply) as (follower, _):
         yield fold, follower.catch_up
 
 
-def _past_retention(access):
-    message = (
-        f"log service {access.log_address} no longer holds the start of the stream; "
-        "name a node with --node"
-    )
-    return UserError(message, EXIT_UNREACHABLE)
-
-
 @asynccontextmanager
-async def _stream(access, name, handle, restore):
-    """Yield ``(follower, writer)`` at the end of a stream.
-
-    ``restore`` brings the fold to a position and returns it, in case the log no longer
-    holds the start.
-    """
+async def _stream(access, name, fold, handle):
     client = LogClient(access.log_address)
     stream = f"{access.deployment}.{name}"
 
     def observe(position, record):
         writer.observe(position, record, handle(position, record))
 
-    follower = Follower(client, stream, observe, _ignore)
+    replay = Replay(fold, observe)
+    follower = Follower(client, stream, replay.take, _ignore, replay.miss)
     writer = Writer(client, follower, stream)
     try:
-        done = await follower.catch_up()
-        read = None if done else await client.read(stream, 0)
-        if read is not None and read.is_ok() and read.ok_value.first > 0:
-            start = await restore()
-            follower = Follower(client, stream, observe, _ignore, start)
-            writer = Writer(client, follower, stream)
-            done = await follower.catch_up()
-        if not done:
+        if not await follower.catch_up():
+            read = await client.read(stream, 0)
             reason = read.err_value.reason if read.is_err() else "it came back"
             message = f"log service {access.log_address} cannot be read: {reason}"
             raise UserError(message, EXIT_UNREACHABLE)
+        if not replay.complete:
+            message = f"log service {access.log_address} kept no snapshot of {stream}"
+            raise UserError(message, EXIT_UNREACHABLE)
         yield follower, writer
     finally:
         with trio.move_on_after(1, shield=True):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -13,10 +13,6 @@
 SHEDS = b"HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
 
 
-# Targets take full load at once.
-WARM = "slow_start_ms: 0\n"
-
-
 class Gate:
     """A target script that holds requests until it is opened."""
 
@@ -87,7 +83,7 @@
     """Guards against a client, a key or a late deadline that takes all slots."""
     case = CONTENTION[name]
     gate, replies = Gate(), []
-    section = JOBS + "slots: 2\ncall_slots: 0\n" + WARM
+    section = JOBS + "slots: 2\ncall_slots: 0\nslow_start_ms: 0\n"
     async with trio.open_nursery() as nursery:
         _, addresses, _ = await start_raw(nursery, gate.script, section)
         await trio.sleep(0.1)
@@ -224,6 +220,7 @@
 routes: [{{path_prefix: /{0}/}}]
 deadline_ms: 8000
 slots: 2
+slow_start_ms: 0
 """
 
 
@@ -254,7 +251,7 @@
         deployment = Deployment("casa-pluma", nursery)
         await deployment.start_log()
         for service, other in (("orders", "proofs"), ("proofs", "orders")):
-            deployment.publish(service, SECTION.format(service) + WARM)
+            deployment.publish(service, SECTION.format(service))
             target = RawTarget(calls_to(other, depth))
             address = await nursery.start(target.serve)
             member = await deployment.start_member(
--- a/tests/test_section_effect.py
+++ b/tests/test_section_effect.py
@@ -50,10 +50,10 @@
 
 async def test_a_higher_weight_draws_requests():
     """Guards against weights that have no effect on the choice."""
-    choice = Choice(lambda: "here", lambda: (0, 1))
+    choice = Choice(lambda: "here", lambda: 0)
     both = {"dar-a": True, "dar-b": True}
-    assert choice.choose(both, {"dar-b": 5.0})[0] == "dar-b"
-    assert choice.choose(both, {"dar-a": 5.0})[0] == "dar-a"
+    assert choice.choose(both, 6, {"dar-b": 5.0})[0] == "dar-b"
+    assert choice.choose(both, 6, {"dar-a": 5.0})[0] == "dar-a"
 
 
 @pytest.mark.parametrize("share, expected", [(0.0, 0), (0.5, 5), (1.0, 10)])
