--- a/bench/unavailable.py
+++ b/bench/unavailable.py
@@ -52,6 +52,11 @@
     deployment.start(victim)
 
 
+async def none(deployment, victim):
+    """Nothing happens: what load and machine alone cost."""
+    await trio.sleep(FAULT_S)
+
+
 async def log_down(deployment, victim):
     """The log service alone is down."""
     deployment.log.down = True
@@ -60,6 +65,7 @@
 
 
 FAULTS = {
+    "none": none,
     "kill -9": kill,
     "freeze": freeze,
     "partition": partition,
