--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,17 +8,11 @@
 from raw_http import JOBS, OK, RawTarget, header, read_reply, start_raw, talk
 
 from jujuberudder_standins import Deployment
-from jujuberudder_targets import Admission, Claim, Limits, _admission
+from jujuberudder_targets import Admission, Claim, Limits
 
 SHEDS = b"HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
 
 
-@pytest.fixture
-def warm(monkeypatch):
-    """Let targets take full load at once."""
-    monkeypatch.setattr(_admission, "SLOW_START_S", 0.001)
-
-
 class Gate:
     """A target script that holds requests until it is opened."""
 
@@ -85,11 +79,11 @@
 
 
 @pytest.mark.parametrize("name", CONTENTION)
-async def test_contention(name, warm):
+async def test_contention(name):
     """Guards against a client, a key or a late deadline that takes all slots."""
     case = CONTENTION[name]
     gate, replies = Gate(), []
-    section = JOBS + "slots: 2\ncall_slots: 0\n"
+    section = JOBS + "slots: 2\ncall_slots: 0\nslow_start_ms: 0\n"
     async with trio.open_nursery() as nursery:
         _, addresses, _ = await start_raw(nursery, gate.script, section)
         await trio.sleep(0.1)
@@ -226,11 +220,12 @@
 routes: [{{path_prefix: /{0}/}}]
 deadline_ms: 8000
 slots: 2
+slow_start_ms: 0
 """
 
 
 @pytest.mark.parametrize("circle", [False, True], ids=["there", "there and back"])
-async def test_services_that_call_each_other(circle, warm):
+async def test_services_that_call_each_other(circle):
     """Guards against client requests that hold all slots which their calls need."""
     nodes = {}
     calls = []
