--- a/packages/logservice/src/jujuberudder_logservice/_follower.py
+++ b/packages/logservice/src/jujuberudder_logservice/_follower.py
@@ -26,9 +26,11 @@
     miss : callable or None
         Called with the oldest offset kept when retention removed records unread.
         Nothing is handed over after a gap if it is None.
+    start : int
+        Offset of the first record to read.
     """
 
-    def __init__(self, client, stream, handle, log, miss=None):
+    def __init__(self, client, stream, handle, log, miss=None, start=0):
         self._client = client
         self._stream = stream
         self._handle = handle
@@ -37,7 +39,7 @@
         self._first = 0
         self._went_back = False
         self._missed = False
-        self._next = 0
+        self._next = start
         self._reads = 0
         self._changed = trio.Event()
         self._failing = False
--- a/tests/test_in_force.py
+++ b/tests/test_in_force.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from jujuberudder_core import start_logging
+from jujuberudder_core import encode, records, start_logging
 from jujuberudder_standins import Deployment, LogStandin, TargetStandin, serve_app
 
 JOBS = "service: jobs\nroutes: [{path_prefix: /jobs/}]\n"
@@ -266,8 +266,8 @@
         await processes.kill()
 
 
-async def test_running_nodes_keep_versions_that_retention_removed(nursery):
-    """Guards against a node that drops a section whose record the log removed."""
+async def test_versions_that_retention_removed(nursery, tmp_path):
+    """Guards against a section that is lost, or fixed, once its record is removed."""
     deployment = Deployment("lango", nursery)
     deployment.log = LogStandin(retention=2)
     await deployment.start_log()
@@ -289,6 +289,34 @@
     assert await version(member) == 1
     deployment.publish("jobs", JOBS + "slots: 3\n", 1)
     await until(lambda: reached(6))
+    for number in range(2):
+        name = f"other-{number}"
+        text = f"service: {name}\nroutes: [{{host: '{name}'}}]\nslots: 2"
+        deployment.publish(name, text, number + 2)
+    text = JOBS + "slots: 4\n"
+    code, out, error = await publish(deployment, tmp_path / "s", text, "--base", "6")
+    assert (code, out) == (0, "jobs: version 9 published\n"), error
+    await until(lambda: reached(9))
+    where = ("--log-address", deployment.log_address, "--deployment", "lango")
+
+    async def shown_from_a_snapshot():
+        code, out, _ = await ctl("show", *where)
+        return code == 0 and "slots: 4" in out
+
+    await until(shown_from_a_snapshot)
+
+
+async def test_log_without_start_or_snapshot_is_an_error(nursery):
+    """Guards against sections shown from the middle of the stream."""
+    log = LogStandin(retention=1)
+    address = await nursery.start(serve_app, log.app)
+    for number in range(2):
+        record = records.Section(f"r{number}", "jobs", number, JOBS)
+        log.put("lango.sections", encode(record))
+    code, out, error = await ctl(
+        "show", "--log-address", address, "--deployment", "lango"
+    )
+    assert (code, out, "name a node with --node" in error) == (4, "", True)
 
 
 INVALID = {
@@ -311,6 +339,8 @@
     deployment.publish("other", OTHER)
     deployment.publish("jobs", JOBS)
     deployment.publish("jobs", text, 2)
+    for data in ("[]", encode(records.Keep("x", "y", 1))):
+        deployment.log.put("lango.sections", data)
 
     async def rejected():
         states = [await status(member) for member in deployment.members.values()]
