Never plan shards for a leaving node, and move what it still has

Withdraw records came with the ownership work; the planner's board did not follow them, so it could have proposed moves that have no effect.

--- a/packages/node/src/jujuberudder/_board.py
+++ b/packages/node/src/jujuberudder/_board.py
@@ -143,6 +143,10 @@
         """Return when a live target was first seen, or None if before the board."""
         return self._since.get(incarnation)
 
+    def takes_shards(self, incarnation):
+        """Return whether a target is live and not about to leave."""
+        return self._ownership.takes_shards(incarnation)
+
     def members(self):
         """Return ``{incarnation: Admit}`` of the live targets of the service."""
         if self._members is None:
@@ -249,7 +253,7 @@
         kind = type(record)
         if kind in (records.Admit, records.Dead, records.Leave):
             self._observe_members(record, now)
-        if kind in (records.Assign, records.Move, records.Dead, records.Leave):
+        if hasattr(record, "shards"):
             for shard in record.shards:
                 if shard.service == self._service:
                     self._place(shard.prefix)
--- a/packages/node/src/jujuberudder/_placement.py
+++ b/packages/node/src/jujuberudder/_placement.py
@@ -156,7 +156,9 @@
             admit.availability_zone, capacity_of(board.member_since(incarnation), now)
         )
         for incarnation, admit in board.members().items()
-        if admit.node not in drained and incarnation not in suspected
+        if admit.node not in drained
+        and incarnation not in suspected
+        and board.takes_shards(incarnation)
     }
 
 
@@ -219,11 +221,11 @@
 
 
 def _evacuate(board, shards, spread, section):
-    """Return moves off drained nodes, all at once."""
+    """Return moves off drained and leaving nodes, all at once."""
     prefixes = [
         prefix
         for incarnation, admit in board.members().items()
-        if admit.node in section["drain"]
+        if admit.node in section["drain"] or not board.takes_shards(incarnation)
         for prefix in board.held(incarnation)
     ]
     return _give(board, shards, spread, prefixes)
@@ -451,7 +453,9 @@
     able = {
         incarnation: Target(state.admit.availability_zone, 1.0)
         for incarnation, state in live
-        if incarnation not in gone and state.admit.node not in section["drain"]
+        if incarnation not in gone
+        and ownership.takes_shards(incarnation)
+        and state.admit.node not in section["drain"]
     }
     elsewhere = {k: t for k, t in able.items() if t.availability_zone not in lost}
     return elsewhere or able
