--- a/bench/placement.py
+++ b/bench/placement.py
@@ -91,13 +91,13 @@
         for scenario in given.scenario or SCENARIOS
         for policy in given.policy or POLICIES
     ]
+    commit = subprocess.check_output(["git", "rev-parse", "--short", "HEAD"], text=True)
+    dirty = subprocess.check_output(["git", "status", "--porcelain", "packages"])
     with Pool(PROCESSES) as pool:
         rows = pool.map(case, cases, chunksize=1)
     for row in rows:
         shown = " ".join(f"{name}={row[name]}" for name in SHOWN)
         print(f"{row['deployment']}/{row['scenario']}/{row['policy']}: {shown}")
-    commit = subprocess.check_output(["git", "rev-parse", "--short", "HEAD"], text=True)
-    dirty = subprocess.check_output(["git", "status", "--porcelain", "packages"])
     figures = {
         "command": "python bench/" + " ".join([Path(sys.argv[0]).name, *sys.argv[1:]]),
         "commit": commit.strip() + ("+changes" if dirty else ""),
--- a/packages/node/src/jujuberudder/_board.py
+++ b/packages/node/src/jujuberudder/_board.py
@@ -21,7 +21,10 @@
 # put down to wrong counting, half of it to each owner.
 CORRECTION_FACTOR = 1.25
 CORRECTION_SAMPLES = 3
-CORRECTION_MIN_RATE = 2.0
+CORRECTION_MIN_RATE = 1.0
+CORRECTION_DEVIATIONS = 2.0
+# Window of a report.
+COUNTED_S = 4.0
 MAX_CORRECTION = 8.0
 
 
@@ -30,6 +33,14 @@
     return max(REPORT_S, targets / MAX_REPORTS_PER_S)
 
 
+def _beyond_chance(given, expected):
+    """Return the part of the log ratio of two rates that counting noise leaves."""
+    ratio = math.log(given / expected)
+    counted = min(given, expected) * COUNTED_S
+    chance = CORRECTION_DEVIATIONS / math.sqrt(counted)
+    return math.copysign(max(0.0, abs(ratio) - chance), ratio)
+
+
 class Heard(NamedTuple):
     """The newest report of a target; ``rate`` is in requests/s."""
 
@@ -201,7 +212,7 @@
         given = reported * self.correction(reporter)
         if before not in (None, reporter):
             if min(given, expected) >= CORRECTION_MIN_RATE:
-                difference = math.log(given / expected)
+                difference = _beyond_chance(given, expected)
                 self._weigh(before, difference)
                 self._weigh(reporter, -difference)
         self._set_rate(prefix, reported * self.correction(reporter))
