--- a/packages/clients/src/jujuberudder_clients/_app.py
+++ b/packages/clients/src/jujuberudder_clients/_app.py
@@ -38,7 +38,7 @@
 async def _serve(context, request):
     """Serve a request or refuse it."""
     if not request.hops:
-        context.budget.earn()
+        context.budget.earn(request.section.body["retry_budget_percent"] / 100)
     try:
         refusal = await _fill(request)
         if refusal is None:
@@ -54,7 +54,8 @@
 
 async def _fill(request):
     """Buffer the start of the body, unless the caller waits to be asked for it."""
-    if request.body.awaited or request.deadline <= trio.current_time():
+    body = request.body
+    if body.complete or body.awaited or request.deadline <= trio.current_time():
         return None
     try:
         with trio.move_on_at(request.deadline):
--- a/packages/core/src/jujuberudder_core/__init__.py
+++ b/packages/core/src/jujuberudder_core/__init__.py
@@ -4,7 +4,10 @@
 from ._clock import BoottimeClock
 from ._documents import Document, Problem, convert, read_document
 from ._errors import Failure, UserError
+from ._instruments import ALL as INSTRUMENTS
+from ._instruments import Instrument
 from ._logging import format_line, make_logger, start_logging
+from ._metrics import Metrics
 from ._ownership import Claimed, Incarnation, Ownership, Shard
 from ._records import decode, encode, new_id
 from ._sections import (
@@ -18,6 +21,7 @@
 from ._serving import Serving
 from ._settings import Settings, TargetSettings, load_settings, parse_settings
 from ._shards import HASH_BITS, covers_once, hash_bits, prefix_of, uniform_prefixes
+from ._snapshots import Replay, chunk
 from ._views import explain_view, nodes_view, owners_view, sections_view
 
 __all__ = [
@@ -27,11 +31,15 @@
     "Document",
     "Failure",
     "HASH_BITS",
+    "INSTRUMENTS",
     "Incarnation",
+    "Instrument",
+    "Metrics",
     "Ownership",
     "Problem",
     "PublishedSection",
     "SectionBody",
+    "Replay",
     "Sections",
     "Serving",
     "Settings",
@@ -39,6 +47,7 @@
     "TargetSettings",
     "UserError",
     "convert",
+    "chunk",
     "covers_once",
     "decode",
     "encode",
--- a/packages/core/src/jujuberudder_core/_sections.py
+++ b/packages/core/src/jujuberudder_core/_sections.py
@@ -8,6 +8,7 @@
 from ._documents import Problem, convert, read_document
 from ._errors import Failure
 from ._instruments import check_renames
+from ._records import Section
 
 DASHBOARDS = "dashboards"
 
@@ -79,8 +80,6 @@
     slots: Count
     connections: Count
     queue: Annotated[int, Meta(ge=0)]
-    client_slots_percent: Annotated[int, Meta(ge=1, le=100)]
-    key_slots_percent: Annotated[int, Meta(ge=1, le=100)]
     call_slots: Annotated[int, Meta(ge=0)]
     slow_start_ms: Annotated[int, Meta(ge=0, le=3_600_000)]
     drain: list[Name]
@@ -103,8 +102,6 @@
     slots=20,
     connections=100,
     queue=100,
-    client_slots_percent=50,
-    key_slots_percent=50,
     slow_start_ms=5_000,
     call_slots=1,
     drain=[],
@@ -316,6 +313,8 @@
         if offset <= self._offset:
             return Ok(False)
         self._offset = offset
+        if not isinstance(record, Section):
+            return Ok(False)
         if record.base != self.version(record.name):
             return Ok(False)
         checked = self.check(record.name, record.text)
@@ -327,6 +326,25 @@
         )
         return Ok(True)
 
+    @property
+    def position(self):
+        """Position of the last record applied, -1 before the first."""
+        return self._offset
+
+    def dump(self):
+        """Return the sections in force as entries of a snapshot."""
+        return [[s.name, s.version, s.text] for s in self._sections.values()]
+
+    def load(self, position, entries):
+        """Replace the sections by those of a snapshot; versions stay as they were."""
+        self._offset = position
+        self._sections.clear()
+        for name, version, text in entries:
+            checked = self.check(name, text)
+            if checked.is_ok():
+                body = checked.ok_value
+                self._sections[name] = PublishedSection(name, version, body, text)
+
     def check(self, name, text):
         """Return the body of a section that may come into force beside the others.
 
--- a/packages/node/src/jujuberudder/_admission.py
+++ b/packages/node/src/jujuberudder/_admission.py
@@ -5,7 +5,7 @@
 import trio
 
 from jujuberudder_core import hash_bits, new_id, records
-from jujuberudder_peers import LEASE_S, Ping, Understood, run_renewals
+from jujuberudder_peers import GRANT_S, LEASE_S, Ping, Understood, run_renewals
 
 WITNESS_COUNT = 3
 ASKED_PER_ZONE = 2
@@ -15,6 +15,7 @@
 KEEP_MARGIN_S = LEASE_S * 0.6
 TICK_S = 0.1
 RETRY_S = 0.3
+CONNECT_TIMEOUT_S = 1.0
 # The loss of an availability zone leaves a third of 4,500 nodes with a dead witness.
 # They replace it at this rate, two appends each, while the other two serve.
 REPLACED_PER_S = 50
@@ -95,26 +96,66 @@
 
 async def admit(life, addresses):
     """Append the admission of an incarnation until it takes effect."""
-    while True:
+    started_at = trio.current_time()
+    while life.incarnation not in life.ownership.incarnations:
+        if trio.current_time() > started_at + GRANT_S:
+            await _end_predecessor(life, addresses)
         if not await _may_be_admitted(life, addresses):
             with trio.move_on_after(RETRY_S):
                 await life.wait_changed()
             continue
         record = await _admission(life, addresses)
         applied = await life.write(record)
-        if life.ownership.alive(life.incarnation):
-            # An earlier attempt with a lost answer may be what took effect. Its lease
-            # counts from its own send time, so this one grants none; ``keep`` follows.
-            if applied.is_ok() and applied.ok_value.effect:
-                life.lease.extend(applied.ok_value.sent_at)
-            life.log(
-                "admitted",
-                incarnation=life.incarnation,
-                witnesses=",".join(life.state().witnesses),
-            )
-            return
+        if applied.is_ok() and applied.ok_value.effect:
+            life.lease.extend(applied.ok_value.sent_at)
+            break
+        # An attempt whose outcome is unknown may take effect later. Its lease would
+        # count from its own send time, so it grants none here; ``keep`` follows.
         life.log("admission_waits", reason="no effect", result=applied)
         await trio.sleep(RETRY_S * random.uniform(0.5, 1.0))
+    witnesses = ",".join(life.state().witnesses)
+    life.log("admitted", incarnation=life.incarnation, witnesses=witnesses)
+
+
+async def _end_predecessor(life, addresses):
+    """Append ``leave`` for an earlier incarnation of this node whose process ended.
+
+    Without this, nodes that restart together wait for each other's seals for ever. The
+    wait before it covers a VM that was replaced while it was frozen.
+    """
+    node = life.settings.node
+    for incarnation, state in life.ownership.live():
+        if state.admit.node != node:
+            continue
+        if await has_ended(state.admit.control_address, addresses.control):
+            shards = life.successors(life.ownership, {incarnation})
+            record = records.Leave(new_id(), incarnation, state.version, shards)
+            applied = await life.write(record)
+            life.log("predecessor_ended", incarnation=incarnation, result=applied)
+
+
+async def has_ended(address, mine):
+    """Return whether the process that listened at an address of this VM has ended.
+
+    The kernel of this VM refuses connections only if nobody listens there; it accepts
+    them for a process that is frozen.
+
+    Parameters
+    ----------
+    address, mine : str
+        Control addresses, ``host:port``. Another host is never taken as ended.
+    """
+    if address == mine:
+        return True
+    (host, port), here = address.split(":"), mine.split(":")[0]
+    if host != here:
+        return False
+    with trio.socket.socket() as socket, trio.move_on_after(CONNECT_TIMEOUT_S):
+        try:
+            await socket.connect((host, int(port)))
+        except ConnectionRefusedError:
+            return True
+    return False
 
 
 async def _may_be_admitted(life, addresses):
@@ -124,7 +165,7 @@
         reason = "log service cannot be read"
     elif life.declared_destroyed():
         reason = "a section declares this node destroyed"
-    elif not life.ownership.complete:
+    elif not life.complete():
         reason = "no snapshot read yet"
     if reason is not None:
         life.log_once("admission_waits", reason=reason)
--- a/packages/node/src/jujuberudder/_node.py
+++ b/packages/node/src/jujuberudder/_node.py
@@ -13,8 +13,9 @@
     RouteContext,
     listen,
     make_app,
+    metered,
 )
-from jujuberudder_core import Ownership, Sections, make_logger
+from jujuberudder_core import Metrics, Ownership, Replay, Sections, make_logger
 from jujuberudder_logservice import Follower, LogClient, Writer
 from jujuberudder_operators import make_operator_app
 from jujuberudder_peers import (
@@ -31,21 +32,21 @@
 from jujuberudder_targets import (
     Admission,
     Limits,
+    Pool,
     TargetHealth,
-    make_pool,
     run_probes,
 )
 
 from ._life import Life, run_life
 from ._meter import LoadMeter
+from ._metrics import Recorder, observe_node
+from ._snapshots import SnapshotStream
 from ._views import make_views
 
-NODE_CONNECTIONS = 400
-# Admission limits what reaches the target; the pool only bounds its own memory.
-TARGET_CONNECTIONS = 1000
 # Of one address at a time; one client must not take all file descriptors.
 CLIENT_CONNECTIONS = 512
 RESTART_PAUSE_S = 0.2
+START_READ_S = 2.0
 RESTART_PAUSE_MAX_S = 10.0
 # An incarnation that lasted this long ends the series of quick failures.
 STEADY_S = 30.0
@@ -75,6 +76,7 @@
     def __init__(self, settings, client=None, channel=None):
         self._settings = settings
         self._log = make_logger(node=settings.node)
+        self._recorder = Recorder(Metrics(settings.node, settings.availability_zone))
         self._ownership = Ownership()
         self._meter = LoadMeter(lambda: self._ownership.offset, trio.current_time)
         self._sections = Sections()
@@ -84,13 +86,20 @@
         self._changed = trio.Event()
         self._client = client or LogClient(settings.log_address)
         streams = [f"{settings.deployment}.{name}" for name in STREAMS]
+        self._replay = Replay(self._ownership, self._apply_ownership, self._loaded)
+        self._section_replay = Replay(self._sections, self._apply_section, self._loaded)
         self._follower = Follower(
-            self._client, streams[0], self._apply_ownership, self._log
+            self._client, streams[0], self._take, self._log, self._replay.miss
         )
         self._section_follower = Follower(
-            self._client, streams[1], self._apply_section, self._log
+            self._client,
+            streams[1],
+            self._take_section,
+            self._log,
+            self._section_replay.miss,
         )
         self._writer = Writer(self._client, self._follower, streams[0])
+        self._section_writer = Writer(self._client, self._section_follower, streams[1])
         self._channel = channel or Channel(settings.address_overrides)
 
     @property
@@ -103,6 +112,11 @@
         """Function ``log(event, **fields)``."""
         return self._log
 
+    @property
+    def recorder(self):
+        """Turns what happens into metrics."""
+        return self._recorder
+
     @property
     def ownership(self):
         """Fold of the ownership stream."""
@@ -163,7 +177,9 @@
 
     def declared_destroyed(self, node):
         """Return whether a section in force lists a node as destroyed."""
-        return any(node in s.body["destroyed"] for s in self._sections.all.values())
+        return any(
+            node in s.body.get("destroyed", ()) for s in self._sections.all.values()
+        )
 
     def destroyed_at(self, incarnation):
         """Return when an operator's word that its VM is destroyed was read, or None.
@@ -177,7 +193,7 @@
         times = [
             self._section_read_at[section.name]
             for section in self._sections.all.values()
-            if state.admit.node in section.body["destroyed"]
+            if state.admit.node in section.body.get("destroyed", ())
             and state.admit.sections < section.version
         ]
         return min(times, default=None)
@@ -191,9 +207,46 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    @property
+    def snapshot_streams(self):
+        """Both streams, as snapshots need them."""
+        return (
+            SnapshotStream(self._ownership, self._follower, self._replay, self._writer),
+            SnapshotStream(
+                self._sections,
+                self._section_follower,
+                self._section_replay,
+                self._section_writer,
+            ),
+        )
+
+    def complete(self):
+        """Return whether no record is missing of either stream."""
+        return self._replay.complete and self._section_replay.complete
+
+    def _loaded(self):
+        now = trio.current_time()
+        for incarnation in self._ownership.incarnations:
+            self._read_at[incarnation] = now
+        for name in self._sections.all:
+            self._section_read_at[name] = now
+        self._log("snapshot_loaded", ownership=self._ownership.position)
+        self.touch()
+
+    def _take(self, position, record):
+        effect = self._replay.take(position, record)
+        if effect is not None:
+            self._writer.observe(position, record, effect)
+
+    def _take_section(self, position, record):
+        effect = self._section_replay.take(position, record)
+        if effect is not None:
+            self._section_writer.observe(position, record, effect)
+
     def _apply_ownership(self, offset, record):
         effect = self._ownership.apply(offset, record)
         if effect:
+            self._recorder.counts(record)
             for incarnation in _about(record):
                 self._read_at[incarnation] = trio.current_time()
             if self._life is not None:
@@ -222,6 +275,7 @@
     async def aclose(self):
         """Close the connections."""
         self._channel.close()
+        self._recorder.metrics.close()
         with trio.move_on_after(1, shield=True):
             await self._client.aclose()
 
@@ -257,15 +311,21 @@
     settings = core.settings
     health = TargetHealth()
     context = _route_context(core, health, nursery)
+    observe_node(core, context)
+    client_app = metered(make_app(context, False), core.recorder.metrics)
     closing = trio.Event()
     nursery.start_soon(context.drain.watch)
     control = ControlServer(settings.control_address, _handlers(core), core.log)
     nursery.start_soon(control.run)
     listeners = (
-        (make_app(context, False), settings.client_address, CLIENT_CONNECTIONS),
+        (client_app, settings.client_address, CLIENT_CONNECTIONS),
         (make_app(context, True), settings.request_address, None),
         (make_operator_app(make_views(core, context)), settings.operator_address, None),
     )
+    with trio.move_on_after(START_READ_S):
+        # Without sections, the first requests would be refused as unknown paths.
+        for follower in core.followers:
+            await follower.catch_up()
     async with trio.open_nursery() as serving:
         bound = [
             await serving.start(listen, app, address, closing, limit)
@@ -337,10 +397,10 @@
         sections=core.sections,
         serving=lambda: core.life.serving if core.life else None,
         admission=admission,
-        target_pool=make_pool(TARGET_CONNECTIONS),
-        node_pool=make_pool(NODE_CONNECTIONS),
+        target_pool=Pool(),
+        node_pool=Pool(),
         health=health,
-        choice=Choice(here, lambda: (admission.load, admission.capacity())),
+        choice=Choice(here, lambda: admission.load),
         budget=RetryBudget(),
         first_answers=FirstAnswers(),
         drain=Drain(lambda: _draining(core)),
@@ -358,7 +418,8 @@
         if section is None:
             return Limits(1, 0)
         slots = min(section["slots"], section["connections"])
-        return Limits(slots, section["queue"], section["call_slots"])
+        slow_start_s = section["slow_start_ms"] / 1000
+        return Limits(slots, section["queue"], section["call_slots"], slow_start_s)
 
     return limits
 
--- a/packages/targets/src/jujuberudder_targets/_exchange.py
+++ b/packages/targets/src/jujuberudder_targets/_exchange.py
@@ -10,17 +10,13 @@
 
 from jujuberudder_core import Failure
 
-from ._network import Backend, Sending, use
+from ._network import Sending, use
 
-CONNECT_TIMEOUT_S = 1.0
-# Shorter than common servers keep an idle connection, so that this side closes first.
-KEEPALIVE_S = 4.0
 BODILESS = (204, 304)
 ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
-    httpcore.PoolTimeout,
 )
 
 
@@ -67,26 +63,13 @@
     framed: bool
 
 
-class _Stopped(Exception):
-    """The check right before the first byte failed."""
-
-
-def make_pool(connections):
-    """Return a connection pool with a limit on connections in total."""
-    return httpcore.AsyncConnectionPool(
-        max_connections=connections,
-        keepalive_expiry=KEEPALIVE_S,
-        network_backend=Backend(),
-    )
-
-
 @asynccontextmanager
 async def exchange(pool, outgoing, step):
     """Send a request and yield its answer while the connection is held.
 
     Parameters
     ----------
-    pool : httpcore.AsyncConnectionPool
+    pool : Pool
     outgoing : Outgoing
     step : str
         Named in failures; those of the check right before the first byte say "check".
@@ -99,42 +82,27 @@
     """
     sent = False
     sending = Sending(invited=not outgoing.expect)
-
-    async def trace(name, info):
-        nonlocal sent
-        if name.endswith("send_request_headers.started"):
-            ready = outgoing.before_first_byte()
-            if ready.is_err():
-                raise _Stopped(ready.err_value)
-            info["request"].headers = ready.ok_value
-            sent = True
-
     try:
-        response = await _send(pool, outgoing, trace, sending)
-    except _Stopped as stopped:
-        yield Err(Failure("check", outgoing.address, str(stopped)))
-        return
+        connection = await pool.take(outgoing.address)
+        ready = outgoing.before_first_byte()
+        if ready.is_ok():
+            sent = True
+            response = await _send(connection, outgoing, ready.ok_value, sending)
     except ERRORS as error:
         maybe_done = sent and sending.invited
         yield Err(Failure(step, outgoing.address, _describe(error), maybe_done))
         return
+    if ready.is_err():
+        await pool.put(outgoing.address, connection)
+        yield Err(Failure("check", outgoing.address, ready.err_value))
+        return
     try:
         yield Ok(_answer(outgoing.method, response))
     finally:
-        if _has_more(response):
-            response.extensions["network_stream"].doubt()
-        await response.aclose()
-
-
-def _has_more(response):
-    """Return whether the peer sent more than its answer.
-
-    What follows would be taken for the answer to the next request. httpcore does not
-    tell, so this looks into its connection.
-    """
-    connection = response.stream._stream._connection
-    data, _ = connection._h11_state.trailing_data
-    return bool(data)
+        # A cancelled exchange must still close its connection.
+        with trio.CancelScope(shield=True):
+            await response.aclose()
+            await pool.put(outgoing.address, connection)
 
 
 def _describe(error):
@@ -150,22 +118,15 @@
     )
 
 
-async def _send(pool, outgoing, trace, sending):
-    host, _, port = outgoing.address.rpartition(":")
-    target = httpcore.URL(
-        scheme=b"http", host=host.encode(), port=int(port), target=outgoing.path
-    )
-    extensions = {"trace": trace, "timeout": {"connect": CONNECT_TIMEOUT_S}}
+async def _send(connection, outgoing, headers, sending):
+    target = httpcore.URL(scheme=b"http", host=b"", port=None, target=outgoing.path)
+    body = outgoing.body
+    if not outgoing.whole:
+        body = _until_answered(body, sending)
+    request = httpcore.Request(outgoing.method, target, headers=headers, content=body)
     if outgoing.whole:
-        request = httpcore.Request(
-            outgoing.method, target, content=outgoing.body, extensions=extensions
-        )
-        return await pool.handle_async_request(request)
-    body = _until_answered(outgoing.body, sending)
-    request = httpcore.Request(
-        outgoing.method, target, content=body, extensions=extensions
-    )
-    return await _send_watched(pool, request, sending)
+        return await connection.handle_async_request(request)
+    return await _send_watched(connection, request, sending)
 
 
 async def _until_answered(body, sending):
@@ -176,14 +137,14 @@
             return
 
 
-async def _send_watched(pool, request, sending):
+async def _send_watched(connection, request, sending):
     """Send a request while its connection is watched for an early answer."""
     use(sending)
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(sending.watch)
             try:
-                return await pool.handle_async_request(request)
+                return await connection.handle_async_request(request)
             except Exception as error:
                 # Raised below: what leaves the nursery would be wrapped in a group.
                 failed = error
