--- a/packages/node/src/jujuberudder/_board.py
+++ b/packages/node/src/jujuberudder/_board.py
@@ -21,7 +21,10 @@
 # put down to wrong counting, half of it to each owner.
 CORRECTION_FACTOR = 1.25
 CORRECTION_SAMPLES = 3
-CORRECTION_MIN_RATE = 4.0
+CORRECTION_MIN_RATE = 1.0
+CORRECTION_DEVIATIONS = 2.0
+# Window of a report.
+COUNTED_S = 4.0
 MAX_CORRECTION = 8.0
 
 
@@ -30,6 +33,14 @@
     return max(REPORT_S, targets / MAX_REPORTS_PER_S)
 
 
+def _beyond_chance(given, expected):
+    """Return the part of the log ratio of two rates that counting noise leaves."""
+    ratio = math.log(given / expected)
+    counted = min(given, expected) * COUNTED_S
+    chance = CORRECTION_DEVIATIONS / math.sqrt(counted)
+    return math.copysign(max(0.0, abs(ratio) - chance), ratio)
+
+
 class Heard(NamedTuple):
     """The newest report of a target; ``rate`` is in requests/s."""
 
@@ -143,6 +154,10 @@
         """Return when a live target was first seen, or None if before the board."""
         return self._since.get(incarnation)
 
+    def takes_shards(self, incarnation):
+        """Return whether a target is live and not about to leave."""
+        return self._ownership.takes_shards(incarnation)
+
     def members(self):
         """Return ``{incarnation: Admit}`` of the live targets of the service."""
         if self._members is None:
@@ -197,7 +212,7 @@
         given = reported * self.correction(reporter)
         if before not in (None, reporter):
             if min(given, expected) >= CORRECTION_MIN_RATE:
-                difference = math.log(given / expected)
+                difference = _beyond_chance(given, expected)
                 self._weigh(before, difference)
                 self._weigh(reporter, -difference)
         self._set_rate(prefix, reported * self.correction(reporter))
@@ -249,7 +264,7 @@
         kind = type(record)
         if kind in (records.Admit, records.Dead, records.Leave):
             self._observe_members(record, now)
-        if kind in (records.Assign, records.Move, records.Dead, records.Leave):
+        if hasattr(record, "shards"):
             for shard in record.shards:
                 if shard.service == self._service:
                     self._place(shard.prefix)
