Let records grant leases that outlast a slow log

Cause: a lease granted by admit or keep ran for 1 s from the send of the append. When the append and its read back took longer, the lease had lapsed before its holder knew of it, and a node without a lease acknowledges nobody. In the in-memory cluster, 36 nodes behind a log with a delay of 0.3 s each way appended 504 keep records in 20 s and none ever held a lease; 81 node processes started at once did the same. Change: the record states its lease, 6 log round trips, between 1 and 8 s. A takeover waits that long after it read the newest record; the fold keeps the longest one and ignores records outside the bounds. Waiting nodes no longer read the log once for each record of another node. With the wait put back to 1 s, the test test_takeover_waits_for_the_lease_that_a_record_granted finds two owners.

--- a/packages/core/src/jujuberudder_core/_ownership.py
+++ b/packages/core/src/jujuberudder_core/_ownership.py
@@ -31,6 +31,8 @@
     alive : bool
     leaving : bool
         It takes no further shards.
+    log_lease_s : float
+        Length of the longest lease that a record granted, in seconds.
     """
 
     admit: records.Admit
@@ -39,6 +41,7 @@
     next_witnesses: tuple[str, ...] | None = None
     alive: bool = True
     leaving: bool = False
+    log_lease_s: float = records.LOG_LEASE_MIN_S
 
     @property
     def witness_sets(self):
@@ -217,9 +220,11 @@
             return False
         if not self._witnesses_fit(record.incarnation, record.witnesses):
             return False
+        if not _lease_fits(record):
+            return False
         self._by_node[record.node] = record.incarnation
         self._incarnations[record.incarnation] = Incarnation(
-            record, offset, record.witnesses
+            record, offset, record.witnesses, log_lease_s=record.lease_s
         )
         return True
 
@@ -237,9 +242,13 @@
 
     def _keep(self, offset, record):
         state = self._based(record.incarnation, record.base)
-        if state is None:
+        if state is None or not _lease_fits(record):
             return False
-        self._incarnations[record.incarnation] = state._replace(version=offset)
+        # Never shorter than before: the lease of an earlier record may still run.
+        log_lease_s = max(state.log_lease_s, record.lease_s)
+        self._incarnations[record.incarnation] = state._replace(
+            version=offset, log_lease_s=log_lease_s
+        )
         return True
 
     def _witnesses(self, offset, record):
@@ -437,3 +446,8 @@
             self._drop(record.service, name)
         self._put(record.service, record.prefix, Shard(pair[0].owner, offset))
         return True
+
+
+def _lease_fits(record):
+    # A takeover waits for this long after the record was read.
+    return 0 < record.lease_s <= records.LOG_LEASE_MAX_S
--- a/packages/core/src/jujuberudder_core/_records.py
+++ b/packages/core/src/jujuberudder_core/_records.py
@@ -14,6 +14,9 @@
 from ._errors import Failure
 
 ID_BYTES = 8
+# Leases that records grant: as long as those of witnesses, longer with a slow log.
+LOG_LEASE_MIN_S = 1.0
+LOG_LEASE_MAX_S = 8.0
 
 
 class ShardOwner(NamedTuple):
@@ -37,6 +40,7 @@
 
     ``sections`` is the position up to which it had read the configuration stream: an
     operator's later word that the node is destroyed concerns this incarnation.
+    ``lease_s`` is the length of the lease that the record grants, in seconds.
     """
 
     id: str
@@ -50,14 +54,19 @@
     witnesses: tuple[str, ...] = ()
     sections: int = 0
     operator_address: str = ""
+    lease_s: float = LOG_LEASE_MIN_S
 
 
 class Keep(NamedTuple):
-    """The incarnation is alive; counts as a lease from the send of the append."""
+    """The incarnation is alive; counts as a lease from the send of the append.
+
+    ``lease_s`` is the length of the lease in seconds.
+    """
 
     id: str
     incarnation: str
     base: int
+    lease_s: float = LOG_LEASE_MIN_S
 
 
 class Witnesses(NamedTuple):
--- a/packages/logservice/src/jujuberudder_logservice/_follower.py
+++ b/packages/logservice/src/jujuberudder_logservice/_follower.py
@@ -9,6 +9,7 @@
 WAIT_S = 5.0
 BACKOFF_MIN_S = 0.05
 BACKOFF_MAX_S = 2.0
+ROUND_TRIP_DECAY = 0.8
 
 
 class Follower:
@@ -42,12 +43,18 @@
         self._changed = trio.Event()
         self._failing = False
         self._read_at = float("-inf")
+        self._round_trip_s = 0.0
 
     @property
     def read_at(self):
         """When the log service last answered, in the runtime's clock."""
         return self._read_at
 
+    @property
+    def round_trip_s(self):
+        """How long the log service took to answer lately, in seconds."""
+        return self._round_trip_s
+
     @property
     def next(self):
         """Offset of the next record to read."""
@@ -67,6 +74,10 @@
         """Wait until further records were handled."""
         await self._changed.wait()
 
+    def note_round_trip(self, seconds):
+        """Note how long one answer took; a slow one counts for a while."""
+        self._round_trip_s = max(seconds, self._round_trip_s * ROUND_TRIP_DECAY)
+
     async def catch_up(self):
         """Read until the end of the stream as it is now.
 
@@ -76,7 +87,9 @@
             False if the log service could not be read or records were missed.
         """
         while True:
+            sent_at = trio.current_time()
             batch = await self._client.read(self._stream, self._next)
+            self.note_round_trip(trio.current_time() - sent_at)
             if batch.is_err():
                 return False
             if not self._take(batch.ok_value):
--- a/packages/node/src/jujuberudder/_admission.py
+++ b/packages/node/src/jujuberudder/_admission.py
@@ -5,14 +5,24 @@
 import trio
 
 from jujuberudder_core import hash_bits, new_id, records
-from jujuberudder_peers import GRANT_S, LEASE_S, Ping, Understood, run_renewals
+from jujuberudder_peers import (
+    LEASE_S,
+    Ping,
+    Understood,
+    log_grant_s,
+    run_renewals,
+)
 
 WITNESS_COUNT = 3
 ASKED_PER_ZONE = 2
 ASKED_ZONES = 5
 # With fewer availability zones in reach, others could hardly reach this node either.
 REACHED_ZONES = 2
-KEEP_MARGIN_S = LEASE_S * 0.6
+# A record is renewed once this share of its lease is left.
+KEEP_SHARE = 0.6
+# The answer of the log is awaited twice, for the append and for reading it back; half
+# of the lease must be left then.
+LOG_ROUND_TRIPS = 6
 TICK_S = 0.1
 RETRY_S = 0.3
 CONNECT_TIMEOUT_S = 1.0
@@ -98,16 +108,16 @@
     """Append the admission of an incarnation until it takes effect."""
     started_at = trio.current_time()
     while life.incarnation not in life.ownership.incarnations:
-        if trio.current_time() > started_at + GRANT_S:
-            await _end_predecessor(life, addresses)
+        await _end_predecessor(life, addresses, started_at)
         if not await _may_be_admitted(life, addresses):
-            with trio.move_on_after(RETRY_S):
-                await life.wait_changed()
+            # Not woken by each record: nodes that start together would each read the
+            # log once for the record of each other node.
+            await trio.sleep(RETRY_S * random.uniform(0.5, 1.0))
             continue
         record = await _admission(life, addresses)
         applied = await life.write(record)
         if applied.is_ok() and applied.ok_value.effect:
-            life.lease.extend(applied.ok_value.sent_at)
+            life.lease.extend(applied.ok_value.sent_at, lease_s=record.lease_s)
             break
         # An attempt whose outcome is unknown may take effect later. Its lease would
         # count from its own send time, so it grants none here; ``keep`` follows.
@@ -117,7 +127,7 @@
     life.log("admitted", incarnation=life.incarnation, witnesses=witnesses)
 
 
-async def _end_predecessor(life, addresses):
+async def _end_predecessor(life, addresses, started_at):
     """Append ``leave`` for an earlier incarnation of this node whose process ended.
 
     Without this, nodes that restart together wait for each other's seals for ever. The
@@ -127,6 +137,8 @@
     for incarnation, state in life.ownership.live():
         if state.admit.node != node:
             continue
+        if trio.current_time() <= started_at + log_grant_s(state):
+            continue
         if await has_ended(state.admit.control_address, addresses.control):
             shards = life.successors(life.ownership, {incarnation})
             record = records.Leave(new_id(), incarnation, state.version, shards)
@@ -186,9 +198,20 @@
         await choose_witnesses(life),
         life.sections_read(),
         addresses.operator,
+        _log_lease_s(life),
     )
 
 
+def _log_lease_s(life):
+    """Return the length of a lease that outlasts the append that grants it, in seconds.
+
+    With 1 s for every log, nodes that started together behind a log with a round trip
+    of 0.6 s never held a lease.
+    """
+    wanted_s = LOG_ROUND_TRIPS * life.log_round_trip_s()
+    return min(max(LEASE_S, wanted_s), records.LOG_LEASE_MAX_S)
+
+
 async def renew_lease(life):
     """Renew with the witness sets in force, following their changes.
 
@@ -233,7 +256,7 @@
         if not state.alive:
             continue
         by_witnesses = watched(life, state)
-        margin_s = 0 if by_witnesses else KEEP_MARGIN_S
+        margin_s = 0 if by_witnesses else KEEP_SHARE * _log_lease_s(life)
         if life.lease.remaining(trio.current_time()) > margin_s:
             continue
         if by_witnesses and len(await answering(life)) < REACHED_ZONES:
@@ -245,10 +268,11 @@
 async def _keep(life):
     if life.lease.ended:
         return
-    record = records.Keep(new_id(), life.incarnation, life.state().version)
+    lease_s = _log_lease_s(life)
+    record = records.Keep(new_id(), life.incarnation, life.state().version, lease_s)
     applied = await life.write(record)
     if applied.is_ok() and applied.ok_value.effect:
-        life.lease.extend(applied.ok_value.sent_at)
+        life.lease.extend(applied.ok_value.sent_at, lease_s=lease_s)
     elif applied.is_err():
         life.log("keep_failed", error=applied.err_value)
         await trio.sleep(RETRY_S)
--- a/packages/node/src/jujuberudder/_life.py
+++ b/packages/node/src/jujuberudder/_life.py
@@ -181,6 +181,10 @@
         read = [await follower.catch_up() for follower in self._core.followers]
         return all(read)
 
+    def log_round_trip_s(self):
+        """Return how long the log service took to answer lately, in seconds."""
+        return self._core.follower.round_trip_s
+
     async def wait_changed(self):
         """Wait until records were applied."""
         await self._core.wait_changed()
--- a/packages/peers/src/jujuberudder_peers/__init__.py
+++ b/packages/peers/src/jujuberudder_peers/__init__.py
@@ -16,7 +16,7 @@
     Understood,
 )
 from ._takeover import Endings, TakeoverContext, run_takeovers
-from ._witness import DRIFT, GRANT_S, Witness
+from ._witness import DRIFT, GRANT_S, Witness, log_grant_s
 
 __all__ = [
     "Channel",
@@ -39,6 +39,7 @@
     "TakeoverContext",
     "Understood",
     "Witness",
+    "log_grant_s",
     "run_renewals",
     "run_takeovers",
 ]
--- a/packages/peers/src/jujuberudder_peers/_lease.py
+++ b/packages/peers/src/jujuberudder_peers/_lease.py
@@ -41,16 +41,18 @@
         """Return the seconds left, 0 if it is not held."""
         return max(0.0, self._until - now) if not self.ended else 0.0
 
-    def extend(self, sent_at, witnesses=()):
-        """Extend the lease to ``LEASE_S`` after the send time of what was granted.
+    def extend(self, sent_at, witnesses=(), lease_s=LEASE_S):
+        """Extend the lease to ``lease_s`` after the send time of what was granted.
 
         Parameters
         ----------
         sent_at : float
         witnesses : tuple of str
             The set that granted it; empty for a record of the log.
+        lease_s : float
+            Longer than ``LEASE_S`` only if a record of the log says so.
         """
-        until = sent_at + LEASE_S
+        until = sent_at + lease_s
         self._until = max(self._until, until)
         self._until_by_set = {witnesses: until}
 
--- a/packages/peers/src/jujuberudder_peers/_takeover.py
+++ b/packages/peers/src/jujuberudder_peers/_takeover.py
@@ -14,7 +14,7 @@
 from jujuberudder_core import hash_bits, new_id, records
 
 from ._messages import Ended, Refused, Seal, Sealed, Understood
-from ._witness import GRANT_S
+from ._witness import GRANT_S, log_grant_s
 
 SILENT_S = 0.7
 TICK_S = 0.1
@@ -108,7 +108,7 @@
             if state is None or not state.alive or state.version != version:
                 del self._versions[incarnation]
                 continue
-            due = read_at.get(incarnation, now) + GRANT_S
+            due = read_at.get(incarnation, now) + log_grant_s(state)
             if due > now or len(bases) == MAX_BASES:
                 later.append(max(due, now))
                 continue
@@ -169,7 +169,7 @@
     for incarnation, state in context.ownership.incarnations.items():
         if not state.alive or incarnation == context.me:
             continue
-        if now - context.read_at.get(incarnation, now) <= GRANT_S:
+        if now - context.read_at.get(incarnation, now) <= log_grant_s(state):
             continue
         live = sum(map(context.ownership.alive, state.witnesses))
         if live <= len(state.witnesses) // 2 or context.destroyed_at(incarnation):
@@ -190,7 +190,8 @@
             await trio.sleep(RETRY_S * random.uniform(0.8, 1.2))
             return
         read_at = context.read_at.get(incarnation, trio.current_time())
-        await trio.sleep_until(max(sealed_at, read_at + GRANT_S) + stagger_s)
+        ended_at = max(sealed_at, read_at + log_grant_s(state))
+        await trio.sleep_until(ended_at + stagger_s)
         if context.ownership.incarnations.get(incarnation) == state:
             await _hand_in(context, incarnation, state)
     finally:
--- a/packages/peers/src/jujuberudder_peers/_witness.py
+++ b/packages/peers/src/jujuberudder_peers/_witness.py
@@ -12,6 +12,16 @@
 RENEWING_S = 0.4
 
 
+def log_grant_s(state):
+    """Return how long after its newest record was read an incarnation may hold a lease.
+
+    Parameters
+    ----------
+    state : Incarnation
+    """
+    return state.log_lease_s * (1 + DRIFT)
+
+
 class Witness:
     """Grants given by this node.
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -75,7 +75,7 @@
         """Wait as a message to or from a peer does; return whether it arrives."""
         await self.thawed.wait()
         delay = self.cluster.delay_s()
-        await trio.sleep(delay)
+        await trio.sleep(delay + (self.cluster.log_delay_s if peer == LOG else 0))
         return not self.cluster.is_cut(self.name, peer)
 
     async def append(self, stream, data):
@@ -173,6 +173,7 @@
         self._nursery = nursery
         self.log = FakeLog()
         self.faulty = False
+        self.log_delay_s = 0.0
         self.cuts = set()
         self.hosts = {}
         self.log.put("sim.sections", encode(SECTION))
--- a/tests/test_oddities.py
+++ b/tests/test_oddities.py
@@ -2,7 +2,7 @@
 
 import pytest
 import trio
-from fakes import Checker, Cluster, seeded, simulate
+from fakes import LEAVES, LOG, Checker, Cluster, seeded, simulate
 from result import Ok
 
 from jujuberudder._admission import has_ended, obstacle
@@ -12,6 +12,8 @@
 KEEP = records.Keep("k", "a", 1)
 SLOW_S = 0.3
 LIMIT_S = 2.0
+LOG_LEASE_S = 6.0
+START_LIMIT_S = 60.0
 
 
 def batch(first, following, *entries):
@@ -126,9 +128,9 @@
             await trio.sleep(SLOW_S)
             extend = host.core.life.lease.extend
 
-            def watch(sent_at, witnesses=()):
+            def watch(sent_at, witnesses=(), **length):
                 counted.append(sent_at)
-                extend(sent_at, witnesses)
+                extend(sent_at, witnesses, **length)
 
             host.core.life.lease.extend = watch
             await trio.sleep(5)
@@ -139,6 +141,64 @@
     simulate(main)
 
 
+def all_hold_leases(cluster):
+    """Return whether the node of each host holds a lease."""
+    lives = [host.core.life for host in cluster.running()]
+    return len(lives) == len(cluster.hosts) and all(
+        life.holds_lease() for life in lives
+    )
+
+
+@pytest.mark.parametrize("log_delay_s", [0.0, 0.3, 0.6])
+def test_cold_start_behind_a_slow_log(log_delay_s):
+    """Guards against leases that have lapsed when the log tells that they exist.
+
+    36 nodes behind a log with a delay of 0.3 s each way appended 504 `keep` records in
+    20 s and never held a lease.
+    """
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery, ("a", "b", "c") * 12)
+            cluster.log_delay_s = log_delay_s
+            checker = Checker(cluster)
+            cluster.start(checker.run)
+            with trio.fail_after(START_LIMIT_S):
+                while not all_hold_leases(cluster):
+                    await trio.sleep(0.1)
+            assert cluster.log.appends < 8 * len(cluster.hosts)
+            nursery.cancel_scope.cancel()
+
+    simulate(main)
+
+
+@seeded
+def test_takeover_waits_for_the_lease_that_a_record_granted(_):
+    """Guards against a second owner while a long lease of a slow log still runs."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery, ("a", "b", "c") * 3)
+            checker = Checker(cluster)
+            cluster.start(checker.run)
+            await trio.sleep(5)
+            [(owner, _)] = cluster.serving(LEAVES[0])
+            life = cluster.hosts[owner].core.life
+            version = life.state().version
+            keep = records.Keep("k", life.incarnation, version, LOG_LEASE_S)
+            applied = await life.write(keep)
+            life.lease.extend(applied.ok_value.sent_at, lease_s=LOG_LEASE_S)
+            others = [name for name in cluster.hosts if name != owner]
+            cluster.cuts |= {frozenset((owner, peer)) for peer in [*others, LOG]}
+            await trio.sleep(LOG_LEASE_S - 1)
+            assert cluster.serving(LEAVES[0])[0][0] == owner
+            await trio.sleep(5)
+            assert cluster.serving(LEAVES[0])[0][0] != owner
+            nursery.cancel_scope.cancel()
+
+    simulate(main)
+
+
 @seeded
 def test_lost_zone_is_taken_over_in_few_records(_):
     """Guards against one append per lost node, and against duplicates."""
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -38,6 +38,11 @@
 CASES = {
     "same node twice": ([admit("a"), admit("a2", "a")], False),
     "node again after death": ([admit("a"), dead("a", 1), admit("a2", "a")], True),
+    "keep with a lease that is too long": (
+        [admit("a"), records.Keep("x", "a", 1, 9.0)],
+        False,
+    ),
+    "keep without a lease": ([admit("a"), records.Keep("x", "a", 1, 0.0)], False),
     "keep on an old version": (
         [admit("a"), records.Keep("x", "a", 1), records.Keep("y", "a", 1)],
         False,
