Let a writer wait for the follower before it reads the log itself

Cause: each append was followed by reads of its own every 20 ms although the follower's pending read brings the record anyway. With 81 node processes started at once the log stand-in answered after more than 1 s, and after 120 s not all nodes held a lease (86 admit, 127 keep, 93 witnesses and 46 confirm records after 45 s). Change: the writer waits for the follower, two log round trips at most, and reads itself only after that or when the append failed.

--- a/packages/logservice/src/jujuberudder_logservice/_writer.py
+++ b/packages/logservice/src/jujuberudder_logservice/_writer.py
@@ -10,6 +10,8 @@
 
 READ_BACK_S = 3.0
 READ_RETRY_S = 0.02
+FOLLOWED_S = 0.05
+FOLLOWED_ROUND_TRIPS = 2
 BACKOFF_MIN_S = 0.1
 # 4,500 nodes that all wait to write then append 4,500 / 6 s = 750 times a second when
 # the log returns; each node alone, once in 4 to 8 s.
@@ -71,6 +73,10 @@
         self._note(appended.is_ok())
         with trio.move_on_after(READ_BACK_S):
             while not seen:
+                if appended.is_ok():
+                    await self._wait_followed(seen)
+                if seen:
+                    break
                 read = await self._follower.catch_up()
                 if seen or (read and appended.is_err()):
                     break
@@ -82,6 +88,14 @@
             return appended
         return Err(Failure("read back", self._client.address, "timed out", True))
 
+    async def _wait_followed(self, seen):
+        # The follower reads the record anyway; a read of its own for each append
+        # doubled the load on a log that was already slow.
+        wait_s = max(FOLLOWED_S, FOLLOWED_ROUND_TRIPS * self._follower.round_trip_s)
+        with trio.move_on_after(wait_s):
+            while not seen:
+                await self._follower.wait_changed()
+
     def _note(self, succeeded):
         if succeeded:
             self._backoff_s = 0.0
