Cancel work for a key when the lease of its owner lapses

Cause: a request that was at the target when the lease lapsed went on until its deadline, and the next owner could start on the same key meanwhile: two targets at work on one key, found by reading the request path against the ownership rules. Change: keyed exchanges run in a cancel scope that ends with the lease or with the incarnation; the client is told unknown with 502. A frozen node cannot cancel. Result: test_lease_lapses_while_the_target_works fails without the guard task (the target works on until the deadline) and passes with it, at the owner and over one hop.

--- a/packages/clients/src/jujuberudder_clients/_hops.py
+++ b/packages/clients/src/jujuberudder_clients/_hops.py
@@ -76,9 +76,21 @@
     # for before the first byte goes to the target.
     await request.body.fill()
     outgoing = _outgoing(context.target, request, ready, False)
-    return await _exchange(
-        context, request, outgoing, context.target_pool, "target", flight
-    )
+    sending = context, request, outgoing, context.target_pool, "target", flight
+    if request.key is None:
+        return await _exchange(*sending)
+    with serving.guarded():
+        return await _exchange(*sending)
+    return _lease_lost(context, request)
+
+
+def _lease_lost(context, request):
+    """Return the Refusal of a request that was cancelled when the lease lapsed."""
+    reason = "the lease of the owner lapsed"
+    context.log("lease_lost", request=request.id, sent=request.progress.sent)
+    if not request.progress.sent:
+        return Refusal("not-run", 503, reason, True)
+    return Refusal("unknown", 502, reason, request.idempotent)
 
 
 def _epoch_in_force(context, request, hop, serving):
--- a/packages/core/src/jujuberudder_core/_serving.py
+++ b/packages/core/src/jujuberudder_core/_serving.py
@@ -1,9 +1,12 @@
 """Which shards this node serves right now, and the requests in flight for them."""
 
 from collections import Counter
+from contextlib import contextmanager
 
 import trio
 
+GUARD_TICK_S = 0.05
+
 
 class Serving:
     """Serving state of one incarnation.
@@ -24,6 +27,7 @@
         self._in_flight = Counter()
         self._idle = trio.Event()
         self._leaving = False
+        self._guarded = set()
 
     @property
     def leaving(self):
@@ -67,6 +71,34 @@
             return shard.move_epoch
         return None
 
+    @contextmanager
+    def guarded(self):
+        """Cancel the block when the lease lapses; yields the cancel scope.
+
+        Work for a key that goes on past the lease would overlap with that of the next
+        owner.
+        """
+        with trio.CancelScope() as scope:
+            self._guarded.add(scope)
+            try:
+                yield scope
+            finally:
+                self._guarded.discard(scope)
+
+    async def guard(self):
+        """Cancel what is guarded whenever the lease lapses, for ever."""
+        while True:
+            if self._lease.held(trio.current_time()):
+                await trio.sleep_until(self._lease.until)
+            else:
+                self.cancel_guarded()
+                await trio.sleep(GUARD_TICK_S)
+
+    def cancel_guarded(self):
+        """Cancel what is guarded."""
+        for scope in self._guarded:
+            scope.cancel()
+
     def release(self, service, prefix, epoch):
         """Stop serving a shard at an epoch for good."""
         self._released[service, prefix] = epoch
--- a/packages/node/src/jujuberudder/_life.py
+++ b/packages/node/src/jujuberudder/_life.py
@@ -326,6 +326,7 @@
         await _serve(life, stopping)
     finally:
         life.lease.end()
+        life.serving.cancel_guarded()
     life.log("incarnation_ended", incarnation=life.incarnation)
 
 
@@ -343,6 +344,7 @@
             nursery.start_soon(task, life)
         for stream in life.snapshot_streams:
             nursery.start_soon(run_snapshots, life, stream)
+        nursery.start_soon(life.serving.guard)
         nursery.start_soon(run_takeovers, _takeover_context(life))
         nursery.start_soon(_leave_when, life, stopping, nursery.cancel_scope)
         while life.state().alive:
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -116,3 +116,34 @@
         # A tenth of the requests, and what was saved before.
         assert number < len(target.heads) <= number + number / 10 + 10
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("over_hop", [0, 1], ids=["owner", "forwarded"])
+async def test_lease_lapses_while_the_target_works(over_hop):
+    """Guards against work for a key that overlaps with that of its next owner."""
+    working, broken_off = trio.Event(), trio.Event()
+
+    async def script(stream, head):
+        if b"/jobs/slow " in head:
+            working.set()
+            assert await stream.receive_some() == b""
+            broken_off.set()
+            return False
+        await stream.send_all(OK)
+        return True
+
+    async with trio.open_nursery() as nursery:
+        _, addresses, deployment = await start_raw(nursery, script, SECTION)
+        replies = []
+
+        async def ask():
+            replies.append(await talk(addresses[over_hop], "POST", "/jobs/slow"))
+
+        async with trio.open_nursery() as asking:
+            asking.start_soon(ask)
+            await working.wait()
+            await lapse(deployment)
+            with trio.fail_after(30):
+                await broken_off.wait()
+        assert (replies[0].status, replies[0].outcome) == (502, "unknown")
+        nursery.cancel_scope.cancel()
