Leave failed reads out of the log's round trip

Cause: after a cut, reads that timed out after 3 s counted as round trips, so that the next record granted a lease of 8 s. Change: only answers count as round trips.

--- a/packages/logservice/src/jujuberudder_logservice/_follower.py
+++ b/packages/logservice/src/jujuberudder_logservice/_follower.py
@@ -75,7 +75,11 @@
         await self._changed.wait()
 
     def note_round_trip(self, seconds):
-        """Note how long one answer took; a slow one counts for a while."""
+        """Note how long one answer took; a slow one counts for a while.
+
+        Failures do not count: after a cut their timeouts made the next lease so long
+        that the takeover of the node waited for 5 s.
+        """
         self._round_trip_s = max(seconds, self._round_trip_s * ROUND_TRIP_DECAY)
 
     async def catch_up(self):
@@ -89,9 +93,9 @@
         while True:
             sent_at = trio.current_time()
             batch = await self._client.read(self._stream, self._next)
-            self.note_round_trip(trio.current_time() - sent_at)
             if batch.is_err():
                 return False
+            self.note_round_trip(trio.current_time() - sent_at)
             if not self._take(batch.ok_value):
                 return False
             if self._next >= batch.ok_value.next:
--- a/packages/logservice/src/jujuberudder_logservice/_writer.py
+++ b/packages/logservice/src/jujuberudder_logservice/_writer.py
@@ -69,7 +69,8 @@
         seen = self._waiting.setdefault(record.id, [])
         sent_at = trio.current_time()
         appended = await self._client.append(self._stream, encode(record))
-        self._follower.note_round_trip(trio.current_time() - sent_at)
+        if appended.is_ok():
+            self._follower.note_round_trip(trio.current_time() - sent_at)
         self._note(appended.is_ok())
         with trio.move_on_after(READ_BACK_S):
             while not seen:
--- a/tests/test_oddities.py
+++ b/tests/test_oddities.py
@@ -3,10 +3,10 @@
 import pytest
 import trio
 from fakes import LEAVES, LOG, Checker, Cluster, seeded, simulate
-from result import Ok
+from result import Err, Ok
 
 from jujuberudder._admission import has_ended, obstacle
-from jujuberudder_core import Ownership, encode, records
+from jujuberudder_core import Failure, Ownership, encode, records
 from jujuberudder_logservice import Batch, Entry, Follower
 
 KEEP = records.Keep("k", "a", 1)
@@ -141,6 +141,19 @@
     simulate(main)
 
 
+async def test_failed_reads_do_not_count_as_round_trips(autojump_clock):
+    """Guards against a lease, and a wait of its takeover, as long as a timeout."""
+
+    class Client:
+        async def read(self, *args):
+            await trio.sleep(SLOW_S)
+            return Err(Failure("read", "log", "timed out"))
+
+    follower = Follower(Client(), "s", lambda *args: None, lambda *args, **kw: None)
+    assert not await follower.catch_up()
+    assert follower.round_trip_s == 0.0
+
+
 def all_hold_leases(cluster):
     """Return whether the node of each host holds a lease."""
     lives = [host.core.life for host in cluster.running()]
