Remove dead code and state the length of a lease once

Cause: a read of the whole change found a function, an attribute and a constant that nothing uses, and two constants for the same 1 s that have to agree. Change: refuse_foreign, the follower's _reads and the proxy's CHUNK_BYTES go out; LEASE_S is taken from the records. Behaviour stays as it is.

--- a/packages/logservice/src/jujuberudder_logservice/_follower.py
+++ b/packages/logservice/src/jujuberudder_logservice/_follower.py
@@ -39,7 +39,6 @@
         self._went_back = False
         self._missed = False
         self._next = 0
-        self._reads = 0
         self._changed = trio.Event()
         self._failing = False
         self._read_at = float("-inf")
--- a/packages/peers/src/jujuberudder_peers/_lease.py
+++ b/packages/peers/src/jujuberudder_peers/_lease.py
@@ -2,9 +2,11 @@
 
 import trio
 
+from jujuberudder_core import records
+
 from ._messages import Granted, Refused, Renew
 
-LEASE_S = 1.0
+LEASE_S = records.LOG_LEASE_MIN_S
 RENEW_INTERVAL_S = LEASE_S / 3
 RENEW_TIMEOUT_S = 0.5
 
--- a/packages/peers/src/jujuberudder_peers/_witness.py
+++ b/packages/peers/src/jujuberudder_peers/_witness.py
@@ -1,7 +1,5 @@
 """The witness: promises to incarnations that renew their leases with this node."""
 
-from jujuberudder_core import Failure
-
 from ._lease import LEASE_S
 from ._messages import Granted, Refused, Sealed
 
@@ -102,11 +100,3 @@
     def _renews(self, incarnation, now):
         granted_until = self._granted_until.get(incarnation, float("-inf"))
         return granted_until - now > GRANT_S - RENEWING_S
-
-
-def refuse_foreign(deployment, message):
-    """Return a failure if a message belongs to another deployment, else None."""
-    if message.deployment == deployment:
-        return None
-    reason = f"deployment {message.deployment!r} is not {deployment!r}"
-    return Failure("accept", "peer", reason)
--- a/packages/standins/src/jujuberudder_standins/_proxy.py
+++ b/packages/standins/src/jujuberudder_standins/_proxy.py
@@ -6,7 +6,6 @@
 
 import trio
 
-CHUNK_BYTES = 64 * 1024
 QUEUED_CHUNKS = 64
 # The usual minimum of a TCP retransmission timeout.
 STALL_S = 0.2
