--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,17 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN = $(VENV)/bin
-PACKAGES = core logservice peers targets clients operators node ctl standins
+PACKAGES = base core router logservice peers targets clients operators node ctl standins
 
 .PHONY: install demo example proof bench bench-quick test lint check format
 
 install: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
-		--no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
+		--no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 	touch $@
 
 demo: install
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Puts the node's requirements and packages below target/deps, byte code included.
+set -eu
+deps=target/deps
+if [ ! -f $deps/.requirements ] || ! cmp -s requirements-node.txt $deps/.requirements; then
+  python3 -m pip install -q --disable-pip-version-check --no-compile --upgrade \
+    --target $deps -r requirements-node.txt
+  cp requirements-node.txt $deps/.requirements
+fi
+rm -rf $deps/jujuberudder_*
+cp -R packages/base/src/jujuberudder_base packages/router/src/jujuberudder_router \
+  platform/src/jujuberudder_platform $deps/
+python3 -m compileall -q $deps
--- a/packages/core/src/jujuberudder_core/__init__.py
+++ b/packages/core/src/jujuberudder_core/__init__.py
@@ -1,9 +1,9 @@
 """Records, folds, settings and shared types of jujuberudder."""
 
+from jujuberudder_base import BoottimeClock, Failure, UserError
+
 from . import _records as records
-from ._clock import BoottimeClock
 from ._documents import Document, Problem, convert, read_document
-from ._errors import Failure, UserError
 from ._instruments import ALL as INSTRUMENTS
 from ._instruments import Instrument
 from ._logging import format_line, make_logger, start_logging
--- a/packages/core/src/jujuberudder_core/_logging.py
+++ b/packages/core/src/jujuberudder_core/_logging.py
@@ -1,11 +1,11 @@
 """One line of key=value pairs for each event, through eliot."""
 
-import re
 import sys
 
 import eliot
 
-_PLAIN = re.compile(r"[\w.:/@+,*%-]+\Z")
+from jujuberudder_base import format_pairs
+
 _HIDDEN = ("task_uuid", "task_level", "message_type", "timestamp")
 
 
@@ -20,22 +20,7 @@
     pairs = [("time", f"{message['timestamp']:.3f}")]
     pairs.append(("event", message.get("message_type", "")))
     pairs += [(k, v) for k, v in message.items() if k not in _HIDDEN]
-    return " ".join(f"{key}={_value(value)}" for key, value in pairs)
-
-
-def _value(value):
-    text = f"{value:.4f}" if isinstance(value, float) else str(value)
-    if _PLAIN.match(text):
-        return text
-    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
-    return '"' + "".join(map(_visible, escaped)) + '"'
-
-
-def _visible(character):
-    """Escape what would break the line, the terminal or the encoding of the stream."""
-    if character.isprintable():
-        return character
-    return character.encode("unicode_escape").decode("ascii")
+    return format_pairs(pairs)
 
 
 def start_logging(stream=None):
--- a/packages/core/src/jujuberudder_core/_records.py
+++ b/packages/core/src/jujuberudder_core/_records.py
@@ -11,7 +11,7 @@
 import msgspec
 from result import Err, Ok
 
-from ._errors import Failure
+from jujuberudder_base import Failure
 
 ID_BYTES = 8
 # Leases that records grant: as long as those of witnesses, longer with a slow log.
--- a/packages/core/src/jujuberudder_core/_sections.py
+++ b/packages/core/src/jujuberudder_core/_sections.py
@@ -5,8 +5,9 @@
 from msgspec import Meta
 from result import Err, Ok
 
+from jujuberudder_base import Failure
+
 from ._documents import Problem, convert, read_document
-from ._errors import Failure
 from ._instruments import check_renames
 from ._records import Section
 
--- a/packages/core/src/jujuberudder_core/_settings.py
+++ b/packages/core/src/jujuberudder_core/_settings.py
@@ -6,8 +6,9 @@
 from msgspec import Meta
 from result import Err
 
+from jujuberudder_base import UserError
+
 from ._documents import Document, Problem, convert, read_document
-from ._errors import UserError
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]*$", max_length=63)]
 
--- /dev/null
+++ b/packages/router/src/jujuberudder_router/_choice.py
@@ -0,0 +1,59 @@
+"""Which VM of a service without keys runs a request: a function of what was heard."""
+
+from typing import NamedTuple
+
+# Seconds that a crossing between availability zones costs a request beside its delay:
+# both ways on the links, and the price of the bytes.
+CROSSING_S = 0.012
+# Seconds per byte of a body that crosses: keeps uploads near unless the wait is longer.
+CROSSING_BYTE_S = 5e-7
+# Age of a report, in seconds, beyond which the requests sent since count more than it.
+REPORT_OLD_S = 1.0
+
+
+class Candidate(NamedTuple):
+    """A VM that may run a request, as this node sees it.
+
+    ``own`` counts this node's requests there; ``failures`` is a share in [0, 1].
+    """
+
+    vm: str
+    same_zone: bool
+    running: int
+    queued: int
+    slots: int
+    service_s: float
+    own: int
+    age_s: float
+    failures: float = 0.0
+
+
+def cost(candidate, body_bytes):
+    """Return the expected seconds until the answer, with the price of a crossing."""
+    c = candidate
+    seen = c.running + c.queued
+    if c.age_s > REPORT_OLD_S:
+        seen = max(seen, c.own)
+    load = max(seen, c.own)
+    slots = max(1, c.slots)
+    wait = max(0, load + 1 - slots) * c.service_s / slots
+    crowding = 0.1 * c.service_s * min(1.0, load / slots)
+    crossing = 0.0 if c.same_zone else CROSSING_S + CROSSING_BYTE_S * body_bytes
+    return (wait + c.service_s + crowding + crossing) / max(0.05, 1 - c.failures)
+
+
+def choose(candidates, body_bytes, jitter):
+    """Return the candidate of least cost, or None.
+
+    Parameters
+    ----------
+    candidates : list of Candidate
+    body_bytes : int
+    jitter : callable
+        Returns numbers in [0, 1); parts equals so that nodes do not all pick one VM.
+    """
+    return min(
+        candidates,
+        key=lambda c: cost(c, body_bytes) * (1 + 0.05 * jitter()),
+        default=None,
+    )
--- /dev/null
+++ b/packages/router/src/jujuberudder_router/_follow.py
@@ -0,0 +1,96 @@
+"""Follows a topic of the store: the newest of each key first, then each record."""
+
+import trio
+from result import Err, Ok
+
+from ._store import Forgotten
+
+# Pauses after a failed call, doubling from the first to the last, in seconds. The last
+# bounds how late a node is after the store returns.
+PAUSE_FIRST_S, PAUSE_LAST_S = 0.1, 1.0
+
+
+class Follower:
+    """Reads a topic in order and hands over its records.
+
+    Parameters
+    ----------
+    store : Store
+    topic : str
+    wait_s : float
+        How long a read waits for a record.
+    apply : callable
+        ``apply(record)``, in the order of offsets for each key.
+    log : callable
+    """
+
+    def __init__(self, store, topic, wait_s, apply, log):
+        self._store = store
+        self._topic = topic
+        self._wait_s = wait_s
+        self._apply = apply
+        self._log = log
+        self._offsets = {}
+        self.end = None
+        self.read_at = None
+        self.failing_since = None
+        self.changed = trio.Event()
+
+    @property
+    def started(self):
+        """Whether the topic was read once."""
+        return self.end is not None
+
+    async def run(self):
+        """Follow until cancelled."""
+        pause = PAUSE_FIRST_S
+        while True:
+            ok = await self._step()
+            if ok:
+                pause = PAUSE_FIRST_S
+            else:
+                await trio.sleep(pause)
+                pause = min(2 * pause, PAUSE_LAST_S)
+
+    async def _step(self):
+        sent_at = trio.current_time()
+        if self.end is None:
+            found = await self._store.newest(self._topic)
+        else:
+            found = await self._store.read(self._topic, self.end, self._wait_s)
+        match found:
+            case Ok(Forgotten(first)):
+                self._log("records_forgotten", topic=self._topic, first=first)
+                self.end = None
+                return False
+            case Ok(page):
+                self._take(page, sent_at)
+                return True
+            case Err(failure):
+                self._note_failure(failure)
+                return False
+
+    def _take(self, page, sent_at):
+        if self.failing_since is not None:
+            self._log(
+                "store_regained", topic=self._topic,
+                after_s=trio.current_time() - self.failing_since,
+            )  # fmt: skip
+            self.failing_since = None
+        for record in page.records:
+            if record.offset > self._offsets.get(record.key, -1):
+                self._offsets[record.key] = record.offset
+                self._apply(record)
+        if self.end is None:
+            self.end = page.end
+        elif page.records:
+            self.end = max(self.end, page.records[-1].offset + 1)
+        if self.end >= page.end:
+            self.read_at = sent_at
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def _note_failure(self, failure):
+        if self.failing_since is None:
+            self.failing_since = trio.current_time()
+            self._log("store_lost", topic=self._topic, reason=str(failure))
--- /dev/null
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -0,0 +1,125 @@
+"""Messages between nodes: msgpack arrays behind a length of four bytes."""
+
+import msgspec
+
+LENGTH_BYTES = 4
+
+ANSWERED, NOT_RUN, UNKNOWN = 0, 1, 2
+
+
+class Load(msgspec.Struct, array_like=True, frozen=True):
+    """What the node beside a target reports of it.
+
+    ``wait_s`` is what a new request would wait, ``service_s`` how long one runs.
+    """
+
+    running: int
+    queued: int
+    slots: int
+    wait_s: float
+    service_s: float
+    open: bool
+
+
+class Ask(msgspec.Struct, array_like=True, tag="a"):
+    """A request passed on to the node beside the target that is to run it."""
+
+    id: int
+    request_id: str
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    left_s: float
+    aim_s: float
+    priority: int
+    key: int | None
+    caller: str
+    service: str
+    route: str
+
+
+class Reply(msgspec.Struct, array_like=True, tag="r"):
+    """What became of an ``Ask``.
+
+    ``outcome`` is ANSWERED, NOT_RUN (it will not run later either) or UNKNOWN.
+    """
+
+    id: int
+    outcome: int
+    status: int = 0
+    headers: list[tuple[bytes, bytes]] = []
+    body: bytes = b""
+    reason: str = ""
+    retry_after_s: float = 0.0
+    load: Load | None = None
+
+
+class Cancel(msgspec.Struct, array_like=True, tag="c"):
+    """The caller of an ``Ask`` left or its time is over."""
+
+    id: int
+
+
+class Ping(msgspec.Struct, array_like=True, tag="p"):
+    """Asks for a ``Pong``."""
+
+    id: int
+
+
+class Pong(msgspec.Struct, array_like=True, tag="q"):
+    """Answers a ``Ping`` with the load of the target beside the node."""
+
+    id: int
+    load: Load | None = None
+
+
+class Relay(msgspec.Struct, array_like=True, tag="s"):
+    """A store call made on behalf of a node that the store turns away."""
+
+    id: int
+    call: bytes
+
+
+class Relayed(msgspec.Struct, array_like=True, tag="t"):
+    """Result of a ``Relay``; ``result`` is empty if the call failed."""
+
+    id: int
+    result: bytes
+    reason: str = ""
+
+
+Frame = Ask | Reply | Cancel | Ping | Pong | Relay | Relayed
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Frame)
+
+
+def encode_frame(frame):
+    """Return a frame as bytes with its length."""
+    buffer = bytearray(LENGTH_BYTES)
+    _encoder.encode_into(frame, buffer, LENGTH_BYTES)
+    buffer[:LENGTH_BYTES] = (len(buffer) - LENGTH_BYTES).to_bytes(LENGTH_BYTES, "big")
+    return buffer
+
+
+class FrameBuffer:
+    """Cuts received bytes into frames."""
+
+    def __init__(self):
+        self._buffer = bytearray()
+
+    def feed(self, data):
+        """Return the frames that are complete with these bytes."""
+        buffer = self._buffer
+        buffer += data
+        frames, start = [], 0
+        while len(buffer) - start >= LENGTH_BYTES:
+            size = int.from_bytes(buffer[start : start + LENGTH_BYTES], "big")
+            end = start + LENGTH_BYTES + size
+            if len(buffer) < end:
+                break
+            frames.append(_decoder.decode(bytes(buffer[start + LENGTH_BYTES : end])))
+            start = end
+        del buffer[:start]
+        return frames
--- /dev/null
+++ b/packages/router/src/jujuberudder_router/_gate.py
@@ -0,0 +1,213 @@
+"""Admission at the one target beside this node: exact slots and one queue.
+
+``next_waiter`` and ``refusal`` answer a load that is above what the target can run:
+they decide from numbers alone which request runs next and which is turned away.
+"""
+
+from typing import NamedTuple
+
+import trio
+
+from ._frames import Load
+
+# Share of the time that a request has left which may be spent before its answer; the
+# rest covers the way back and the spread of the time that requests run.
+USABLE_SHARE = 0.85
+# Weight of the newest run in the mean time that requests of a route take.
+MEAN_WEIGHT = 0.1
+# Time a request is taken to run before one of its route was seen, in seconds: the mean
+# of the users' sheets.
+FIRST_SERVICE_S = 0.15
+# Least and most seconds that a refused caller is asked to stay away. The most is what
+# the queue needs to empty once; callers come back sooner than that anyway.
+RETRY_LEAST_S, RETRY_MOST_S = 0.1, 2.0
+
+
+class Waiter(NamedTuple):
+    """A request that waits for a slot; times on the node's clock, in seconds."""
+
+    priority: int
+    aim_at: float
+    give_up_at: float
+    service_s: float
+    key: int | None
+    event: trio.Event
+    number: int
+
+
+def next_waiter(waiters, now, ready):
+    """Return the request to run next, or None.
+
+    Requests that can still meet their aim go before those that are late anyway;
+    among them the more urgent first, then the one whose aim comes first.
+
+    Parameters
+    ----------
+    waiters : iterable of Waiter
+    now : float
+    ready : callable
+        ``ready(key)`` tells whether the target holds the key.
+    """
+    best, best_order = None, None
+    for waiter in waiters:
+        if not ready(waiter.key):
+            continue
+        late = now + waiter.service_s > waiter.aim_at
+        order = (late, waiter.priority, waiter.aim_at, waiter.number)
+        if best is None or order < best_order:
+            best, best_order = waiter, order
+    return best
+
+
+def expected_wait(running, ahead, slots, service_s):
+    """Return the seconds until a slot is free for one more request."""
+    excess = running + ahead + 1 - slots
+    if excess <= 0:
+        return 0.0
+    return excess * service_s / max(1, slots)
+
+
+def refusal(wait_s, service_s, left_s, limit_s):
+    """Return for how long to stay away (s) if a request is not to be queued, or None.
+
+    Parameters
+    ----------
+    wait_s, service_s : float
+        Expected time in the queue and at the target.
+    left_s : float
+        Time until the answer is worth nothing.
+    limit_s : float
+        Longest wait after which an answer is worth queueing for.
+    """
+    if wait_s <= 0:
+        return None
+    if wait_s + service_s <= left_s * USABLE_SHARE and wait_s <= limit_s:
+        return None
+    return min(RETRY_MOST_S, max(RETRY_LEAST_S, wait_s))
+
+
+class Refused(Exception):
+    """A request that was not admitted and will not run."""
+
+    def __init__(self, reason, retry_after_s):
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class Gate:
+    """Slots and queue of the target beside this node.
+
+    Parameters
+    ----------
+    holds : callable
+        ``holds(key, now)`` tells whether the target holds a key (None: no key).
+    """
+
+    def __init__(self, holds):
+        self._holds = holds
+        self._waiters = {}
+        self._numbers = 0
+        self._running = 0
+        self._service_s = {}
+        self._mean_s = FIRST_SERVICE_S
+        self.slots = 0
+        self.closed_reason = "no target has announced itself"
+
+    @property
+    def running(self):
+        """Number of requests at the target."""
+        return self._running
+
+    def open(self, slots):
+        """Admit requests."""
+        self.slots = slots
+        self.closed_reason = ""
+        self.wake()
+
+    def close(self, reason):
+        """Refuse all new requests and those that wait."""
+        self.closed_reason = reason
+        for waiter in self._waiters.values():
+            waiter.event.set()
+
+    def load(self):
+        """Return the report for other nodes."""
+        queued = len(self._waiters)
+        wait = expected_wait(self._running, queued, self.slots, self._mean_s)
+        return Load(
+            self._running, queued, self.slots, wait, self._mean_s,
+            not self.closed_reason,
+        )  # fmt: skip
+
+    async def enter(self, ask, now):
+        """Wait for a slot.
+
+        Raises
+        ------
+        Refused
+            The request has not run and will not.
+        """
+        if self.closed_reason:
+            raise Refused(self.closed_reason, RETRY_LEAST_S)
+        service_s = self._service_s.get(ask.route, self._mean_s)
+        held = self._holds(ask.key, now)
+        if held and self._running < self.slots and not self._waiters:
+            self._running += 1
+            return
+        self._check(ask, service_s)
+        await self._wait(ask, now, service_s)
+
+    def _check(self, ask, service_s):
+        ahead = sum(1 for w in self._waiters.values() if w.priority <= ask.priority)
+        wait_s = expected_wait(self._running, ahead, self.slots, self._mean_s)
+        limit_s = max(ask.aim_s - service_s, ask.aim_s / 2)
+        away_s = refusal(wait_s, service_s, ask.left_s, limit_s)
+        if away_s is not None:
+            raise Refused(f"queue of {wait_s:.2f} s", away_s)
+
+    async def _wait(self, ask, now, service_s):
+        self._numbers += 1
+        number = self._numbers
+        give_up_at = now + ask.left_s - min(service_s, ask.left_s / 2)
+        waiter = Waiter(
+            ask.priority, now + ask.aim_s, give_up_at, service_s, ask.key,
+            trio.Event(), number,
+        )  # fmt: skip
+        self._waiters[number] = waiter
+        self.wake()
+        try:
+            with trio.move_on_at(give_up_at):
+                await waiter.event.wait()
+        except trio.Cancelled:
+            if self._waiters.pop(number, None) is None and waiter.event.is_set():
+                self.leave()
+            raise
+        if self._waiters.pop(number, None) is None:
+            return
+        reason = self.closed_reason or "no slot came free in time"
+        raise Refused(reason, RETRY_LEAST_S)
+
+    def leave(self, route=None, took_s=None):
+        """Free a slot; ``took_s`` is how long the target worked."""
+        self._running -= 1
+        if took_s is not None:
+            last = self._service_s.get(route, took_s)
+            self._service_s[route] = last + MEAN_WEIGHT * (took_s - last)
+            self._mean_s += MEAN_WEIGHT * (took_s - self._mean_s)
+        self.wake()
+
+    def wake(self):
+        """Let waiting requests run while there are slots."""
+        if self.closed_reason:
+            return
+        now = trio.current_time()
+        while self._running < self.slots and self._waiters:
+            waiter = next_waiter(
+                self._waiters.values(), now, lambda key: self._holds(key, now)
+            )
+            if waiter is None:
+                return
+            del self._waiters[waiter.number]
+            self._running += 1
+            waiter.event.set()
--- /dev/null
+++ b/packages/router/src/jujuberudder_router/_keeper.py
@@ -0,0 +1,308 @@
+"""Keeps the owners of a service's keys: what one node may do and when.
+
+The node beside a target is the only one that grants keys to it. It grants what the
+newest map gives its target, and only while its last complete read of the map is younger
+than ``LEASE_S``. A VM that does not answer is suspected by a record first; it answers by
+removing the suspicion. Only a suspicion that stood for ``TAKEOVER_S`` lets others take
+its keys: a read that did not show the suspicion was sent before it was written, so the
+last grant on it, and the hold that it gave, have run out by then.
+"""
+
+import secrets
+from typing import NamedTuple
+
+import trio
+from result import Err, Ok
+
+from . import _keymap
+from ._keymap import Owner
+from ._store import FLEET, Appended, Conflict
+from ._types import Grant, KeyMap
+
+# Seconds for which a complete read of the map allows grants. With the hold it bridges
+# the 9 s for which the users' store is down.
+LEASE_S = 6.5
+# Seconds for which a grant holds. Beats come every 0.87 s and are at times 2 s late.
+HOLD_S = 3.5
+# Share by which a target's clock may run slow, as the platform states.
+DRIFT = 1.02
+# Seconds added where another node's clock or a late timer counts.
+MARGIN_S = 0.3
+# Seconds for which a suspicion stands before keys are taken: lease, hold and margin.
+TAKEOVER_S = LEASE_S + HOLD_S * DRIFT + MARGIN_S
+# Seconds for which a VM is out of touch before it is suspected: longer than a restart
+# of a node takes, so that a node that comes back keeps its keys.
+SUSPECT_S = 2.0
+# Seconds after its start before a node deals keys without an owner, so that the others
+# have announced themselves.
+SETTLE_S = 1.5
+# Seconds after its start before a node gives keys to a VM that owns too few.
+GIVE_AFTER_S = 4.0
+# Seconds by which each further VM of a service waits for the one before it to act.
+TURN_S = 0.5
+# Seconds between two looks at the state.
+TICK_S = 0.1
+
+
+class View(NamedTuple):
+    """What a step is decided from.
+
+    Parameters
+    ----------
+    now : float
+    vm : str
+        This VM.
+    keymap : KeyMap
+    owner : Owner or None
+        This VM's target, if it may own keys.
+    owners : list of Owner
+        All VMs of the service that may be given keys, in the order of names.
+    down : dict of str to float
+        Seconds for which VMs that own keys have been out of touch.
+    released : list of (start, end, handover)
+        Ranges that the target gave up.
+    suspicions : dict of str to float
+        Ids of suspicions in the map, and when this node first read each.
+    settled_s : float
+        Seconds since this node is in touch.
+    """
+
+    now: float
+    vm: str
+    keymap: KeyMap
+    owner: Owner | None
+    owners: list
+    down: dict
+    released: list
+    suspicions: dict
+    settled_s: float
+
+
+class Step(NamedTuple):
+    """A change to the map, with the reason for the log."""
+
+    keymap: KeyMap
+    reason: str
+
+
+def next_step(view, new_id):
+    """Return the next change that this node makes to the map, or None.
+
+    Parameters
+    ----------
+    view : View
+    new_id : callable
+        Returns a new id of a suspicion.
+    """
+    keymap, vm = view.keymap, view.vm
+    if _keymap.suspicion_of(keymap, vm):
+        return Step(_keymap.clear(keymap, vm), "this VM answers a suspicion")
+    others = [o for o in view.owners if o.vm != vm]
+    if view.released and others:
+        given = _keymap.hand_over(keymap, vm, view.released, others)
+        if given != keymap:
+            return Step(given, "ranges were released")
+    if view.owner and any(
+        r.vm == vm and r.target != view.owner.target for r in keymap.rows
+    ):
+        return Step(_keymap.renew(keymap, view.owner), "the target started again")
+    turn = _turn(view)
+    if turn is None:
+        return None
+    if _keymap.gaps(keymap) and view.settled_s > SETTLE_S + turn * TURN_S:
+        filled = _keymap.fill(keymap, view.owners)
+        return Step(filled, "ranges had no owner")
+    return _step_against_lost(view, turn, new_id)
+
+
+def _turn(view):
+    """Return how many VMs act before this one, or None if it may not own keys."""
+    names = [owner.vm for owner in view.owners]
+    return names.index(view.vm) if view.vm in names else None
+
+
+def _step_against_lost(view, turn, new_id):
+    for vm, down_s in view.down.items():
+        if down_s < SUSPECT_S + turn * TURN_S:
+            continue
+        suspicion = _keymap.suspicion_of(view.keymap, vm)
+        if suspicion is None:
+            suspected = _keymap.suspect(view.keymap, vm, new_id())
+            return Step(suspected, f"{vm} is out of touch")
+        since = view.suspicions.get(suspicion)
+        if since is not None and view.now - since > TAKEOVER_S:
+            others = [o for o in view.owners if o.vm != vm]
+            taken = _keymap.take_over(view.keymap, vm, others)
+            return Step(taken, f"{vm} did not answer a suspicion")
+    return None
+
+
+class Keeper:
+    """Grants keys to the target beside this node and changes the map of its service.
+
+    Parameters
+    ----------
+    node : Node
+    store : Store
+    follower : Follower
+        Of the topic that holds the map.
+    """
+
+    def __init__(self, node, store, follower):
+        self._node = node
+        self._store = store
+        self._follower = follower
+        self._lease_until = 0.0
+        self._released = {}
+        self._giving = {}
+        self._suspicions = {}
+        self._started = trio.current_time()
+
+    @property
+    def _service(self):
+        return self._node.settings.service
+
+    def _keymap(self):
+        found = self._node.keymaps.get(self._service)
+        return found or KeyMap(self._service)
+
+    def lease_valid(self, now):
+        """Extend the lease by the last read, and return whether it holds."""
+        suspected = _keymap.suspicion_of(self._keymap(), self._node.settings.vm)
+        if not suspected and self._follower.read_at is not None:
+            until = self._follower.read_at + LEASE_S
+            self._lease_until = max(self._lease_until, until)
+        return now < self._lease_until
+
+    def grant(self, beat, now):
+        """Return the answer to a beat, or None if nothing may be renewed.
+
+        Parameters
+        ----------
+        beat : Beat
+        now : float
+        """
+        target = self._node.target
+        for start, end, handover in beat.freed:
+            self._released[(start, end)] = handover
+        if not self._node.is_keyed(self._service) or not self._follower.started:
+            return None
+        if not self.lease_valid(now):
+            return None
+        rows = () if target.leaving else tuple(self._rows())
+        if not target.leaving:
+            self._plan_giving(now)
+            rows = _keymap.cut(rows, self._giving)
+        target.granted(rows, HOLD_S, DRIFT, now)
+        return Grant(rows, HOLD_S)
+
+    def _rows(self):
+        target, vm = self._node.target, self._node.settings.vm
+        for row in self._keymap().rows:
+            if row.vm == vm and row.target == target.life:
+                yield row
+
+    def _plan_giving(self, now):
+        """Begin to give ranges to a VM that owns too few."""
+        node = self._node
+        if self._giving or now - self._started < GIVE_AFTER_S:
+            return
+        ranges = _keymap.excess(
+            self._keymap(), node.settings.vm, node.owners(self._service)
+        )
+        for start, end in ranges:
+            self._giving[(start, end)] = node.target.held_until + MARGIN_S
+            node.log("keys_given_up", start=start, end=end)
+
+    def _release_view(self, now):
+        """Return the ranges that the target gave up or lost."""
+        target, vm = self._node.target, self._node.settings.vm
+        released = [(s, e, token) for (s, e), token in self._released.items()]
+        for (start, end), until in self._giving.items():
+            if now > until and (start, end) not in self._released:
+                released.append((start, end, ""))
+        lost = target.leaving or target.silent(now, self._node.settings.beat_interval_s)
+        over = now > max(target.held_until, self._started + HOLD_S * DRIFT) + MARGIN_S
+        if lost and over:
+            rows = [row for row in self._keymap().rows if row.vm == vm]
+            released += [
+                (row.start, row.end, "")
+                for row in rows
+                if not any(s <= row.end and row.start <= e for s, e, _ in released)
+            ]
+        return released
+
+    def view(self, now):
+        """Return what the next step is decided from."""
+        node = self._node
+        owners = node.owners(self._service)
+        keymap = self._keymap()
+        names = {row.vm for row in keymap.rows} - {node.settings.vm}
+        present = {suspicion for _, suspicion in keymap.suspects}
+        known = {s: t for s, t in self._suspicions.items() if s in present}
+        self._suspicions = {s: known.get(s, now) for s in present}
+        return View(
+            now, node.settings.vm, keymap,
+            next((o for o in owners if o.vm == node.settings.vm), None),
+            owners, {vm: node.down_s(vm) for vm in names},
+            self._release_view(now), self._suspicions, now - self._started,
+        )  # fmt: skip
+
+    async def run(self):
+        """Change the map as needed until cancelled."""
+        while True:
+            await trio.sleep(TICK_S)
+            if not self._follower.started or not self._node.is_keyed(self._service):
+                continue
+            if self._follower.failing_since is None:
+                await self._act()
+
+    async def _act(self):
+        end = self._follower.end
+        view = self.view(trio.current_time())
+        self._forget_released(view.keymap)
+        step = next_step(view, lambda: secrets.token_hex(4))
+        if step is None:
+            return
+        value = self._node.encode_keymap(step.keymap)
+        key = f"keys/{self._service}"
+        done = await self._store.append(FLEET, key, value, end)
+        self._node.log(
+            "key_map_change", reason=step.reason, base=end, outcome=_outcome(done),
+            next_fence=step.keymap.next_fence,
+        )  # fmt: skip
+        await self._catch_up(done)
+
+    def _forget_released(self, keymap):
+        """Forget ranges that this VM does not own any more."""
+        vm = self._node.settings.vm
+        for start, end in list(self._released):
+            if not any(
+                r.vm == vm and r.start <= end and start <= r.end for r in keymap.rows
+            ):
+                del self._released[(start, end)]
+        for start, end in list(self._giving):
+            if not any(
+                r.vm == vm and r.start <= end and start <= r.end for r in keymap.rows
+            ):
+                del self._giving[(start, end)]
+
+    async def _catch_up(self, done):
+        """Wait until the follower has read what the append tells of."""
+        if not isinstance(done, Ok):
+            return
+        seen = done.ok_value
+        goal = seen.offset + 1 if isinstance(seen, Appended) else seen.end
+        with trio.move_on_after(1.0):
+            while self._follower.end is not None and self._follower.end < goal:
+                await self._follower.changed.wait()
+
+
+def _outcome(done):
+    match done:
+        case Ok(Appended(offset)):
+            return f"offset {offset}"
+        case Ok(Conflict(end)):
+            return f"conflict at {end}"
+        case Err(failure):
+            return str(failure)
--- /dev/null
+++ b/packages/router/src/jujuberudder_router/_links.py
@@ -0,0 +1,269 @@
+"""Connections between nodes: each node dials every other one and asks on it."""
+
+import itertools
+
+import msgspec
+import trio
+
+from ._frames import (
+    NOT_RUN,
+    UNKNOWN,
+    Ask,
+    Cancel,
+    FrameBuffer,
+    Ping,
+    Pong,
+    Relay,
+    Relayed,
+    Reply,
+    encode_frame,
+)
+from ._http import READ_BYTES, dial
+from ._server import where
+
+# Seconds between two pings: the age of the load that a choice sees on an idle link.
+PING_INTERVAL_S = 0.5
+# Seconds without any frame after which a link is not chosen for new requests: a ping
+# interval, a round trip and a late timer.
+QUIET_S = 1.2
+# Seconds without any frame after which a link is closed and dialled again. Requests on
+# it are then in doubt, so it is above the freezes and queues of a busy VM.
+SILENT_S = 3.0
+# Longest wait for a connection to another VM of the deployment, in seconds.
+CONNECT_S = 1.0
+# Seconds between two attempts to dial, doubling from the first to the last.
+REDIAL_FIRST_S, REDIAL_LAST_S = 0.1, 2.0
+
+
+class FrameWriter:
+    """Sends frames on a stream; frames that wait together leave in one write."""
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._frames = []
+        self._wake = trio.Event()
+
+    def send(self, frame):
+        """Queue a frame; never waits."""
+        self._frames.append(encode_frame(frame))
+        self._wake.set()
+
+    async def run(self):
+        """Write until the stream breaks."""
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            frames, self._frames = self._frames, []
+            await self._stream.send_all(b"".join(frames))
+
+
+class Link:
+    """The connection to one other node, with what was last heard on it.
+
+    Parameters
+    ----------
+    vm : VM
+        Entry of the node.
+    log : callable
+    """
+
+    def __init__(self, vm, log):
+        self.vm = vm
+        self.load = None
+        self.load_at = -1.0
+        self.in_flight = 0
+        self._log = log
+        self._writer = None
+        self._waiting = {}
+        self._ids = itertools.count(1)
+        self._heard_at = -1.0
+        self.down_since = trio.current_time()
+
+    @property
+    def up(self):
+        """Whether the node was heard lately."""
+        if self._writer is None:
+            return False
+        return trio.current_time() - self._heard_at < QUIET_S
+
+    async def run(self):
+        """Keep a connection open until cancelled."""
+        pause = REDIAL_FIRST_S
+        while True:
+            try:
+                stream = await dial(self.vm.address, CONNECT_S, SILENT_S)
+            except OSError as error:
+                reason = str(error)
+            else:
+                pause = REDIAL_FIRST_S
+                reason = await self._use(stream)
+                self._log("peer_link_lost", peer=self.vm.name, reason=reason)
+            await trio.sleep(pause)
+            pause = min(2 * pause, REDIAL_LAST_S)
+
+    async def _use(self, stream):
+        self._writer = writer = FrameWriter(stream)
+        self._heard_at = trio.current_time()
+        self._log("peer_link_up", peer=self.vm.name, address=self.vm.address)
+        reason = "closed by the peer"
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(writer.run)
+                nursery.start_soon(self._ping, writer)
+                await self._read(stream)
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError) as group:
+            reason = str(group.exceptions[0])
+        except* (TimeoutError, msgspec.MsgspecError) as group:
+            reason = str(group.exceptions[0])
+        finally:
+            stream.socket.close()
+            self._writer = None
+            self.down_since = trio.current_time()
+            self._fail_waiting(reason)
+        return reason
+
+    def _fail_waiting(self, reason):
+        waiting, self._waiting = self._waiting, {}
+        for slot in waiting.values():
+            slot.set(Reply(0, UNKNOWN, reason=f"link to {self.vm.name}: {reason}"))
+
+    async def _read(self, stream):
+        frames = FrameBuffer()
+        while True:
+            with trio.move_on_after(SILENT_S) as scope:
+                data = await stream.receive_some(READ_BYTES)
+            if scope.cancelled_caught:
+                raise TimeoutError(f"silent for {SILENT_S} s")
+            if not data:
+                return
+            self._heard_at = trio.current_time()
+            for frame in frames.feed(data):
+                self._take(frame)
+
+    def _take(self, frame):
+        if isinstance(frame, (Reply, Pong)) and frame.load is not None:
+            self.load = frame.load
+            self.load_at = trio.current_time()
+        if isinstance(frame, (Reply, Relayed)):
+            slot = self._waiting.pop(frame.id, None)
+            if slot is not None:
+                slot.set(frame)
+
+    async def _ping(self, writer):
+        while True:
+            writer.send(Ping(0))
+            await trio.sleep(PING_INTERVAL_S)
+
+    async def ask(self, ask):
+        """Send an ``Ask`` and return the ``Reply``; cancelling tells the peer."""
+        return await self._call(ask, cancel=True)
+
+    async def relay(self, call):
+        """Let the peer make a store call; return ``Relayed`` or a ``Reply``."""
+        return await self._call(Relay(0, call), cancel=False)
+
+    async def _call(self, frame, cancel):
+        writer = self._writer
+        if writer is None:
+            return Reply(0, NOT_RUN, reason=f"link to {self.vm.name} is down")
+        frame.id = number = next(self._ids)
+        slot = _Slot()
+        self._waiting[number] = slot
+        self.in_flight += 1
+        try:
+            writer.send(frame)
+            return await slot.wait()
+        finally:
+            self.in_flight -= 1
+            if self._waiting.pop(number, None) is not None and cancel:
+                writer.send(Cancel(number))
+
+
+class _Slot:
+    """Holds the frame that answers one call."""
+
+    def __init__(self):
+        self._event = trio.Event()
+        self._frame = None
+
+    def set(self, frame):
+        self._frame = frame
+        self._event.set()
+
+    async def wait(self):
+        await self._event.wait()
+        return self._frame
+
+
+async def serve_links(address, handle_ask, handle_relay, load, log):
+    """Accept connections of other nodes until cancelled.
+
+    Parameters
+    ----------
+    address : (str, int)
+    handle_ask : callable
+        ``await handle_ask(ask) -> Reply``; cancelled when the peer says so or is lost.
+    handle_relay : callable
+        ``await handle_relay(call) -> (result, reason)``.
+    load : callable
+        Returns the ``Load`` of the target beside this node, or None.
+    log : callable
+    """
+    host, port = address
+
+    async def serve(stream):
+        writer = FrameWriter(stream)
+        scopes = {}
+
+        async def answer(ask):
+            with trio.CancelScope() as scope:
+                scopes[ask.id] = scope
+                try:
+                    reply = await handle_ask(ask)
+                except Exception as error:
+                    log(
+                        "handler_fault", id=ask.request_id, error=repr(error),
+                        where=where(error),
+                    )  # fmt: skip
+                    reply = Reply(ask.id, UNKNOWN, reason="internal fault")
+                reply.id = ask.id
+                writer.send(reply)
+            scopes.pop(ask.id, None)
+
+        async def relay(frame):
+            result, reason = await handle_relay(frame.call)
+            writer.send(Relayed(frame.id, result, reason))
+
+        async def read(nursery):
+            frames = FrameBuffer()
+            while True:
+                data = await stream.receive_some(READ_BYTES)
+                if not data:
+                    return
+                for frame in frames.feed(data):
+                    if isinstance(frame, Ask):
+                        nursery.start_soon(answer, frame)
+                    elif isinstance(frame, Cancel):
+                        if frame.id in scopes:
+                            scopes[frame.id].cancel()
+                    elif isinstance(frame, Ping):
+                        writer.send(Pong(frame.id, load()))
+                    elif isinstance(frame, Relay):
+                        nursery.start_soon(relay, frame)
+
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(writer.run)
+                await read(nursery)
+                nursery.cancel_scope.cancel()
+        except* (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            msgspec.MsgspecError,
+        ) as group:
+            log("peer_connection_lost", reason=str(group.exceptions[0]))
+        finally:
+            stream.socket.close()
+
+    await trio.serve_tcp(serve, port, host=host)
--- /dev/null
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -0,0 +1,138 @@
+"""Membership: this VM's entry in the store, and the entries and links of the others."""
+
+import secrets
+
+import msgspec
+import trio
+from result import Err
+
+from ._links import Link
+from ._store import FLEET
+from ._types import VM, KeyMap
+
+# Seconds between two attempts to write the entry.
+RETRY_S = 0.5
+
+_vm_encoder = msgspec.msgpack.Encoder()
+_vm_decoder = msgspec.msgpack.Decoder(VM)
+_keymap_decoder = msgspec.msgpack.Decoder(KeyMap)
+
+
+class Membership:
+    """Announces this VM and keeps a link to each other one.
+
+    Parameters
+    ----------
+    node : Node
+    store : Store
+    """
+
+    def __init__(self, node, store):
+        self._node = node
+        self._store = store
+        self._life = secrets.token_hex(4)
+        self._written = None
+        self._wake = trio.Event()
+        self._nursery = None
+        self._scopes = {}
+        self.started = trio.current_time()
+
+    def entry(self):
+        """Return this VM's entry as it should be."""
+        node, settings = self._node, self._node.settings
+        target = node.target
+        return VM(
+            settings.vm, self._life, settings.peer_address, settings.zone,
+            settings.service, target.life, target.slots,
+            node.stopping or target.leaving,
+        )  # fmt: skip
+
+    def announce(self):
+        """Write the entry soon if it changed."""
+        if self.entry() != self._written:
+            self._wake.set()
+
+    def apply(self, record):
+        """Take a record of the topic: an entry of a VM or the owners of keys."""
+        kind, _, name = record.key.partition("/")
+        try:
+            if kind == "vm":
+                self._apply_vm(name, record.value)
+            elif kind == "keys" and record.value:
+                self._apply_keymap(name, record)
+        except msgspec.MsgspecError as error:
+            self._node.log(
+                "record_unreadable", key=record.key, offset=record.offset,
+                reason=str(error),
+            )  # fmt: skip
+
+    def _apply_keymap(self, service, record):
+        keymap = _keymap_decoder.decode(record.value)
+        self._node.keymaps[service] = keymap
+        self._node.log(
+            "key_map", service=service, offset=record.offset, rows=len(keymap.rows),
+            suspects=len(keymap.suspects), next_fence=keymap.next_fence,
+        )  # fmt: skip
+        self._node.gate.wake()
+
+    def _apply_vm(self, name, value):
+        vms = self._node.vms
+        if not value:
+            vms.pop(name, None)
+            self._drop_link(name)
+            return
+        vm = _vm_decoder.decode(value)
+        last = vms.get(name)
+        vms[name] = vm
+        if name == self._node.settings.vm:
+            return
+        if last is None or last.address != vm.address:
+            self._drop_link(name)
+            self._add_link(vm)
+
+    def _add_link(self, vm):
+        link = Link(vm, self._node.log)
+        self._node.links[vm.name] = link
+        if self._nursery is not None:
+            self._start(link)
+
+    def _start(self, link):
+        scope = trio.CancelScope()
+        self._scopes[link.vm.name] = scope
+
+        async def run():
+            with scope:
+                await link.run()
+
+        self._nursery.start_soon(run)
+
+    def _drop_link(self, name):
+        scope = self._scopes.pop(name, None)
+        if scope is not None:
+            scope.cancel()
+        self._node.links.pop(name, None)
+
+    async def run(self, nursery):
+        """Write the entry whenever it changes, until cancelled."""
+        self._nursery = nursery
+        for link in list(self._node.links.values()):
+            if link.vm.name not in self._scopes:
+                self._start(link)
+        self._wake.set()
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            entry = self.entry()
+            value = _vm_encoder.encode(entry)
+            done = await self._store.append(FLEET, f"vm/{entry.name}", value, None)
+            if isinstance(done, Err):
+                self._node.log("announce_failed", reason=str(done.err_value))
+                self._wake.set()
+                await trio.sleep(RETRY_S)
+                continue
+            self._written = entry
+            self._node.log(
+                "announced", target=entry.target, leaving=entry.leaving,
+                slots=entry.slots,
+            )  # fmt: skip
+            self.announce()
--- /dev/null
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -0,0 +1,394 @@
+"""A node: the state that its tasks share, and the tasks."""
+
+import random
+import signal
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+import trio
+
+from ._choice import Candidate
+from ._follow import Follower
+from ._gate import Gate
+from ._http import split_address
+from ._keeper import Keeper
+from ._keymap import Owner
+from ._links import serve_links
+from ._membership import Membership
+from ._origin import make_origin
+from ._relay import make_relay_handler, with_relays
+from ._routes import RepeatBudget, Splitter
+from ._server import Server
+from ._store import FLEET, OPERATOR
+from ._target import Target, make_serve
+from ._types import Limits, Settings
+
+# How long a read of the configuration waits for a record, in seconds: with the call's
+# own margin it bounds how late a node notices a silent connection.
+CONFIG_WAIT_S = 1.5
+# The same for membership and owners; each read that ends renews the lease.
+FLEET_WAIT_S = 1.5
+# Share of the grace period after which a stopping node ends idle connections, and the
+# rest in which it waits for requests. Callers notice the readiness within 2 s.
+STOP_ACCEPTING_S = 2.5
+# Seconds of the grace period kept for ending the process.
+STOP_MARGIN_S = 0.4
+# Failures in a row after which a VM counts as failing, and the seconds that holds.
+FAILURES_IN_ROW, EJECTED_S = 3, 2.0
+
+_keymap_encoder = msgspec.msgpack.Encoder()
+
+
+class Wire(NamedTuple):
+    """How an adapter reads and writes what callers, targets and operators send.
+
+    Parameters
+    ----------
+    read_request : callable
+        ``read_request(head) -> Request``; raises ``HttpError``.
+    own_headers : callable
+        ``own_headers(request_id, retry_after_s) -> list``.
+    target_headers : callable
+        ``target_headers(ask, left_s, target_id) -> list``.
+    read_response : callable
+        ``read_response(response, request_id) -> Verdict``.
+    answer_headers : callable
+        ``answer_headers(headers) -> list``: what a caller gets of a response.
+    read_configuration : callable
+        ``read_configuration(value) -> Configuration``; raises ``ValueError``.
+    make_beat_handler : callable
+        ``make_beat_handler(node)`` returns the handler of the beat address.
+    configuration_key : str
+        Key of the configuration in the operator's topic.
+    """
+
+    read_request: Callable
+    own_headers: Callable
+    target_headers: Callable
+    read_response: Callable
+    answer_headers: Callable
+    read_configuration: Callable
+    make_beat_handler: Callable
+    configuration_key: str
+
+
+class Node:
+    """State that the tasks of a node share.
+
+    Parameters
+    ----------
+    settings : Settings
+    wire : Wire
+    store : Store
+    log : LineLog
+    """
+
+    def __init__(self, settings: Settings, wire, store, log):
+        self.settings = settings
+        self.wire = wire
+        self.log = log
+        self.counters = Counter()
+        self.configuration = None
+        self.keymaps = {}
+        self.vms = {}
+        self.links = {}
+        self.splitter = Splitter()
+        self.budget = RepeatBudget(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+        )
+        self.jitter = random.Random(settings.vm).random
+        self.target = Target(settings.target_address)
+        self.gate = Gate(self.target.holds)
+        self.stopping = False
+        self.store = with_relays(store, self)
+        self.membership = Membership(self, self.store)
+        self.fleet = Follower(
+            self.store, FLEET, FLEET_WAIT_S, self.membership.apply, log
+        )
+        self.operator = Follower(
+            self.store, OPERATOR, CONFIG_WAIT_S, self._apply_operator, log
+        )
+        self.keeper = Keeper(self, self.store, self.fleet)
+        self.direct_store = store
+        self.serve = make_serve(
+            self.target, self.gate, wire, self._not_owner, log, self.counters
+        )
+        self._failures = {}
+
+    @property
+    def config_version(self):
+        """Version of the configuration in force; 0 before the first."""
+        return self.configuration.version if self.configuration else 0
+
+    @property
+    def ready(self):
+        """Whether this node may be given new work."""
+        return (
+            not self.stopping and self.configuration is not None and self.fleet.started
+        )
+
+    def limits(self):
+        """Return the limits in force for callers."""
+        return self.configuration.limits if self.configuration else Limits()
+
+    def is_keyed(self, service):
+        """Whether a service is divided by key."""
+        found = self.configuration and self.configuration.services.get(service)
+        return bool(found and found.keyed)
+
+    def encode_keymap(self, keymap):
+        """Return a key map as the value of a record."""
+        return _keymap_encoder.encode(keymap)
+
+    def _apply_operator(self, record):
+        if record.key != self.wire.configuration_key or not record.value:
+            return
+        try:
+            found = self.wire.read_configuration(record.value)
+        except ValueError as error:
+            self.log("configuration_unreadable", offset=record.offset, reason=error)
+            return
+        if found.version <= self.config_version:
+            self.log("configuration_old", version=found.version)
+            return
+        self.configuration = found
+        routes = sum(len(r) for r in found.routes.values())
+        self.log(
+            "configuration", version=found.version, offset=record.offset,
+            routes=routes, services=len(found.services),
+        )  # fmt: skip
+
+    def owner_may_change(self, service, key):
+        """Whether a key without a reachable owner may soon have one."""
+        keymap = self.keymaps.get(service)
+        if keymap is None:
+            return True
+        lost = {vm for vm, _ in keymap.suspects}
+        row = next((r for r in keymap.rows if r.start <= key <= r.end), None)
+        if row is None:
+            return True
+        return row.vm not in lost and row.vm in self.vms
+
+    def _not_owner(self, key):
+        """Return why this node may not serve a key, or None."""
+        if not self.is_keyed(self.settings.service):
+            return None
+        if key is None:
+            return "the service is divided by key and the request has none"
+        keymap = self.keymaps.get(self.settings.service)
+        row = keymap and next((r for r in keymap.rows if r.start <= key <= r.end), None)
+        if row is None or row.vm != self.settings.vm:
+            return "this VM does not own the key"
+        return None
+
+    def reachable(self, vm):
+        """Whether a VM is this one or was heard lately."""
+        link = self.links.get(vm)
+        return vm == self.settings.vm or (link is not None and link.up)
+
+    def down_s(self, vm):
+        """Return for how many seconds a VM has been out of touch."""
+        link = self.links.get(vm)
+        if link is None:
+            return trio.current_time() - self.membership.started
+        if link.up:
+            return 0.0
+        return trio.current_time() - link.down_since
+
+    def owners(self, service):
+        """Return the VMs of a keyed service that may be given keys, by name."""
+        found = []
+        for vm in self.vms.values():
+            if vm.service != service or vm.leaving or not vm.target:
+                continue
+            if vm.name == self.settings.vm:
+                lost = self.target.silent(
+                    trio.current_time(), self.settings.beat_interval_s
+                )
+                if lost or self.target.leaving or vm.target != self.target.life:
+                    continue
+            elif not self._open(vm.name):
+                continue
+            found.append(Owner(vm.name, vm.target))
+        return sorted(found)
+
+    def _open(self, vm):
+        link = self.links.get(vm)
+        return link is not None and link.up and (link.load is None or link.load.open)
+
+    def note_result(self, vm, success):
+        """Note whether a VM served a request, for the choice of later ones."""
+        if success:
+            self._failures.pop(vm, None)
+            return
+        count, _ = self._failures.get(vm, (0, 0.0))
+        self._failures[vm] = (count + 1, trio.current_time())
+
+    def _failure_share(self, vm, now):
+        count, at = self._failures.get(vm, (0, 0.0))
+        if count < FAILURES_IN_ROW or now - at > EJECTED_S:
+            return 0.0
+        return 0.9
+
+    def candidates(self, service):
+        """Return the VMs that may run a request of a service without keys."""
+        now, found = trio.current_time(), []
+        for vm in self.vms.values():
+            if vm.service != service or vm.leaving or not vm.target:
+                continue
+            if vm.name == self.settings.vm:
+                load, own, age = self.gate.load(), 0, 0.0
+            else:
+                link = self.links.get(vm.name)
+                if link is None or not link.up or link.load is None:
+                    continue
+                load, own, age = link.load, link.in_flight, now - link.load_at
+            if load.open:
+                found.append(
+                    Candidate(
+                        vm.name, vm.zone == self.settings.zone, load.running,
+                        load.queued, load.slots, load.service_s, own, age,
+                        self._failure_share(vm.name, now),
+                    )
+                )  # fmt: skip
+        return found
+
+    def take_beat(self, beat):
+        """Note a beat of the target on this VM and return the ``Grant``, or None."""
+        now = trio.current_time()
+        if beat.service != self.settings.service:
+            self.log("beat_of_other_service", target=beat.target, service=beat.service)
+            return None
+        news = self.target.take(beat, now)
+        if news == "old":
+            self.log("beat_late", target=beat.target, sequence=beat.sequence)
+            return None
+        if news == "life":
+            self.log("target_life", target=self.target.life, slots=beat.slots)
+        self._settle_gate()
+        self.membership.announce()
+        grant = self.keeper.grant(beat, now)
+        self.gate.wake()
+        return grant
+
+    def take_leave(self, target_id):
+        """Note that a target ends."""
+        if target_id != self.target.id:
+            return
+        self.target.leaving = True
+        self.log("target_leaves", target=self.target.life)
+        self._settle_gate()
+        self.membership.announce()
+
+    def _settle_gate(self):
+        target, gate = self.target, self.gate
+        if target.leaving:
+            if not gate.closed_reason:
+                self.log("gate_closed", target=target.life, reason="target leaves")
+            gate.close("the target is leaving")
+        elif gate.closed_reason or gate.slots != target.slots:
+            gate.open(target.slots)
+
+    async def watch_target(self):
+        """Close the gate while beats are missing."""
+        while True:
+            await trio.sleep(self.settings.beat_interval_s)
+            now = trio.current_time()
+            if self.target.id and not self.gate.closed_reason:
+                if self.target.silent(now, self.settings.beat_interval_s):
+                    self.log("gate_closed", reason="beats are missing")
+                    self.gate.close("beats of the target are missing")
+                    self.membership.announce()
+
+
+async def run_node(settings, wire, store, log, reload=None):
+    """Run a node until SIGTERM, or until cancelled.
+
+    Parameters
+    ----------
+    settings : Settings
+    wire : Wire
+    store : Store
+    log : LineLog
+    reload : callable, default=None
+        Called on SIGHUP.
+    """
+    node = Node(settings, wire, store, log)
+    log("start", service=settings.service, zone=settings.zone)
+    origin = Server(make_origin(node), node.limits, log)
+    beats = Server(wire.make_beat_handler(node), Limits, log)
+    ready = Server(make_ready_handler(node), Limits, log)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(log.run)
+        for server, address in (
+            (origin, settings.client_address),
+            (beats, settings.beat_address),
+            (ready, settings.ready_address),
+        ):
+            nursery.start_soon(server.serve, split_address(address))
+        nursery.start_soon(
+            serve_links, split_address(settings.peer_address), node.serve,
+            make_relay_handler(node), node.gate.load, log,
+        )  # fmt: skip
+        nursery.start_soon(node.operator.run)
+        nursery.start_soon(node.fleet.run)
+        nursery.start_soon(node.keeper.run)
+        nursery.start_soon(node.watch_target)
+        nursery.start_soon(node.membership.run, nursery)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGTERM:
+                    break
+                log("reload")
+                if reload is not None:
+                    reload()
+        await _stop(node, origin)
+        nursery.cancel_scope.cancel()
+    log("stop")
+    log.flush()
+
+
+async def _stop(node, origin):
+    """Let running requests end, within the grace period."""
+    log, settings = node.log, node.settings
+    log("stopping", busy=origin.busy, running=node.gate.running)
+    node.stopping = True
+    started = trio.current_time()
+    node.membership.announce()
+    await trio.sleep(min(STOP_ACCEPTING_S, settings.grace_s / 2))
+    origin.closing = True
+    origin.close_idle()
+    end = started + settings.grace_s - STOP_MARGIN_S
+    while trio.current_time() < end and (origin.busy or node.gate.running):
+        await trio.sleep(0.05)
+        origin.close_idle()
+    log("drained", busy=origin.busy, running=node.gate.running)
+
+
+def make_ready_handler(node):
+    """Return the handler of the ready address: readiness, and counters as text."""
+
+    async def handle(head):
+        if head.target.startswith(b"/metrics"):
+            return 200, [], metrics_text(node).encode()
+        return (200 if node.ready else 503), [], b""
+
+    return handle
+
+
+def metrics_text(node):
+    """Return the counters in the text format of Prometheus."""
+    lines = [
+        f'jujuberudder_events_total{{event="{name}"}} {count}'
+        for name, count in sorted(node.counters.items())
+    ]
+    load = node.gate.load()
+    lines += [
+        f"jujuberudder_target_running {load.running}",
+        f"jujuberudder_target_queued {load.queued}",
+        f"jujuberudder_target_slots {load.slots}",
+        f"jujuberudder_configuration_version {node.config_version}",
+    ]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/packages/router/src/jujuberudder_router/_origin.py
@@ -0,0 +1,199 @@
+"""Requests of callers on this VM: route, choose a VM, ask it, answer truthfully."""
+
+import trio
+
+from ._choice import choose
+from ._frames import ANSWERED, NOT_RUN, Ask
+from ._http import HttpError
+from ._keymap import locate
+from ._routes import match_route
+from ._types import Answer
+
+# Time that a request must have left to be worth sending, in seconds.
+LEAST_LEFT_S = 0.02
+# Time kept back from what a caller waits, for the answer's way to it, in seconds.
+RETURN_S = 0.01
+# Wait for the owners of a key to change before the next look, in seconds.
+OWNER_PAUSE_S = 0.05
+# Longest wait for a key between two owners: a beat interval and a write to the store.
+OWNER_WAIT_S = 1.2
+# What a refused caller is told where no queue tells the time, in seconds.
+RETRY_AFTER_S = 0.3
+# Answers of an own failure: 502 and 504 promise nothing, 503 that nothing ran.
+IN_DOUBT, NOT_SERVED, TIMED_OUT = 502, 503, 504
+
+
+class Attempt:
+    """What has become of one request so far."""
+
+    def __init__(self):
+        self.sends = 0
+        self.in_doubt = False
+        self.ran = None
+        self.refused = set()
+        self.reason = "no target is known"
+        self.retry_after_s = RETRY_AFTER_S
+        self.answer = None
+
+
+def make_origin(node):
+    """Return ``await handle(head) -> (status, headers, body)`` for callers.
+
+    Parameters
+    ----------
+    node : Node
+        State shared by the tasks of a node.
+    """
+    wire, log, counters = node.wire, node.log, node.counters
+
+    async def handle(head):
+        started = trio.current_time()
+        try:
+            request = wire.read_request(head)
+        except HttpError as error:
+            counters["malformed"] += 1
+            log("malformed", reason=str(error), status=error.status)
+            return error.status, [], str(error).encode()
+        answer, attempt, route = await decide(request, started)
+        if answer.status >= 500 or route is None:
+            counters["failed"] += 1
+            log(
+                "answered", id=request.id, route=route.name if route else "",
+                status=answer.status, reason=attempt.reason, sends=attempt.sends,
+                config=node.config_version, took_s=trio.current_time() - started,
+            )  # fmt: skip
+        else:
+            counters["completed"] += 1
+        return answer.status, answer.headers, answer.body
+
+    async def decide(request, started):
+        attempt = Attempt()
+        if node.configuration is None:
+            attempt.reason = "no configuration is known yet"
+            return own_answer(request, attempt, NOT_SERVED), attempt, None
+        route = match_route(node.configuration, request.host, request.path)
+        if route is None:
+            attempt.reason = "no route"
+            return own_answer(request, attempt, 404), attempt, None
+        service = node.splitter.pick(route)
+        node.budget.request(service, started)
+        if not node.is_keyed(service):
+            request = request._replace(key=None)
+        left_s = route.timeout_s
+        if request.budget_s is not None:
+            left_s = min(left_s, request.budget_s)
+        with trio.move_on_at(started + left_s - RETURN_S):
+            await run(request, route, service, attempt, started + left_s)
+        if attempt.answer is None:
+            if not attempt.reason or attempt.in_doubt:
+                attempt.reason = attempt.reason or "no answer in time"
+            status = TIMED_OUT if attempt.in_doubt else NOT_SERVED
+            attempt.answer = own_answer(request, attempt, status)
+        return attempt.answer, attempt, route
+
+    async def run(request, route, service, attempt, deadline):
+        waited_until = trio.current_time() + OWNER_WAIT_S
+        while attempt.answer is None:
+            now = trio.current_time()
+            if deadline - now < LEAST_LEFT_S:
+                return
+            vm = pick(request, service, attempt)
+            if vm is None:
+                if may_wait(request, service) and now < waited_until:
+                    await trio.sleep(OWNER_PAUSE_S)
+                    continue
+                attempt.answer = own_answer(request, attempt, NOT_SERVED)
+                return
+            reply = await send(request, route, service, attempt, vm, deadline - now)
+            settle(request, route, service, attempt, vm, reply)
+
+    def may_wait(request, service):
+        return request.key is not None and node.owner_may_change(service, request.key)
+
+    def pick(request, service, attempt):
+        """Return the name of the VM to ask next, or None."""
+        if node.is_keyed(service):
+            return pick_owner(request, service, attempt)
+        candidates = [
+            c for c in node.candidates(service) if c.vm not in attempt.refused
+        ]
+        best = choose(candidates, len(request.body), node.jitter)
+        return best.vm if best else None
+
+    def pick_owner(request, service, attempt):
+        keymap = node.keymaps.get(service)
+        row = (
+            locate(keymap, request.key) if keymap and request.key is not None else None
+        )
+        if row is None or (row.vm, row.fence) in attempt.refused:
+            return None
+        return row.vm if node.reachable(row.vm) else None
+
+    async def send(request, route, service, attempt, vm, left_s):
+        ask = Ask(
+            0, request.id, request.method, request.target, request.headers,
+            request.body, left_s - RETURN_S, route.aim_s, route.priority, request.key,
+            node.settings.service, service, route.name,
+        )  # fmt: skip
+        attempt.sends += 1
+        attempt.in_doubt = True
+        if vm == node.settings.vm:
+            reply = await node.serve(ask)
+        else:
+            reply = await node.links[vm].ask(ask)
+        attempt.in_doubt = False
+        return reply
+
+    def settle(request, route, service, attempt, vm, reply):
+        attempt.reason = reply.reason
+        if reply.outcome == ANSWERED:
+            node.note_result(vm, reply.status < 500)
+            answer = Answer(reply.status, reply.headers, reply.body)
+            if reply.status < 500 or not again(route, service, attempt, vm):
+                attempt.answer = answer
+            else:
+                attempt.ran = answer
+        elif reply.outcome == NOT_RUN:
+            settle_not_run(request, service, attempt, vm, reply)
+        else:
+            node.note_result(vm, False)
+            attempt.ran = own_answer(request, attempt, IN_DOUBT)
+            if not again(route, service, attempt, vm):
+                attempt.answer = attempt.ran
+
+    def settle_not_run(request, service, attempt, vm, reply):
+        if reply.retry_after_s:
+            attempt.retry_after_s = reply.retry_after_s
+        if not node.is_keyed(service):
+            attempt.refused.add(vm)
+            return
+        if reply.retry_after_s:
+            attempt.answer = own_answer(request, attempt, NOT_SERVED)
+            return
+        row = locate(node.keymaps[service], request.key)
+        if row is not None and row.vm == vm:
+            attempt.refused.add((vm, row.fence))
+
+    def again(route, service, attempt, vm):
+        """Whether a request that may have run is sent to another target."""
+        if not route.repeatable or attempt.sends >= max(1, route.attempts):
+            return False
+        if node.is_keyed(service) or len(node.candidates(service)) < 2:
+            return False
+        now = trio.current_time()
+        if not node.budget.take(service, len(node.vms), now):
+            counters["repeat_budget_spent"] += 1
+            return False
+        attempt.refused.add(vm)
+        counters["repeated"] += 1
+        return True
+
+    def own_answer(request, attempt, status):
+        if status == NOT_SERVED and attempt.ran is not None:
+            return attempt.ran
+        counters[f"own_{status}"] += 1
+        retry_after_s = attempt.retry_after_s if status == NOT_SERVED else None
+        headers = wire.own_headers(request.id, retry_after_s)
+        return Answer(status, headers, attempt.reason.encode())
+
+    return handle
