--- a/packages/base/src/jujuberudder_base/_lines.py
+++ b/packages/base/src/jujuberudder_base/_lines.py
@@ -67,12 +67,13 @@
             self._left_out = 0
         if not lines:
             return
-        text = [
-            f"time={when:.3f} event={event} {self._bound} {format_pairs(fields.items())}"
-            for when, event, fields in lines
-        ]
+        text = [self._format(*line) for line in lines]
         self._write("\n".join(text) + "\n")
 
+    def _format(self, when, event, fields):
+        pairs = format_pairs(fields.items())
+        return f"time={when:.3f} event={event} {self._bound} {pairs}"
+
     async def run(self):
         """Write batches until cancelled."""
         try:
--- a/packages/router/src/jujuberudder_router/__init__.py
+++ b/packages/router/src/jujuberudder_router/__init__.py
@@ -33,8 +33,8 @@
 
 __all__ = [
     "Answer", "Appended", "Beat", "Configuration", "Conflict", "FLEET", "Forgotten",
-    "Grant", "HOP_HEADERS", "Head", "HttpError", "KeyMap", "Limits", "Node", "OPERATOR", "Page",
-    "Part", "Pool", "Record", "Request", "Route", "Row", "Service", "Settings",
+    "Grant", "HOP_HEADERS", "Head", "HttpError", "KeyMap", "Limits", "Node", "OPERATOR",
+    "Page", "Part", "Pool", "Record", "Request", "Route", "Row", "Service", "Settings",
     "Store", "VM", "Verdict", "Wire", "find_header", "order_routes", "response_bytes",
     "run_node",
 ]  # fmt: skip
--- a/packages/router/src/jujuberudder_router/_keeper.py
+++ b/packages/router/src/jujuberudder_router/_keeper.py
@@ -1,11 +1,11 @@
 """Keeps the owners of a service's keys: what one node may do and when.
 
 The node beside a target is the only one that grants keys to it. It grants what the
-newest map gives its target, and only while its last complete read of the map is younger
-than ``LEASE_S``. A VM that does not answer is suspected by a record first; it answers by
-removing the suspicion. Only a suspicion that stood for ``TAKEOVER_S`` lets others take
-its keys: a read that did not show the suspicion was sent before it was written, so the
-last grant on it, and the hold that it gave, have run out by then.
+newest map gives its target, and only while its last complete read of the map is
+younger than ``LEASE_S``. A VM that does not answer is suspected by a record first; it
+answers by removing the suspicion. Only a suspicion that stood for ``TAKEOVER_S`` lets
+others take its keys: a read that did not show the suspicion was sent before it was
+written, so the last grant on it, and the hold that it gave, have run out by then.
 """
 
 import secrets
