--- a/packages/router/src/jujuberudder_router/__init__.py
+++ b/packages/router/src/jujuberudder_router/__init__.py
@@ -1,9 +1,18 @@
 """The router beside a target: request path, key ownership and membership."""
 
-from ._http import HOP_HEADERS, Head, HttpError, find_header, response_bytes
+from ._http import (
+    HOP_HEADERS,
+    ExchangeError,
+    Head,
+    HttpError,
+    find_header,
+    response_bytes,
+    split_address,
+)
 from ._node import Node, Wire, run_node
 from ._pool import Pool
 from ._routes import order_routes
+from ._server import Server
 from ._store import (
     FLEET,
     OPERATOR,
@@ -32,9 +41,39 @@
 )
 
 __all__ = [
-    "Answer", "Appended", "Beat", "Configuration", "Conflict", "FLEET", "Forgotten",
-    "Grant", "HOP_HEADERS", "Head", "HttpError", "KeyMap", "Limits", "Node", "OPERATOR",
-    "Page", "Part", "Pool", "Record", "Request", "Route", "Row", "Service", "Settings",
-    "Store", "VM", "Verdict", "Wire", "find_header", "order_routes", "response_bytes",
+    "Answer",
+    "Appended",
+    "Beat",
+    "Configuration",
+    "Conflict",
+    "ExchangeError",
+    "FLEET",
+    "Forgotten",
+    "Grant",
+    "HOP_HEADERS",
+    "Head",
+    "HttpError",
+    "KeyMap",
+    "Limits",
+    "Node",
+    "OPERATOR",
+    "Page",
+    "Part",
+    "Pool",
+    "Record",
+    "Request",
+    "Route",
+    "Row",
+    "Server",
+    "Service",
+    "Settings",
+    "Store",
+    "VM",
+    "Verdict",
+    "Wire",
+    "find_header",
+    "order_routes",
+    "response_bytes",
     "run_node",
-]  # fmt: skip
+    "split_address",
+]
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -10,7 +10,8 @@
 class Load(msgspec.Struct, array_like=True, frozen=True):
     """What the node beside a target reports of it.
 
-    ``wait_s`` is what a new request would wait, ``service_s`` how long one runs.
+    ``wait_s`` is what a new request would wait, ``service_s`` how long one runs, and
+    ``usage`` the mean of running and queued over slots.
     """
 
     running: int
@@ -19,6 +20,7 @@
     wait_s: float
     service_s: float
     open: bool
+    usage: float = 0.0
 
 
 class Ask(msgspec.Struct, array_like=True, tag="a"):
--- a/packages/router/src/jujuberudder_router/_gate.py
+++ b/packages/router/src/jujuberudder_router/_gate.py
@@ -4,6 +4,7 @@
 they decide from numbers alone which request runs next and which is turned away.
 """
 
+from collections import deque
 from typing import NamedTuple
 
 import trio
@@ -23,6 +24,12 @@
 RETRY_LEAST_S, RETRY_MOST_S = 0.1, 2.0
 
 
+# Weight of the newest sample in the usage, sampled every 0.1 s: a mean over 2 s.
+USAGE_WEIGHT = 0.05
+# Seconds for which the work on keys is remembered for moves.
+WORK_WINDOW_S = 4.0
+
+
 class Waiter(NamedTuple):
     """A request that waits for a slot; times on the node's clock, in seconds."""
 
@@ -111,6 +118,8 @@
         self._running = 0
         self._service_s = {}
         self._mean_s = FIRST_SERVICE_S
+        self._work = deque()
+        self.usage = 0.0
         self.slots = 0
         self.closed_reason = "no target has announced itself"
 
@@ -131,13 +140,24 @@
         for waiter in self._waiters.values():
             waiter.event.set()
 
+    def sample(self, now):
+        """Take a sample of the usage; called every 0.1 s."""
+        used = (self._running + len(self._waiters)) / max(1, self.slots)
+        self.usage += USAGE_WEIGHT * (used - self.usage)
+        while self._work and self._work[0][0] < now - WORK_WINDOW_S:
+            self._work.popleft()
+
+    def work(self):
+        """Return (key, seconds) of the runs of the last seconds."""
+        return [(key, seconds) for _, key, seconds in self._work]
+
     def load(self):
         """Return the report for other nodes."""
         queued = len(self._waiters)
         wait = expected_wait(self._running, queued, self.slots, self._mean_s)
         return Load(
             self._running, queued, self.slots, wait, self._mean_s,
-            not self.closed_reason,
+            not self.closed_reason, self.usage,
         )  # fmt: skip
 
     async def enter(self, ask, now):
@@ -188,10 +208,13 @@
         reason = self.closed_reason or "no slot came free in time"
         raise Refused(reason, RETRY_LEAST_S)
 
-    def leave(self, route=None, took_s=None):
+    def leave(self, ask=None, took_s=None):
         """Free a slot; ``took_s`` is how long the target worked."""
         self._running -= 1
         if took_s is not None:
+            route = ask.route
+            if ask.key is not None:
+                self._work.append((trio.current_time(), ask.key, took_s))
             last = self._service_s.get(route, took_s)
             self._service_s[route] = last + MEAN_WEIGHT * (took_s - last)
             self._mean_s += MEAN_WEIGHT * (took_s - self._mean_s)
--- a/packages/router/src/jujuberudder_router/_keeper.py
+++ b/packages/router/src/jujuberudder_router/_keeper.py
@@ -16,6 +16,7 @@
 
 from . import _keymap
 from ._keymap import Owner
+from ._placement import Share, plan_move
 from ._store import FLEET, Appended, Conflict
 from ._types import Grant, KeyMap
 
@@ -36,8 +37,9 @@
 # Seconds after its start before a node deals keys without an owner, so that the others
 # have announced themselves.
 SETTLE_S = 1.5
-# Seconds after its start before a node gives keys to a VM that owns too few.
-GIVE_AFTER_S = 4.0
+# Seconds after its start, and after a move, before a node moves keys again: the usage
+# needs that long to show what a move did.
+GIVE_AFTER_S, GIVE_PAUSE_S = 4.0, 2.5
 # Seconds by which each further VM of a service waits for the one before it to act.
 TURN_S = 0.5
 # Seconds between two looks at the state.
@@ -61,6 +63,8 @@
         Seconds for which VMs that own keys have been out of touch.
     released : list of (start, end, handover)
         Ranges that the target gave up.
+    wanted : list of (start, end, str)
+        Ranges that this VM gives, and the VM that is to get each.
     suspicions : dict of str to float
         Ids of suspicions in the map, and when this node first read each.
     settled_s : float
@@ -74,6 +78,7 @@
     owners: list
     down: dict
     released: list
+    wanted: list
     suspicions: dict
     settled_s: float
 
@@ -98,10 +103,12 @@
     if _keymap.suspicion_of(keymap, vm):
         return Step(_keymap.clear(keymap, vm), "this VM answers a suspicion")
     others = [o for o in view.owners if o.vm != vm]
-    if view.released and others:
-        given = _keymap.hand_over(keymap, vm, view.released, others)
+    for start, end, handover in view.released:
+        wanted = [vm for s, e, vm in view.wanted if s <= end and start <= e]
+        receivers = [o for o in others if o.vm in wanted] or others
+        given = _keymap.hand_over(keymap, vm, [(start, end, handover)], receivers)
         if given != keymap:
-            return Step(given, "ranges were released")
+            return Step(given, "a range was released")
     if view.owner and any(
         r.vm == vm and r.target != view.owner.target for r in keymap.rows
     ):
@@ -157,6 +164,7 @@
         self._giving = {}
         self._suspicions = {}
         self._started = trio.current_time()
+        self._give_after = self._started + GIVE_AFTER_S
 
     @property
     def _service(self):
@@ -203,23 +211,42 @@
                 yield row
 
     def _plan_giving(self, now):
-        """Begin to give ranges to a VM that owns too few."""
+        """Begin to give a range to another VM if that evens out the load."""
         node = self._node
-        if self._giving or now - self._started < GIVE_AFTER_S:
+        if self._giving or now < self._give_after:
             return
-        ranges = _keymap.excess(
-            self._keymap(), node.settings.vm, node.owners(self._service)
-        )
-        for start, end in ranges:
-            self._giving[(start, end)] = node.target.held_until + MARGIN_S
-            node.log("keys_given_up", start=start, end=end)
+        keymap, vm = self._keymap(), node.settings.vm
+        shares = [self._share(keymap, o.vm) for o in node.owners(self._service)]
+        own = next((s for s in shares if s.vm == vm), None)
+        if own is None:
+            return
+        rows = [(row.start, row.end) for row in self._rows()]
+        others = [s for s in shares if s.vm != vm]
+        move = plan_move(own, others, rows, node.gate.work())
+        if move is None:
+            return
+        until = node.target.held_until + MARGIN_S
+        self._giving[(move.start, move.end)] = (until, move.vm)
+        self._give_after = now + GIVE_PAUSE_S
+        node.log(
+            "keys_given_up", start=move.start, end=move.end, to=move.vm,
+            usage=own.usage, usages=",".join(f"{s.vm}:{s.usage:.2f}" for s in others),
+        )  # fmt: skip
+
+    def _share(self, keymap, vm):
+        node = self._node
+        width = _keymap.width(keymap, vm)
+        load = node.gate.load() if vm == node.settings.vm else node.links[vm].load
+        if load is None:
+            return Share(vm, 0.0, width, 0.0)
+        return Share(vm, load.usage, width, load.service_s)
 
     def _release_view(self, now):
         """Return the ranges that the target gave up or lost."""
         target, vm = self._node.target, self._node.settings.vm
         released = [(s, e, token) for (s, e), token in self._released.items()]
-        for (start, end), until in self._giving.items():
-            if now > until and (start, end) not in self._released:
+        for (start, end), (until, _) in self._giving.items():
+            if now > until and not _overlaps(start, end, released):
                 released.append((start, end, ""))
         lost = target.leaving or target.silent(now, self._node.settings.beat_interval_s)
         over = now > max(target.held_until, self._started + HOLD_S * DRIFT) + MARGIN_S
@@ -228,7 +255,7 @@
             released += [
                 (row.start, row.end, "")
                 for row in rows
-                if not any(s <= row.end and row.start <= e for s, e, _ in released)
+                if not _overlaps(row.start, row.end, released)
             ]
         return released
 
@@ -245,13 +272,16 @@
             now, node.settings.vm, keymap,
             next((o for o in owners if o.vm == node.settings.vm), None),
             owners, {vm: node.down_s(vm) for vm in names},
-            self._release_view(now), self._suspicions, now - self._started,
+            self._release_view(now),
+            [(*pair, receiver) for pair, (_, receiver) in self._giving.items()],
+            self._suspicions, now - self._started,
         )  # fmt: skip
 
     async def run(self):
         """Change the map as needed until cancelled."""
         while True:
             await trio.sleep(TICK_S)
+            self._node.gate.sample(trio.current_time())
             if not self._follower.started or not self._node.is_keyed(self._service):
                 continue
             if self._follower.failing_since is None:
@@ -276,16 +306,11 @@
     def _forget_released(self, keymap):
         """Forget ranges that this VM does not own any more."""
         vm = self._node.settings.vm
-        for start, end in list(self._released):
-            if not any(
-                r.vm == vm and r.start <= end and start <= r.end for r in keymap.rows
-            ):
-                del self._released[(start, end)]
-        for start, end in list(self._giving):
-            if not any(
-                r.vm == vm and r.start <= end and start <= r.end for r in keymap.rows
-            ):
-                del self._giving[(start, end)]
+        own = [(r.start, r.end, "") for r in keymap.rows if r.vm == vm]
+        for ranges in (self._released, self._giving):
+            for start, end in list(ranges):
+                if not _overlaps(start, end, own):
+                    del ranges[(start, end)]
 
     async def _catch_up(self, done):
         """Wait until the follower has read what the append tells of."""
@@ -298,6 +323,11 @@
                 await self._follower.changed.wait()
 
 
+def _overlaps(start, end, ranges):
+    """Whether one of the ranges (start, end, handover) shares a key with another."""
+    return any(s <= end and start <= e for s, e, _ in ranges)
+
+
 def _outcome(done):
     match done:
         case Ok(Appended(offset)):
--- a/packages/router/src/jujuberudder_router/_keymap.py
+++ b/packages/router/src/jujuberudder_router/_keymap.py
@@ -12,9 +12,6 @@
 
 from ._types import KEY_COUNT, KeyMap, Row
 
-# Share of an even part of the keys below which a VM is given more.
-FEW_SHARE = 0.5
-
 
 class Owner(NamedTuple):
     """A VM that may own keys, by the life of its target."""
@@ -93,28 +90,6 @@
     return _with_rows(keymap, kept, given)
 
 
-def excess(keymap, vm, owners):
-    """Return the ranges that ``vm`` gives up because another VM owns too few keys.
-
-    Only the VM with the most keys gives, and only what is above an even part.
-    """
-    shares = {o.vm: width(keymap, o.vm) for o in owners}
-    if vm not in shares or len(shares) < 2:
-        return []
-    even = KEY_COUNT // len(shares)
-    most = max(shares, key=lambda name: (shares[name], name))
-    if most != vm or min(shares.values()) > FEW_SHARE * even:
-        return []
-    surplus = min(shares[vm] - even, even - min(shares.values()))
-    ranges = []
-    for row in sorted(keymap.rows, key=lambda r: -r.end):
-        if row.vm == vm and surplus > 0:
-            size = min(surplus, row.end - row.start + 1)
-            ranges.append((row.end - size + 1, row.end))
-            surplus -= size
-    return ranges
-
-
 def cut(rows, ranges):
     """Return rows without the ranges (start, end)."""
     return tuple(_without(rows, [(start, end, "") for start, end in ranges]))
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -1,7 +1,6 @@
 """A node: the state that its tasks share, and the tasks."""
 
 import random
-import signal
 from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
@@ -303,8 +302,8 @@
                     self.membership.announce()
 
 
-async def run_node(settings, wire, store, log, reload=None):
-    """Run a node until SIGTERM, or until cancelled.
+async def run_node(settings, wire, store, log, stopping):
+    """Run a node until it is told to stop, or until cancelled.
 
     Parameters
     ----------
@@ -312,8 +311,8 @@
     wire : Wire
     store : Store
     log : LineLog
-    reload : callable, default=None
-        Called on SIGHUP.
+    stopping : trio.Event
+        Set when the node is to let its requests end and return.
     """
     node = Node(settings, wire, store, log)
     log("start", service=settings.service, zone=settings.zone)
@@ -337,13 +336,7 @@
         nursery.start_soon(node.keeper.run)
         nursery.start_soon(node.watch_target)
         nursery.start_soon(node.membership.run, nursery)
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-            async for number in signals:
-                if number == signal.SIGTERM:
-                    break
-                log("reload")
-                if reload is not None:
-                    reload()
+        await stopping.wait()
         await _stop(node, origin)
         nursery.cancel_scope.cancel()
     log("stop")
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -152,7 +152,7 @@
                 if reply.outcome == ANSWERED:
                     took = trio.current_time() - started
             finally:
-                gate.leave(ask.route, took)
+                gate.leave(ask, took)
             if not not_held or deadline - trio.current_time() < 2 * NOT_HELD_PAUSE_S:
                 return reply
             await trio.sleep(NOT_HELD_PAUSE_S)
--- /dev/null
+++ b/tests/router/test_gate.py
@@ -0,0 +1,139 @@
+"""Admission at the target: which request runs next, and which is refused."""
+
+import pytest
+import trio
+
+from jujuberudder_router._frames import Ask
+from jujuberudder_router._gate import (
+    Gate,
+    Refused,
+    Waiter,
+    expected_wait,
+    next_waiter,
+    refusal,
+)
+
+
+def waiter(number, priority=1, aim_at=10.0, service_s=0.1, key=None):
+    """Return a waiting request; unspecified fields do not matter."""
+    return Waiter(priority, aim_at, 99.0, service_s, key, trio.Event(), number)
+
+
+@pytest.mark.parametrize(
+    "waiters, now, held, expected",
+    [
+        ([], 0.0, (), None),
+        ([waiter(1, 2), waiter(2, 1)], 0.0, (), 2),
+        ([waiter(1, aim_at=8.0), waiter(2, aim_at=7.0)], 0.0, (), 2),
+        ([waiter(1, 1, aim_at=5.0), waiter(2, 2, aim_at=9.0)], 6.0, (), 2),
+        ([waiter(1, key=5), waiter(2, key=6)], 0.0, (6,), 2),
+        ([waiter(1, key=5)], 0.0, (), None),
+    ],
+    ids=[
+        "none", "urgent first", "earlier aim first", "late ones after those in time",
+        "key not held", "no key held",
+    ],
+)  # fmt: skip
+def test_next(waiters, now, held, expected):
+    """Guards against slots spent on requests that are late while others can be met."""
+    found = next_waiter(waiters, now, lambda key: key is None or key in held)
+    assert (found and found.number) == expected
+
+
+@pytest.mark.parametrize(
+    "wait_s, service_s, left_s, limit_s, expected",
+    [
+        (0.0, 0.5, 0.1, 0.0, None),
+        (0.1, 0.1, 1.0, 0.4, None),
+        (0.5, 0.1, 1.0, 0.4, 0.5),
+        (0.3, 0.6, 1.0, 0.4, 0.3),
+        (9.0, 0.6, 1.0, 0.4, 2.0),
+        (0.01, 0.6, 0.1, 0.4, 0.1),
+    ],
+    ids=["room", "short queue", "past the limit", "past the deadline", "most", "least"],
+)
+def test_refusal(wait_s, service_s, left_s, limit_s, expected):
+    """Guards against requests that are held although they cannot be served in time."""
+    assert refusal(wait_s, service_s, left_s, limit_s) == expected
+
+
+@pytest.mark.parametrize(
+    "running, ahead, expected",
+    [(0, 0, 0.0), (3, 0, 0.0), (4, 0, 0.05), (4, 7, 0.4)],
+)
+def test_expected_wait(running, ahead, expected):
+    """Guards against a report that shows no queue at a full target."""
+    assert expected_wait(running, ahead, 4, 0.2) == pytest.approx(expected)
+
+
+def ask(key=None, left_s=1.0, priority=1):
+    """Return a request for the gate."""
+    return Ask(
+        0, "r", b"GET", b"/", [], b"", left_s, 0.5, priority, key, "s", "s", "r-1"
+    )
+
+
+async def test_slots_are_never_exceeded(autojump_clock):
+    """Guards against a target that sheds because more than its slots were sent."""
+    gate = Gate(lambda key, now: True)
+    gate.open(2)
+    most = 0
+
+    async def run():
+        nonlocal most
+        request = ask(left_s=5.0)
+        try:
+            await gate.enter(request, trio.current_time())
+        except Refused:
+            return
+        most = max(most, gate.running)
+        await trio.sleep(0.1)
+        gate.leave(request, 0.1)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(9):
+            nursery.start_soon(run)
+    assert (most, gate.running) == (2, 0)
+
+
+async def test_a_caller_that_leaves_frees_its_place(autojump_clock):
+    """Guards against slots that are lost when callers give up while they wait."""
+    gate = Gate(lambda key, now: True)
+    gate.open(1)
+    await gate.enter(ask(), trio.current_time())
+    with trio.move_on_after(0.05):
+        await gate.enter(ask(), trio.current_time())
+    assert gate.load().queued == 0
+    gate.leave()
+    assert gate.running == 0
+    await gate.enter(ask(), trio.current_time())
+
+
+async def test_closing_refuses_what_waits(autojump_clock):
+    """Guards against requests that are held while the target leaves."""
+    gate = Gate(lambda key, now: True)
+    gate.open(1)
+    await gate.enter(ask(), trio.current_time())
+    async with trio.open_nursery() as nursery:
+
+        async def wait():
+            with pytest.raises(Refused, match="leaving"):
+                await gate.enter(ask(), trio.current_time())
+
+        nursery.start_soon(wait)
+        await trio.testing.wait_all_tasks_blocked()
+        gate.close("the target is leaving")
+
+
+async def test_a_key_that_is_granted_later_waits(autojump_clock):
+    """Guards against refusals while a key changes hands."""
+    held = set()
+    gate = Gate(lambda key, now: key in held)
+    gate.open(1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(gate.enter, ask(key=7), trio.current_time())
+        await trio.testing.wait_all_tasks_blocked()
+        assert gate.running == 0
+        held.add(7)
+        gate.wake()
+    assert gate.running == 1
--- /dev/null
+++ b/tests/router/test_routes.py
@@ -0,0 +1,58 @@
+"""Routes, parts of routes, and the budget of second sends."""
+
+import pytest
+
+from jujuberudder_router._routes import (
+    RepeatBudget,
+    Splitter,
+    match_route,
+    order_routes,
+)
+from jujuberudder_router._types import Configuration, Limits, Part, Route
+
+
+def route(name, prefix, parts=(Part("s", 1),)):
+    """Return a route of the host ``h``."""
+    return Route(name, "h", prefix, parts, True, 1.0, 0.5, 2, 1)
+
+
+ROUTES = order_routes([route("all", "/"), route("a", "/a/"), route("ab", "/a/b/")])
+CONFIGURATION = Configuration(1, ROUTES, {}, Limits())
+
+
+@pytest.mark.parametrize(
+    "host, path, expected",
+    [
+        ("h", "/a/b/c", "ab"),
+        ("h", "/a/c", "a"),
+        ("h", "/a/b", "a"),
+        ("h", "/ab/", "all"),
+        ("other", "/a/", None),
+    ],
+)
+def test_longest_prefix(host, path, expected):
+    """Guards against requests that another service runs."""
+    found = match_route(CONFIGURATION, host, path)
+    assert (found and found.name) == expected
+
+
+@pytest.mark.parametrize("weights", [(90, 10), (1, 1, 1), (50, 30, 20), (1, 0)])
+def test_parts_get_their_shares(weights):
+    """Guards against a share that is off its weight over few requests."""
+    parts = tuple(Part(f"s{i}", w) for i, w in enumerate(weights))
+    splitter, split = Splitter(), route("split", "/", parts)
+    picks = [splitter.pick(split) for _ in range(200)]
+    for part in parts:
+        share = picks.count(part.service) / 200
+        assert abs(share - part.weight / sum(weights)) <= 0.01
+
+
+def test_budget_of_second_sends():
+    """Guards against more second sends over all nodes than are allowed."""
+    budget = RepeatBudget(ratio=0.2, slack=8, window_s=10)
+    for _ in range(50):
+        budget.request("s", 100.0)
+    allowed = sum(budget.take("s", 4, 101.0) for _ in range(50))
+    assert allowed == 12
+    assert not budget.take("s", 4, 109.0)
+    assert budget.take("s", 4, 112.0)
--- /dev/null
+++ b/tests/router/test_whole_node.py
@@ -0,0 +1,135 @@
+"""Real nodes on the emulated platform, through the adapter."""
+
+import copy
+
+import trio
+
+from . import deployments
+from .deployments import CONFIGURATION, running
+
+
+async def test_requests_reach_their_targets_whole():
+    """Guards against a path that loses bodies, ids or the calling service."""
+    async with running("jobs", "jobs", "orders") as deployment:
+        await deployment.until(deployment.serves_keys)
+        body = b"x" * 200_000
+        vm = deployment.vms["vm-0"]
+        answer = await vm.get("/orders/1", method=b"POST", body=body)
+        assert answer.status == 200
+        assert answer.headers[b"jujuberudder-request-id"].decode() in str(answer.body)
+        assert b"jujuberudder-server-signature" in answer.headers
+        assert deployment.runs[-1].body == body
+        assert (await vm.get("/nowhere/")).status == 404
+        assert deployment.double_owners() == []
+
+
+async def test_a_lost_target_is_replaced_with_higher_fences():
+    """Guards against keys that stay without an owner after a crash of a target."""
+    async with running("jobs", "jobs") as deployment:
+        await deployment.until(deployment.serves_keys)
+        deployment.vms["vm-0"].target_scope.cancel()
+        await deployment.until(deployment.serves_keys)
+        assert deployment.double_owners() == []
+
+
+async def test_a_leaving_target_hands_its_keys_over():
+    """Guards against work for a target that left, and against a gap of a whole hold."""
+    async with running("jobs", "jobs") as deployment:
+        await deployment.until(deployment.serves_keys)
+        leaving = deployment.vms["vm-1"].target
+        leaving.state = "draining"
+        with trio.fail_after(3):
+            while "draining" not in leaving.acknowledged:
+                await trio.sleep(0.05)
+        await deployment.until(deployment.serves_keys, limit_s=3)
+        ended = trio.current_time()
+        assert await deployment.serves_keys()
+        late = [r for r in deployment.runs if r.started > ended]
+        assert late and all(r.target != leaving.id for r in late)
+        assert deployment.double_owners() == []
+
+
+async def test_owned_keys_are_served_while_the_store_is_down():
+    """Guards against an outage of the store that stops the service."""
+    async with running("jobs", "jobs", "orders") as deployment:
+        await deployment.until(deployment.serves_keys)
+        for vm in deployment.vms.values():
+            vm.faults.mode = "silent"
+        for _ in range(8):
+            await trio.sleep(0.5)
+            assert await deployment.serves_keys()
+        for vm in deployment.vms.values():
+            vm.faults.mode = ""
+        await trio.sleep(2.0)
+        assert await deployment.serves_keys()
+
+
+async def test_a_vm_that_the_store_turns_away_keeps_its_keys():
+    """Guards against keys that move because the store refuses one VM."""
+    async with running("jobs", "jobs") as deployment:
+        await deployment.until(deployment.serves_keys)
+        changes = deployment.store.partition("keyed.fleet").newest["keys/jobs"][0]
+        deployment.vms["vm-0"].faults.mode = "many"
+        for _ in range(18):
+            await trio.sleep(0.5)
+            assert await deployment.serves_keys()
+        newest = deployment.store.partition("keyed.fleet").newest["keys/jobs"]
+        assert newest[0] == changes
+
+
+async def test_versions_never_go_back():
+    """Guards against an older configuration that is put in force again."""
+    async with running("orders") as deployment:
+        vm = deployment.vms["vm-0"]
+
+        async def serves():
+            return (await vm.get("/orders/1")).status == 200
+
+        await deployment.until(serves)
+        for version, prefix in (("0000000c", "/new/"), ("00000002", "/old/")):
+            changed = copy.deepcopy(CONFIGURATION)
+            changed["version"] = version
+            rule = changed["listeners"][0]["ruleSet"][1]
+            rule["match"]["pathPrefix"] = prefix
+            deployment.publish(changed)
+        await trio.sleep(0.3)
+        assert (await vm.get("/new/1")).status == 200
+        assert (await vm.get("/old/1")).status == 404
+
+
+async def test_before_a_configuration_all_is_refused_truthfully():
+    """Guards against a 404 from a node that knows no routes yet."""
+    async with trio.open_nursery() as nursery:
+        deployment = deployments.Deployment(nursery)
+        vm = deployment.add("vm-0", "orders")
+        await trio.sleep(0.5)
+        answer = await vm.get("/orders/1")
+        assert answer.status == 503 and b"retry-after" in answer.headers
+        assert not await vm.is_ready()
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_stop_cuts_off_nothing():
+    """Guards against requests that are lost when a node is told to stop."""
+    async with running("orders") as deployment:
+        vm = deployment.vms["vm-0"]
+        vm.target_scope.cancel()
+        vm.start_target(work_s=1.0)
+
+        async def serves():
+            return (await vm.get("/orders/1")).status == 200
+
+        await deployment.until(serves)
+        answers = []
+
+        async def ask():
+            answers.append((await vm.get("/orders/1")).status)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(ask)
+            await trio.sleep(0.3)
+            vm.stopping.set()
+            await trio.sleep(0.1)
+            assert not await vm.is_ready()
+        assert answers == [200] * 4
