Answer what is left before a stop ends; count refused arrivals as repeats

Change: a final answer in the last sixth of the grace period; refusals by a target count as arrivals; the gate takes the target's own load report into account.

--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -45,6 +45,7 @@
     """What became of an ``Ask``.
 
     ``outcome`` is ANSWERED, NOT_RUN (it will not run later either) or UNKNOWN.
+    ``arrived`` tells of a request that did not run whether the target saw it.
     """
 
     id: int
@@ -54,6 +55,7 @@
     body: bytes = b""
     reason: str = ""
     retry_after_s: float = 0.0
+    arrived: bool = False
     load: Load | None = None
 
 
--- a/packages/router/src/jujuberudder_router/_gate.py
+++ b/packages/router/src/jujuberudder_router/_gate.py
@@ -26,6 +26,11 @@
 
 # Weight of the newest sample in the usage, sampled every 0.1 s: a mean over 2 s.
 USAGE_WEIGHT = 0.05
+# Seconds for which a target's word on work that this node knows nothing of counts: it
+# goes on with requests whose callers left.
+FOREIGN_S = 0.5
+# Seconds for which a target that shed gets one request less.
+SHED_S = 0.3
 # Seconds for which the work on keys is remembered for moves.
 WORK_WINDOW_S = 4.0
 
@@ -94,7 +99,10 @@
 
 
 class Refused(Exception):
-    """A request that was not admitted and will not run."""
+    """A request that was not admitted and will not run.
+
+    ``retry_after_s`` is 0 where another VM, or this one soon, may take it.
+    """
 
     def __init__(self, reason, retry_after_s):
         super().__init__(reason)
@@ -119,6 +127,7 @@
         self._service_s = {}
         self._mean_s = FIRST_SERVICE_S
         self._work = deque()
+        self._foreign, self._foreign_until = 0, 0.0
         self.usage = 0.0
         self.slots = 0
         self.closed_reason = "no target has announced itself"
@@ -140,8 +149,26 @@
         for waiter in self._waiters.values():
             waiter.event.set()
 
+    def note_load(self, running, waiting, slots, now):
+        """Note the target's own report, sent with a response."""
+        foreign = max(0, running + waiting - self._running)
+        if foreign >= self._foreign or now > self._foreign_until:
+            self._foreign, self._foreign_until = foreign, now + FOREIGN_S
+
+    def note_shed(self, now):
+        """Note that the target refused although a slot was free by this count."""
+        foreign = self._foreign if now < self._foreign_until else 0
+        self._foreign = min(foreign + 1, max(0, self.slots - 1))
+        self._foreign_until = now + SHED_S
+
+    def _room(self, now):
+        """Return how many requests may be at the target."""
+        foreign = self._foreign if now < self._foreign_until else 0
+        return max(1, self.slots - foreign)
+
     def sample(self, now):
         """Take a sample of the usage; called every 0.1 s."""
+        self.wake()
         used = (self._running + len(self._waiters)) / max(1, self.slots)
         self.usage += USAGE_WEIGHT * (used - self.usage)
         while self._work and self._work[0][0] < now - WORK_WINDOW_S:
@@ -169,10 +196,10 @@
             The request has not run and will not.
         """
         if self.closed_reason:
-            raise Refused(self.closed_reason, RETRY_LEAST_S)
+            raise Refused(self.closed_reason, 0.0)
         service_s = self._service_s.get(ask.route, self._mean_s)
         held = self._holds(ask.key, now)
-        if held and self._running < self.slots and not self._waiters:
+        if held and self._running < self._room(now) and not self._waiters:
             self._running += 1
             return
         self._check(ask, service_s)
@@ -205,8 +232,9 @@
             raise
         if self._waiters.pop(number, None) is None:
             return
-        reason = self.closed_reason or "no slot came free in time"
-        raise Refused(reason, RETRY_LEAST_S)
+        if self.closed_reason:
+            raise Refused(self.closed_reason, 0.0)
+        raise Refused("no slot came free in time", RETRY_LEAST_S)
 
     def leave(self, ask=None, took_s=None):
         """Free a slot; ``took_s`` is how long the target worked."""
@@ -225,7 +253,7 @@
         if self.closed_reason:
             return
         now = trio.current_time()
-        while self._running < self.slots and self._waiters:
+        while self._running < self._room(now) and self._waiters:
             waiter = next_waiter(
                 self._waiters.values(), now, lambda key: self._holds(key, now)
             )
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -44,7 +44,7 @@
         return VM(
             settings.vm, self._life, settings.peer_address, settings.zone,
             settings.service, target.life, target.slots,
-            node.stopping or target.leaving,
+            node.draining or target.leaving,
         )  # fmt: skip
 
     def announce(self):
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -29,11 +29,14 @@
 CONFIG_WAIT_S = 1.5
 # The same for membership and owners; each read that ends renews the lease.
 FLEET_WAIT_S = 1.5
-# Share of the grace period after which a stopping node ends idle connections, and the
-# rest in which it waits for requests. Callers notice the readiness within 2 s.
-STOP_ACCEPTING_S = 2.5
-# Seconds of the grace period kept for ending the process.
-STOP_MARGIN_S = 0.4
+# Seconds after SIGTERM in which requests are taken as before: callers notice the
+# readiness after two looks, one a second.
+STOP_ACCEPTING_S = 2.4
+# Seconds before the end of the grace period at which what still runs gets a final
+# answer: within its last sixth, with time for the answers to leave.
+STOP_ANSWER_S = 0.6
+# Seconds between two looks at what still runs.
+STOP_LOOK_S = 0.03
 # Failures in a row after which a VM counts as failing, and the seconds that holds.
 FAILURES_IN_ROW, EJECTED_S = 3, 2.0
 
@@ -115,6 +118,8 @@
             self.target, self.gate, wire, self._not_owner, log, self.counters
         )
         self._failures = {}
+        self.active = set()
+        self.draining = False
 
     @property
     def config_version(self):
@@ -283,6 +288,8 @@
 
     def _settle_gate(self):
         target, gate = self.target, self.gate
+        if self.draining:
+            return
         if target.leaving:
             if not gate.closed_reason:
                 self.log("gate_closed", target=target.life, reason="target leaves")
@@ -344,20 +351,30 @@
 
 
 async def _stop(node, origin):
-    """Let running requests end, within the grace period."""
+    """Let running requests end, within the grace period.
+
+    Callers see the readiness within two looks; until then all goes on. Then nothing
+    new begins, and what is left shortly before the end gets a final answer.
+    """
     log, settings = node.log, node.settings
     log("stopping", busy=origin.busy, running=node.gate.running)
     node.stopping = True
     started = trio.current_time()
-    node.membership.announce()
     await trio.sleep(min(STOP_ACCEPTING_S, settings.grace_s / 2))
     origin.closing = True
-    origin.close_idle()
-    end = started + settings.grace_s - STOP_MARGIN_S
+    node.draining = True
+    node.gate.close("the node is stopping")
+    node.membership.announce()
+    end = started + settings.grace_s - STOP_ANSWER_S
     while trio.current_time() < end and (origin.busy or node.gate.running):
-        await trio.sleep(0.05)
         origin.close_idle()
-    log("drained", busy=origin.busy, running=node.gate.running)
+        await trio.sleep(STOP_LOOK_S)
+    log("stop_answers", busy=origin.busy, running=node.gate.running)
+    for scope in list(node.active):
+        scope.cancel()
+    with trio.move_on_after(STOP_ANSWER_S / 2):
+        while origin.busy:
+            await trio.sleep(STOP_LOOK_S)
 
 
 def make_ready_handler(node):
--- a/packages/router/src/jujuberudder_router/_origin.py
+++ b/packages/router/src/jujuberudder_router/_origin.py
@@ -28,6 +28,7 @@
 
     def __init__(self):
         self.sends = 0
+        self.arrivals = 0
         self.in_doubt = False
         self.ran = None
         self.refused = set()
@@ -82,30 +83,35 @@
         left_s = route.timeout_s
         if request.budget_s is not None:
             left_s = min(left_s, request.budget_s)
-        with trio.move_on_at(started + left_s - RETURN_S):
-            await run(request, route, service, attempt, started + left_s)
+        deadline = started + left_s
+        with trio.CancelScope(deadline=deadline - RETURN_S) as scope:
+            node.active.add(scope)
+            try:
+                await run(request, route, service, attempt, deadline)
+            finally:
+                node.active.discard(scope)
         if attempt.answer is None:
-            if not attempt.reason or attempt.in_doubt:
-                attempt.reason = attempt.reason or "no answer in time"
+            attempt.reason = attempt.reason or "no answer in time"
             status = TIMED_OUT if attempt.in_doubt else NOT_SERVED
             attempt.answer = own_answer(request, attempt, status)
         return attempt.answer, attempt, route
 
     async def run(request, route, service, attempt, deadline):
-        waited_until = trio.current_time() + OWNER_WAIT_S
+        wait_until = trio.current_time() + OWNER_WAIT_S
         while attempt.answer is None:
             now = trio.current_time()
             if deadline - now < LEAST_LEFT_S:
                 return
             vm = pick(request, service, attempt)
-            if vm is None:
-                if may_wait(request, service) and now < waited_until:
-                    await trio.sleep(OWNER_PAUSE_S)
+            if vm is not None:
+                reply = await send(request, route, service, attempt, vm, deadline - now)
+                settle(request, route, service, attempt, vm, reply)
+                if attempt.answer is not None or not node.is_keyed(service):
                     continue
+            if not may_wait(request, service) or trio.current_time() > wait_until:
                 attempt.answer = own_answer(request, attempt, NOT_SERVED)
                 return
-            reply = await send(request, route, service, attempt, vm, deadline - now)
-            settle(request, route, service, attempt, vm, reply)
+            await trio.sleep(OWNER_PAUSE_S)
 
     def may_wait(request, service):
         return request.key is not None and node.owner_may_change(service, request.key)
@@ -125,9 +131,7 @@
         row = (
             locate(keymap, request.key) if keymap and request.key is not None else None
         )
-        if row is None or (row.vm, row.fence) in attempt.refused:
-            return None
-        return row.vm if node.reachable(row.vm) else None
+        return row.vm if row is not None and node.reachable(row.vm) else None
 
     async def send(request, route, service, attempt, vm, left_s):
         ask = Ask(
@@ -146,6 +150,8 @@
 
     def settle(request, route, service, attempt, vm, reply):
         attempt.reason = reply.reason
+        if reply.arrived or reply.outcome != NOT_RUN:
+            attempt.arrivals += 1
         if reply.outcome == ANSWERED:
             node.note_result(vm, reply.status < 500)
             answer = Answer(reply.status, reply.headers, reply.body)
@@ -154,37 +160,39 @@
             else:
                 attempt.ran = answer
         elif reply.outcome == NOT_RUN:
-            settle_not_run(request, service, attempt, vm, reply)
+            settle_not_run(request, route, service, attempt, vm, reply)
         else:
             node.note_result(vm, False)
             attempt.ran = own_answer(request, attempt, IN_DOUBT)
             if not again(route, service, attempt, vm):
                 attempt.answer = attempt.ran
 
-    def settle_not_run(request, service, attempt, vm, reply):
+    def settle_not_run(request, route, service, attempt, vm, reply):
         if reply.retry_after_s:
             attempt.retry_after_s = reply.retry_after_s
-        if not node.is_keyed(service):
-            attempt.refused.add(vm)
-            return
-        if reply.retry_after_s:
+        attempt.refused.add(vm)
+        if reply.arrived and not within_budget(route, service, attempt):
+            attempt.answer = own_answer(request, attempt, NOT_SERVED)
+        elif reply.retry_after_s and node.is_keyed(service):
             attempt.answer = own_answer(request, attempt, NOT_SERVED)
-            return
-        row = locate(node.keymaps[service], request.key)
-        if row is not None and row.vm == vm:
-            attempt.refused.add((vm, row.fence))
 
     def again(route, service, attempt, vm):
         """Whether a request that may have run is sent to another target."""
-        if not route.repeatable or attempt.sends >= max(1, route.attempts):
+        if not route.repeatable or node.is_keyed(service):
             return False
-        if node.is_keyed(service) or len(node.candidates(service)) < 2:
+        if len(node.candidates(service)) < 2:
+            return False
+        attempt.refused.add(vm)
+        return within_budget(route, service, attempt)
+
+    def within_budget(route, service, attempt):
+        """Whether one more target may see a request, and count it."""
+        if attempt.arrivals >= max(1, route.attempts):
             return False
         now = trio.current_time()
         if not node.budget.take(service, len(node.vms), now):
             counters["repeat_budget_spent"] += 1
             return False
-        attempt.refused.add(vm)
         counters["repeated"] += 1
         return True
 
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -16,8 +16,6 @@
 USER_TIMEOUT_S = 3.0
 # Beats missed before a target is taken to be lost: they may be seconds late.
 BEATS_MISSED = 4
-# Pause before a request goes again to a target that does not hold its key yet.
-NOT_HELD_PAUSE_S = 0.1
 
 
 class Verdict(NamedTuple):
@@ -140,26 +138,21 @@
         return reply
 
     async def attempt(ask, deadline):
-        while True:
-            reason = keyed(ask.key)
-            if reason:
-                return Reply(ask.id, NOT_RUN, reason=reason)
-            await gate.enter(ask, trio.current_time())
-            started = trio.current_time()
-            took = None
-            try:
-                reply, not_held = await send(ask, deadline - started)
-                if reply.outcome == ANSWERED:
-                    took = trio.current_time() - started
-            finally:
-                gate.leave(ask, took)
-            if not not_held or deadline - trio.current_time() < 2 * NOT_HELD_PAUSE_S:
-                return reply
-            await trio.sleep(NOT_HELD_PAUSE_S)
-            ask.left_s = deadline - trio.current_time()
+        reason = keyed(ask.key)
+        if reason:
+            return Reply(ask.id, NOT_RUN, reason=reason)
+        await gate.enter(ask, trio.current_time())
+        started = trio.current_time()
+        took = None
+        try:
+            reply = await send(ask, deadline - started)
+            if reply.outcome == ANSWERED:
+                took = trio.current_time() - started
+        finally:
+            gate.leave(ask, took)
+        return reply
 
     async def send(ask, left_s):
-        """Return the reply and whether the target did not hold the key."""
         headers = wire.target_headers(ask, left_s, target.id)
         data = request_bytes(ask.method, ask.target, headers, ask.body)
         verdict = None
@@ -180,7 +173,9 @@
                 maybe_run=failure.maybe_done,
             )  # fmt: skip
             outcome = UNKNOWN if failure.maybe_done else NOT_RUN
-            return Reply(ask.id, outcome, reason=str(failure)), False
+            return Reply(ask.id, outcome, reason=str(failure))
+        if verdict.load is not None:
+            gate.note_load(*verdict.load, trio.current_time())
         if verdict.not_run:
             counters["target_refusals"] += 1
             log(
@@ -188,11 +183,11 @@
                 status=response.status,
             )  # fmt: skip
             reason = f"the target refused with {response.status}"
-            not_held = ask.key is not None and response.status == 421
-            return Reply(ask.id, NOT_RUN, reason=reason), not_held
+            gate.note_shed(trio.current_time())
+            return Reply(ask.id, NOT_RUN, reason=reason, arrived=True)
         return Reply(
             ask.id, ANSWERED, response.status,
             wire.answer_headers(response.headers), response.body,
-        ), False  # fmt: skip
+        )  # fmt: skip
 
     return serve
