Answer a request that was read while its connection is closed; keep uploads near

Change: closing stops only the reading; scopes of asks exist before their task; an upload's crossing counts 4 us a byte; waiting ends after 0.6 of the time left; polls of the store wait 2.5 s.

--- a/packages/router/src/jujuberudder_router/_choice.py
+++ b/packages/router/src/jujuberudder_router/_choice.py
@@ -5,8 +5,9 @@
 # Seconds that a crossing between availability zones costs a request beside its delay:
 # both ways on the links, and the price of the bytes.
 CROSSING_S = 0.012
-# Seconds per byte of a body that crosses: keeps uploads near unless the wait is longer.
-CROSSING_BYTE_S = 5e-7
+# Seconds per byte of a body that crosses: for the users, 60 KB between zones cost about
+# a quarter of what an upload in time is worth, and being late most of it.
+CROSSING_BYTE_S = 4e-6
 # Age of a report, in seconds, beyond which the requests sent since count more than it.
 REPORT_OLD_S = 1.0
 
--- a/packages/router/src/jujuberudder_router/_gate.py
+++ b/packages/router/src/jujuberudder_router/_gate.py
@@ -14,6 +14,9 @@
 # Share of the time that a request has left which may be spent before its answer; the
 # rest covers the way back and the spread of the time that requests run.
 USABLE_SHARE = 0.85
+# Share of the time left after which a waiting request is turned away: early enough for
+# its caller to come again.
+HELD_SHARE = 0.6
 # Weight of the newest run in the mean time that requests of a route take.
 MEAN_WEIGHT = 0.1
 # Time a request is taken to run before one of its route was seen, in seconds: the mean
@@ -216,7 +219,7 @@
     async def _wait(self, ask, now, service_s):
         self._numbers += 1
         number = self._numbers
-        give_up_at = now + ask.left_s - min(service_s, ask.left_s / 2)
+        give_up_at = now + min(ask.left_s * HELD_SHARE, ask.left_s - service_s)
         waiter = Waiter(
             ask.priority, now + ask.aim_s, give_up_at, service_s, ask.key,
             trio.Event(), number,
--- a/packages/router/src/jujuberudder_router/_links.py
+++ b/packages/router/src/jujuberudder_router/_links.py
@@ -216,9 +216,8 @@
         writer = FrameWriter(stream)
         scopes = {}
 
-        async def answer(ask):
-            with trio.CancelScope() as scope:
-                scopes[ask.id] = scope
+        async def answer(ask, scope):
+            with scope:
                 try:
                     reply = await handle_ask(ask)
                 except Exception as error:
@@ -243,7 +242,9 @@
                     return
                 for frame in frames.feed(data):
                     if isinstance(frame, Ask):
-                        nursery.start_soon(answer, frame)
+                        # Made here, so that a Cancel in the same read finds it.
+                        scopes[frame.id] = trio.CancelScope()
+                        nursery.start_soon(answer, frame, scopes[frame.id])
                     elif isinstance(frame, Cancel):
                         if frame.id in scopes:
                             scopes[frame.id].cancel()
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -26,9 +26,9 @@
 
 # How long a read of the configuration waits for a record, in seconds: with the call's
 # own margin it bounds how late a node notices a silent connection.
-CONFIG_WAIT_S = 1.5
+CONFIG_WAIT_S = 2.5
 # The same for membership and owners; each read that ends renews the lease.
-FLEET_WAIT_S = 1.5
+FLEET_WAIT_S = 2.5
 # Seconds after SIGTERM in which requests are taken as before: callers notice the
 # readiness after two looks, one a second.
 STOP_ACCEPTING_S = 2.4
--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -78,10 +78,13 @@
                     connection.cancel()
 
     def close_idle(self):
-        """Close each connection that has no request on it."""
+        """Close each connection that has no request on it.
+
+        A request that was just read is still answered.
+        """
         for connection in list(self._open):
             if not connection.busy and not connection.reading:
-                connection.cancel()
+                connection.stop_reading()
 
     async def _serve_connection(self, stream):
         connection = _Connection(stream, self)
@@ -116,6 +119,7 @@
         self._server = server
         self._collector = server.parser()
         self._nursery = None
+        self._read_scope = trio.CancelScope()
         self._last_used = trio.current_time()
         self.busy = False
 
@@ -137,27 +141,36 @@
             return now - self._last_used > limits.header_timeout_s
         return now - self._last_used > limits.idle_timeout_s
 
+    def stop_reading(self):
+        """Read no more; what was read is answered."""
+        self._read_scope.cancel()
+
     async def run(self):
         """Read requests; each is answered by a task of its own, in order."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            while True:
-                data = await self._stream.receive_some(READ_BYTES)
-                if not data:
-                    break
-                if not self.reading:
-                    self._last_used = trio.current_time()
-                try:
-                    feed(self._collector, data)
-                except HttpError as error:
-                    await self._refuse(error)
-                    break
-                if len(self._collector.messages) > PIPELINE_LIMIT:
-                    break
-                if self._collector.messages and not self.busy:
-                    self.busy = True
-                    nursery.start_soon(self._answer_all)
-            nursery.cancel_scope.cancel()
+            with self._read_scope:
+                await self._read(nursery)
+            if not (self._read_scope.cancelled_caught and self.busy):
+                nursery.cancel_scope.cancel()
+
+    async def _read(self, nursery):
+        while True:
+            data = await self._stream.receive_some(READ_BYTES)
+            if not data:
+                return
+            if not self.reading:
+                self._last_used = trio.current_time()
+            try:
+                feed(self._collector, data)
+            except HttpError as error:
+                await self._refuse(error)
+                return
+            if len(self._collector.messages) > PIPELINE_LIMIT:
+                return
+            if self._collector.messages and not self.busy:
+                self.busy = True
+                nursery.start_soon(self._answer_all)
 
     async def _refuse(self, error):
         if not self.busy:
