--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -296,7 +296,12 @@
     platform.before = before
     where = ("--log-address", platform.address, "--deployment", "lango")
     line = [sys.executable, "-m", "jujuberudderctl", command, *where]
-    process = await trio.lowlevel.open_process(line, stderr=subprocess.PIPE)
+    process = await trio.lowlevel.open_process(
+        line,
+        stderr=subprocess.PIPE,
+        # A test run in the background ignores SIGINT, and its children would too.
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
+    )
     with trio.fail_after(20):
         await asked.wait()
         process.send_signal(signal.SIGINT)
