Stop a node in the order origin, gate, listener; poll the configuration each second

Change: a request that would outlast the node is refused at once; the gate stays open for other nodes until the node's own callers are served; a closed owner is not asked.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -26,7 +26,7 @@
 
 # How long a read of the configuration waits for a record, in seconds: with the call's
 # own margin it bounds how late a node notices a silent connection.
-CONFIG_WAIT_S = 2.5
+CONFIG_WAIT_S = 1.0
 # The same for membership and owners; each read that ends renews the lease.
 FLEET_WAIT_S = 2.5
 # Seconds after SIGTERM in which requests are taken as before: callers notice the
@@ -35,6 +35,9 @@
 # Seconds before the end of the grace period at which what still runs gets a final
 # answer: within its last sixth, with time for the answers to leave.
 STOP_ANSWER_S = 0.6
+# Seconds before that at which the target takes nothing more of other nodes: most
+# requests run for less.
+STOP_TARGET_S = 0.8
 # Seconds between two looks at what still runs.
 STOP_LOOK_S = 0.03
 # Failures in a row after which a VM counts as failing, and the seconds that holds.
@@ -120,6 +123,7 @@
         self._failures = {}
         self.active = set()
         self.draining = False
+        self.stop_at = None
 
     @property
     def config_version(self):
@@ -187,10 +191,9 @@
             return "this VM does not own the key"
         return None
 
-    def reachable(self, vm):
-        """Whether a VM is this one or was heard lately."""
-        link = self.links.get(vm)
-        return vm == self.settings.vm or (link is not None and link.up)
+    def takes_work(self, vm):
+        """Whether a VM is this one, or was heard lately and not to be closed."""
+        return vm == self.settings.vm or self._open(vm)
 
     def down_s(self, vm):
         """Return for how many seconds a VM has been out of touch."""
@@ -362,14 +365,16 @@
     started = trio.current_time()
     await trio.sleep(min(STOP_ACCEPTING_S, settings.grace_s / 2))
     origin.closing = True
+    node.stop_at = end = started + settings.grace_s - STOP_ANSWER_S
+    await _until(end - STOP_TARGET_S, lambda: not origin.busy, origin.close_idle)
+    # The target serves other nodes until here, so that its keys wait only shortly.
     node.draining = True
     node.gate.close("the node is stopping")
     node.membership.announce()
-    end = started + settings.grace_s - STOP_ANSWER_S
-    while trio.current_time() < end and (origin.busy or node.gate.running):
-        origin.close_idle()
-        await trio.sleep(STOP_LOOK_S)
+    await _until(end, lambda: not (origin.busy or node.gate.running), origin.close_idle)
     log("stop_answers", busy=origin.busy, running=node.gate.running)
+    origin.stop_accepting()
+    origin.close_idle()
     for scope in list(node.active):
         scope.cancel()
     with trio.move_on_after(STOP_ANSWER_S / 2):
@@ -377,6 +382,13 @@
             await trio.sleep(STOP_LOOK_S)
 
 
+async def _until(end, done, act):
+    """Act now and then until something is done, or a time is reached."""
+    while trio.current_time() < end and not done():
+        act()
+        await trio.sleep(STOP_LOOK_S)
+
+
 def make_ready_handler(node):
     """Return the handler of the ready address: readiness, and counters as text."""
 
--- a/packages/router/src/jujuberudder_router/_origin.py
+++ b/packages/router/src/jujuberudder_router/_origin.py
@@ -17,6 +17,8 @@
 OWNER_PAUSE_S = 0.05
 # Longest wait for a key between two owners: a beat interval and a write to the store.
 OWNER_WAIT_S = 1.2
+# The most of the time left that is spent on that, so that a refusal is not too late.
+OWNER_SHARE = 0.5
 # What a refused caller is told where no queue tells the time, in seconds.
 RETRY_AFTER_S = 0.3
 # Answers of an own failure: 502 and 504 promise nothing, 503 that nothing ran.
@@ -84,6 +86,9 @@
         if request.budget_s is not None:
             left_s = min(left_s, request.budget_s)
         deadline = started + left_s
+        if node.stop_at is not None and deadline > node.stop_at:
+            attempt.reason = "the node ends before the request might"
+            return own_answer(request, attempt, NOT_SERVED), attempt, route
         with trio.CancelScope(deadline=deadline - RETURN_S) as scope:
             node.active.add(scope)
             try:
@@ -97,7 +102,8 @@
         return attempt.answer, attempt, route
 
     async def run(request, route, service, attempt, deadline):
-        wait_until = trio.current_time() + OWNER_WAIT_S
+        started = trio.current_time()
+        wait_until = started + min(OWNER_WAIT_S, OWNER_SHARE * (deadline - started))
         while attempt.answer is None:
             now = trio.current_time()
             if deadline - now < LEAST_LEFT_S:
@@ -131,7 +137,7 @@
         row = (
             locate(keymap, request.key) if keymap and request.key is not None else None
         )
-        return row.vm if row is not None and node.reachable(row.vm) else None
+        return row.vm if row is not None and node.takes_work(row.vm) else None
 
     async def send(request, route, service, attempt, vm, left_s):
         ask = Ask(
--- a/packages/router/src/jujuberudder_router/_relay.py
+++ b/packages/router/src/jujuberudder_router/_relay.py
@@ -83,7 +83,6 @@
         if now < failing_until:
             done = await relay(name, arguments, wait_s)
             if isinstance(done, Ok):
-                failing_until = trio.current_time() + PREFER_RELAY_S
                 return done
             failing_until = 0.0
             if done is not None and name == "append":
--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -41,6 +41,7 @@
         self._limits = limits
         self._log = log
         self._open = set()
+        self._accept_scope = trio.CancelScope()
         self.closing = False
 
     @property
@@ -57,17 +58,23 @@
             for listener in listeners:
                 nursery.start_soon(self._accept, listener, nursery)
 
+    def stop_accepting(self):
+        """Close the listener; connections that are open go on."""
+        self._accept_scope.cancel()
+
     async def _accept(self, listener, nursery):
-        while True:
-            try:
-                stream = await listener.accept()
-            except OSError as error:
-                if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS):
-                    raise
-                self._log("accept_failed", reason=str(error))
-                await trio.sleep(SWEEP_INTERVAL_S / 10)
-                continue
-            nursery.start_soon(self._serve_connection, stream)
+        with self._accept_scope:
+            while True:
+                try:
+                    stream = await listener.accept()
+                except OSError as error:
+                    if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS):
+                        raise
+                    self._log("accept_failed", reason=str(error))
+                    await trio.sleep(SWEEP_INTERVAL_S / 10)
+                    continue
+                nursery.start_soon(self._serve_connection, stream)
+        listener.socket.close()
 
     async def _sweep(self):
         while True:
--- a/tests/router/test_whole_node.py
+++ b/tests/router/test_whole_node.py
@@ -133,3 +133,26 @@
             await trio.sleep(0.1)
             assert not await vm.is_ready()
         assert answers == [200] * 4
+
+
+async def test_a_late_request_at_a_stopping_node_is_refused_at_once():
+    """Guards against requests that are taken by a node that ends before they do."""
+    async with running("orders", "orders") as deployment:
+        vm = deployment.vms["vm-0"]
+        for other in deployment.vms.values():
+            other.target_scope.cancel()
+            other.start_target(work_s=2.0)
+
+        async def serves():
+            return (await vm.get("/orders/1")).status == 200
+
+        await deployment.until(serves)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(vm.get, "/orders/1")
+            await trio.sleep(0.1)
+            vm.stopping.set()
+            await trio.sleep(1.7)
+            started = trio.current_time()
+            answer = await vm.get("/orders/1")
+            assert answer.status == 503 and b"retry-after" in answer.headers
+            assert trio.current_time() - started < 1.0
