--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 PACKAGES = base core router logservice peers targets clients operators node ctl standins
 
-.PHONY: install demo example proof bench bench-quick test lint check format
+.PHONY: install demo demo-sections example proof bench bench-quick test lint check format
 
 install: $(VENV)/.installed
 
@@ -15,6 +15,10 @@
 	touch $@
 
 demo: install
+	$(BIN)/python -m jujuberudder_emulator.demo
+
+# The same on the earlier log service, with sections.
+demo-sections: install
 	$(BIN)/python -m jujuberudder_standins.demo
 
 EXAMPLE ?= lango
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -3,9 +3,14 @@
 import pytest
 import trio
 from result import Err, Ok
-from router.deployments import free_addresses
 
-from jujuberudder_emulator import Faults, Partition, StoreStandin, split_records
+from jujuberudder_emulator import (
+    Faults,
+    Partition,
+    StoreStandin,
+    free_addresses,
+    split_records,
+)
 from jujuberudder_platform import make_store
 from jujuberudder_router import FLEET, OPERATOR, Appended, Conflict, Forgotten
 
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from jujuberudder_emulator import free_addresses
 from jujuberudder_router import Limits
 from jujuberudder_router._frames import (
     NOT_RUN,
@@ -14,8 +15,6 @@
 from jujuberudder_router._links import serve_links
 from jujuberudder_router._server import Server
 
-from .deployments import free_addresses
-
 TWO_LENGTHS = (
     b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
--- a/tests/router/test_whole_node.py
+++ b/tests/router/test_whole_node.py
@@ -4,8 +4,7 @@
 
 import trio
 
-from . import deployments
-from .deployments import CONFIGURATION, running
+from jujuberudder_emulator import CONFIGURATION, Deployment, running
 
 
 async def test_requests_reach_their_targets_whole():
@@ -100,8 +99,9 @@
 async def test_before_a_configuration_all_is_refused_truthfully():
     """Guards against a 404 from a node that knows no routes yet."""
     async with trio.open_nursery() as nursery:
-        deployment = deployments.Deployment(nursery)
+        deployment = Deployment(nursery)
         vm = deployment.add("vm-0", "orders")
+        vm.start_node()
         await trio.sleep(0.5)
         answer = await vm.get("/orders/1")
         assert answer.status == 503 and b"retry-after" in answer.headers
