--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -45,7 +45,8 @@
     """What became of an ``Ask``.
 
     ``outcome`` is ANSWERED, NOT_RUN (it will not run later either) or UNKNOWN.
-    ``arrived`` tells of a request that did not run whether the target saw it.
+    ``arrived`` tells of a request that did not run whether the target saw it, and
+    ``owner`` which VM owns its key if this one does not.
     """
 
     id: int
@@ -56,6 +57,7 @@
     reason: str = ""
     retry_after_s: float = 0.0
     arrived: bool = False
+    owner: str = ""
     load: Load | None = None
 
 
--- a/packages/router/src/jujuberudder_router/_keeper.py
+++ b/packages/router/src/jujuberudder_router/_keeper.py
@@ -196,7 +196,15 @@
         if not self._node.is_keyed(self._service) or not self._follower.started:
             return None
         if not self.lease_valid(now):
+            self._node.metrics.count("grants_withheld")
+            self._node.log(
+                "grant_withheld", read_at=self._follower.read_at, now=now,
+                suspected=_keymap.suspicion_of(
+                    self._keymap(), self._node.settings.vm
+                ),
+            )  # fmt: skip
             return None
+        self._node.metrics.count("grants")
         rows = () if target.leaving else tuple(self._rows())
         if not target.leaving:
             self._plan_giving(now)
@@ -228,6 +236,7 @@
         until = node.target.held_until + MARGIN_S
         self._giving[(move.start, move.end)] = (until, move.vm)
         self._give_after = now + GIVE_PAUSE_S
+        node.metrics.count("keys_given_up")
         node.log(
             "keys_given_up", start=move.start, end=move.end, to=move.vm,
             usage=own.usage, usages=",".join(f"{s.vm}:{s.usage:.2f}" for s in others),
@@ -301,6 +310,7 @@
             "key_map_change", reason=step.reason, base=end, outcome=_outcome(done),
             next_fence=step.keymap.next_fence,
         )  # fmt: skip
+        self._node.metrics.count("key_map_changes")
         await self._catch_up(done)
 
     def _forget_released(self, keymap):
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -1,7 +1,6 @@
 """A node: the state that its tasks share, and the tasks."""
 
 import random
-from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -13,9 +12,10 @@
 from ._gate import Gate
 from ._http import split_address
 from ._keeper import Keeper
-from ._keymap import Owner
+from ._keymap import Owner, locate
 from ._links import serve_links
 from ._membership import Membership
+from ._metrics import Metrics
 from ._origin import make_origin
 from ._relay import make_relay_handler, with_relays
 from ._routes import RepeatBudget, Splitter
@@ -94,7 +94,7 @@
         self.settings = settings
         self.wire = wire
         self.log = log
-        self.counters = Counter()
+        self.metrics = Metrics()
         self.configuration = None
         self.keymaps = {}
         self.vms = {}
@@ -118,7 +118,7 @@
         self.keeper = Keeper(self, self.store, self.fleet)
         self.direct_store = store
         self.serve = make_serve(
-            self.target, self.gate, wire, self._not_owner, log, self.counters
+            self.target, self.gate, wire, self._not_owner, log, self.metrics
         )
         self._failures = {}
         self.active = set()
@@ -174,21 +174,23 @@
         if keymap is None:
             return True
         lost = {vm for vm, _ in keymap.suspects}
-        row = next((r for r in keymap.rows if r.start <= key <= r.end), None)
+        row = locate(keymap, key)
         if row is None:
             return True
         return row.vm not in lost and row.vm in self.vms
 
     def _not_owner(self, key):
-        """Return why this node may not serve a key, or None."""
+        """Return why this node may not serve a key and who may, or None."""
         if not self.is_keyed(self.settings.service):
             return None
         if key is None:
-            return "the service is divided by key and the request has none"
+            return "the service is divided by key and the request has none", ""
         keymap = self.keymaps.get(self.settings.service)
-        row = keymap and next((r for r in keymap.rows if r.start <= key <= r.end), None)
-        if row is None or row.vm != self.settings.vm:
-            return "this VM does not own the key"
+        row = locate(keymap, key) if keymap else None
+        if row is None:
+            return "the key has no owner", ""
+        if row.vm != self.settings.vm:
+            return "this VM does not own the key", row.vm
         return None
 
     def takes_work(self, vm):
@@ -401,16 +403,17 @@
 
 
 def metrics_text(node):
-    """Return the counters in the text format of Prometheus."""
-    lines = [
-        f'jujuberudder_events_total{{event="{name}"}} {count}'
-        for name, count in sorted(node.counters.items())
-    ]
+    """Return counters, histograms and present values as text."""
     load = node.gate.load()
-    lines += [
-        f"jujuberudder_target_running {load.running}",
-        f"jujuberudder_target_queued {load.queued}",
-        f"jujuberudder_target_slots {load.slots}",
-        f"jujuberudder_configuration_version {node.config_version}",
-    ]
-    return "\n".join(lines) + "\n"
+    return node.metrics.text(
+        {
+            "target_running": load.running,
+            "target_queued": load.queued,
+            "target_slots": load.slots,
+            "target_usage": round(load.usage, 4),
+            "gate_open": int(load.open),
+            "configuration_version": node.config_version,
+            "links_up": sum(link.up for link in node.links.values()),
+            "ready": int(node.ready),
+        }
+    )
--- a/packages/router/src/jujuberudder_router/_origin.py
+++ b/packages/router/src/jujuberudder_router/_origin.py
@@ -17,6 +17,9 @@
 OWNER_PAUSE_S = 0.05
 # Longest wait for a key between two owners: a beat interval and a write to the store.
 OWNER_WAIT_S = 1.2
+# Owners named by others that are asked without a pause: one that just gave a key away
+# knows the next; more than that are two old maps that name each other.
+OWNER_HINTS = 4
 # The most of the time left that is spent on that, so that a refusal is not too late.
 OWNER_SHARE = 0.5
 # What a refused caller is told where no queue tells the time, in seconds.
@@ -34,6 +37,7 @@
         self.in_doubt = False
         self.ran = None
         self.refused = set()
+        self.owner = ""
         self.reason = "no target is known"
         self.retry_after_s = RETRY_AFTER_S
         self.answer = None
@@ -47,26 +51,28 @@
     node : Node
         State shared by the tasks of a node.
     """
-    wire, log, counters = node.wire, node.log, node.counters
+    wire, log, metrics = node.wire, node.log, node.metrics
 
     async def handle(head):
         started = trio.current_time()
         try:
             request = wire.read_request(head)
         except HttpError as error:
-            counters["malformed"] += 1
+            metrics.count("malformed")
             log("malformed", reason=str(error), status=error.status)
             return error.status, [], str(error).encode()
         answer, attempt, route = await decide(request, started)
+        took_s = trio.current_time() - started
+        metrics.observe("request", took_s)
         if answer.status >= 500 or route is None:
-            counters["failed"] += 1
+            metrics.count("failed")
             log(
                 "answered", id=request.id, route=route.name if route else "",
                 status=answer.status, reason=attempt.reason, sends=attempt.sends,
-                config=node.config_version, took_s=trio.current_time() - started,
+                config=node.config_version, took_s=took_s,
             )  # fmt: skip
         else:
-            counters["completed"] += 1
+            metrics.count("completed")
         return answer.status, answer.headers, answer.body
 
     async def decide(request, started):
@@ -114,6 +120,8 @@
                 settle(request, route, service, attempt, vm, reply)
                 if attempt.answer is not None or not node.is_keyed(service):
                     continue
+                if attempt.owner and attempt.sends < OWNER_HINTS:
+                    continue
             if not may_wait(request, service) or trio.current_time() > wait_until:
                 attempt.answer = own_answer(request, attempt, NOT_SERVED)
                 return
@@ -177,6 +185,7 @@
         if reply.retry_after_s:
             attempt.retry_after_s = reply.retry_after_s
         attempt.refused.add(vm)
+        attempt.owner = reply.owner
         if reply.arrived and not within_budget(route, service, attempt):
             attempt.answer = own_answer(request, attempt, NOT_SERVED)
         elif reply.retry_after_s and node.is_keyed(service):
@@ -197,15 +206,15 @@
             return False
         now = trio.current_time()
         if not node.budget.take(service, len(node.vms), now):
-            counters["repeat_budget_spent"] += 1
+            metrics.count("repeat_budget_spent")
             return False
-        counters["repeated"] += 1
+        metrics.count("repeated")
         return True
 
     def own_answer(request, attempt, status):
         if status == NOT_SERVED and attempt.ran is not None:
             return attempt.ran
-        counters[f"own_{status}"] += 1
+        metrics.count(f"own_{status}")
         retry_after_s = attempt.retry_after_s if status == NOT_SERVED else None
         headers = wire.own_headers(request.id, retry_after_s)
         return Answer(status, headers, attempt.reason.encode())
--- a/packages/router/src/jujuberudder_router/_relay.py
+++ b/packages/router/src/jujuberudder_router/_relay.py
@@ -49,7 +49,7 @@
         done = await getattr(node.direct_store, name)(*arguments)
         match done:
             case Ok(value):
-                node.counters["store_relays"] += 1
+                node.metrics.count("store_relays")
                 return encode_result(value), ""
             case Err(failure):
                 return b"", str(failure)
@@ -89,6 +89,7 @@
                 return done
         done = await getattr(store, name)(*arguments)
         if isinstance(done, Err):
+            node.metrics.count("store_failures")
             failing_until = trio.current_time() + PREFER_RELAY_S
         return done
 
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -103,7 +103,7 @@
         return any(start <= key <= end for start, end in self._granted)
 
 
-def make_serve(target, gate, wire, keyed, log, counters):
+def make_serve(target, gate, wire, keyed, log, metrics):
     """Return ``await serve(ask) -> Reply``, which runs requests at the target.
 
     Parameters
@@ -113,9 +113,10 @@
     wire : Wire
         The adapter's reading and writing of headers.
     keyed : callable
-        ``keyed(key) -> reason or None``: why this node may not serve the key.
+        ``keyed(key) -> (reason, owner) or None``: why this node may not serve the key,
+        and the VM that may.
     log : callable
-    counters : collections.Counter
+    metrics : Metrics
     """
 
     async def serve(ask):
@@ -124,7 +125,7 @@
         try:
             reply = await attempt(ask, deadline)
         except Refused as refused:
-            counters["refused_at_gate"] += 1
+            metrics.count("refused_at_gate")
             log(
                 "refused", id=ask.request_id, route=ask.route, reason=refused.reason,
                 running=gate.running, waited_s=trio.current_time() - arrived,
@@ -138,16 +139,20 @@
         return reply
 
     async def attempt(ask, deadline):
-        reason = keyed(ask.key)
-        if reason:
-            return Reply(ask.id, NOT_RUN, reason=reason)
-        await gate.enter(ask, trio.current_time())
+        elsewhere = keyed(ask.key)
+        if elsewhere:
+            reason, owner = elsewhere
+            return Reply(ask.id, NOT_RUN, reason=reason, owner=owner)
+        arrived = trio.current_time()
+        await gate.enter(ask, arrived)
         started = trio.current_time()
+        metrics.observe("gate_wait", started - arrived)
         took = None
         try:
             reply = await send(ask, deadline - started)
             if reply.outcome == ANSWERED:
                 took = trio.current_time() - started
+                metrics.observe("target", took)
         finally:
             gate.leave(ask, took)
         return reply
@@ -167,7 +172,7 @@
             response = await target.pool.exchange(data, "send to target", expect)
         except ExchangeError as error:
             failure = error.failure
-            counters["target_failures"] += 1
+            metrics.count("target_failures")
             log(
                 "target_failed", id=ask.request_id, target=life, reason=str(failure),
                 maybe_run=failure.maybe_done,
@@ -177,7 +182,7 @@
         if verdict.load is not None:
             gate.note_load(*verdict.load, trio.current_time())
         if verdict.not_run:
-            counters["target_refusals"] += 1
+            metrics.count("target_refusals")
             log(
                 "target_refused", id=ask.request_id, target=life,
                 status=response.status,
--- /dev/null
+++ b/tests/router/test_metrics.py
@@ -0,0 +1,46 @@
+"""Counters and histograms of a node, and the page that lists them."""
+
+import re
+from pathlib import Path
+
+from jujuberudder_router._metrics import EVENTS, HISTOGRAMS, Histogram, Metrics
+
+ROOT = Path(__file__).parent.parent.parent
+PACKAGE = ROOT / "packages/router/src/jujuberudder_router"
+PAGE = (ROOT / "docs/OPERATIONS.md").read_text(encoding="utf-8")
+
+
+def test_page_lists_each_counter_and_histogram():
+    """Guards against a metric that an engineer cannot look up."""
+    listed = set(re.findall(r"^\| `(\w+)` \|", PAGE, re.MULTILINE))
+    assert set(EVENTS) | set(HISTOGRAMS) <= listed
+
+
+def test_code_counts_what_is_listed():
+    """Guards against a counter that is never shown, or never counted."""
+    code = "".join(path.read_text() for path in PACKAGE.glob("*.py"))
+    counted = set(re.findall(r'metrics\.count\("(\w+)"\)', code))
+    counted |= {f"own_{status}" for status in (404, 502, 503, 504)}
+    assert counted == set(EVENTS)
+    observed = set(re.findall(r'metrics\.observe\("(\w+)"', code))
+    assert observed == set(HISTOGRAMS)
+
+
+def test_histogram_counts_up_to_each_bound():
+    """Guards against buckets that do not add up."""
+    histogram = Histogram()
+    for duration in (0.001, 0.005, 0.3, 99.0):
+        histogram.observe(duration)
+    lines = histogram.lines("x")
+    assert 'x_bucket{le="0.005"} 2' in lines
+    assert 'x_bucket{le="0.5"} 3' in lines
+    assert 'x_bucket{le="+Inf"} 4' in lines and lines[-1] == "x_count 4"
+
+
+def test_text():
+    """Guards against a page that a collector cannot read."""
+    metrics = Metrics()
+    metrics.count("completed")
+    text = metrics.text({"ready": 1})
+    assert 'jujuberudder_events_total{event="completed"} 1\n' in text
+    assert "\njujuberudder_ready 1\n" in text
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -184,6 +184,7 @@
             is_keyed=lambda service: True,
             encode_keymap=msgspec.msgpack.encode,
             log=lambda event, **fields: None,
+            metrics=SimpleNamespace(count=lambda event: None),
             gate=SimpleNamespace(
                 load=lambda: None, work=lambda: [], sample=lambda now: None
             ),
