Queue what meets its aim first; admit late requests only with room to spare

Change: the expected wait adds up the work that goes first; what would be late is queued behind all others if twice its wait fits.

--- a/packages/router/src/jujuberudder_router/_gate.py
+++ b/packages/router/src/jujuberudder_router/_gate.py
@@ -14,6 +14,9 @@
 # Share of the time that a request has left which may be spent before its answer; the
 # rest covers the way back and the spread of the time that requests run.
 USABLE_SHARE = 0.85
+# Factor on the wait of a request that will be late: all that come meanwhile and can
+# meet their aim go before it.
+LATE_CUSHION = 2.0
 # Share of the time left after which a waiting request is turned away: early enough for
 # its caller to come again.
 HELD_SHARE = 0.6
@@ -74,31 +77,40 @@
     return best
 
 
-def expected_wait(running, ahead, slots, service_s):
-    """Return the seconds until a slot is free for one more request."""
-    excess = running + ahead + 1 - slots
-    if excess <= 0:
-        return 0.0
-    return excess * service_s / max(1, slots)
+def expected_wait(mean_s, ahead_s, slots):
+    """Return the seconds until a slot is free at a full target.
 
+    Parameters
+    ----------
+    mean_s : float
+        Mean time that a request runs.
+    ahead_s : float
+        Time that the requests which go first will run, added up.
+    slots : int
+    """
+    return (mean_s + ahead_s) / max(1, slots)
 
-def refusal(wait_s, service_s, left_s, limit_s):
+
+def refusal(wait_s, longest_s, service_s, aim_s, left_s):
     """Return for how long to stay away (s) if a request is not to be queued, or None.
 
+    A request is queued if it will meet its aim, or if there is room to spare for one
+    that is late: then it waits behind all others.
+
     Parameters
     ----------
-    wait_s, service_s : float
-        Expected time in the queue and at the target.
-    left_s : float
-        Time until the answer is worth nothing.
-    limit_s : float
-        Longest wait after which an answer is worth queueing for.
+    wait_s, longest_s : float
+        Expected wait behind what goes first, and behind everything that waits.
+    service_s : float
+        Expected time at the target.
+    aim_s, left_s : float
+        Times until the answer is late, and until it is worth nothing.
     """
-    if wait_s <= 0:
+    if wait_s + service_s <= aim_s and wait_s + service_s <= left_s * USABLE_SHARE:
         return None
-    if wait_s + service_s <= left_s * USABLE_SHARE and wait_s <= limit_s:
+    if LATE_CUSHION * longest_s + service_s <= left_s * USABLE_SHARE:
         return None
-    return min(RETRY_MOST_S, max(RETRY_LEAST_S, wait_s))
+    return min(RETRY_MOST_S, max(RETRY_LEAST_S, longest_s))
 
 
 class Refused(Exception):
@@ -183,8 +195,10 @@
 
     def load(self):
         """Return the report for other nodes."""
-        queued = len(self._waiters)
-        wait = expected_wait(self._running, queued, self.slots, self._mean_s)
+        queued, wait = len(self._waiters), 0.0
+        if queued or self._running >= self.slots:
+            ahead = sum(w.service_s for w in self._waiters.values())
+            wait = expected_wait(self._mean_s, ahead, self.slots)
         return Load(
             self._running, queued, self.slots, wait, self._mean_s,
             not self.closed_reason, self.usage,
@@ -205,16 +219,27 @@
         if held and self._running < self._room(now) and not self._waiters:
             self._running += 1
             return
-        self._check(ask, service_s)
+        self._check(ask, now, service_s)
         await self._wait(ask, now, service_s)
 
-    def _check(self, ask, service_s):
-        ahead = sum(1 for w in self._waiters.values() if w.priority <= ask.priority)
-        wait_s = expected_wait(self._running, ahead, self.slots, self._mean_s)
-        limit_s = max(ask.aim_s - service_s, ask.aim_s / 2)
-        away_s = refusal(wait_s, service_s, ask.left_s, limit_s)
+    def _check(self, ask, now, service_s):
+        waiters = self._waiters.values()
+        order = (ask.priority, now + ask.aim_s)
+        ahead = sum(
+            w.service_s
+            for w in waiters
+            if (w.priority, w.aim_at) <= order and now + w.service_s <= w.aim_at
+        )
+        everything = sum(w.service_s for w in waiters)
+        away_s = refusal(
+            expected_wait(self._mean_s, ahead, self.slots),
+            expected_wait(self._mean_s, everything, self.slots),
+            service_s,
+            ask.aim_s,
+            ask.left_s,
+        )
         if away_s is not None:
-            raise Refused(f"queue of {wait_s:.2f} s", away_s)
+            raise Refused(f"queue of {everything / max(1, self.slots):.2f} s", away_s)
 
     async def _wait(self, ask, now, service_s):
         self._numbers += 1
