--- a/packages/router/src/jujuberudder_router/_links.py
+++ b/packages/router/src/jujuberudder_router/_links.py
@@ -77,14 +77,19 @@
         self._waiting = {}
         self._ids = itertools.count(1)
         self._heard_at = -1.0
-        self.down_since = trio.current_time()
+        self._made_at = trio.current_time()
+
+    @property
+    def quiet_s(self):
+        """Seconds since the node was heard, or since this link was made."""
+        return trio.current_time() - max(self._heard_at, self._made_at)
 
     @property
     def up(self):
         """Whether the node was heard lately."""
         if self._writer is None:
             return False
-        return trio.current_time() - self._heard_at < QUIET_S
+        return self.quiet_s < QUIET_S
 
     async def run(self):
         """Keep a connection open until cancelled."""
@@ -119,7 +124,6 @@
         finally:
             stream.socket.close()
             self._writer = None
-            self.down_since = trio.current_time()
             self._fail_waiting(reason)
         return reason
 
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -202,9 +202,7 @@
         link = self.links.get(vm)
         if link is None:
             return trio.current_time() - self.membership.started
-        if link.up:
-            return 0.0
-        return trio.current_time() - link.down_since
+        return 0.0 if link.up else link.quiet_s
 
     def owners(self, service):
         """Return the VMs of a keyed service that may be given keys, by name."""
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -18,6 +18,7 @@
 from result import Err, Ok
 
 from jujuberudder_base import Failure
+from jujuberudder_emulator import uncovered
 from jujuberudder_router import (
     FLEET,
     Appended,
@@ -253,7 +254,7 @@
         now = trio.current_time()
         rows = {(row.start, row.end): row.fence for row in grant.rows}
         for start, end in holder.held(now):
-            for low, high in _left(start, end, rows):
+            for low, high in uncovered(start, end, rows):
                 holder.freed.append((low, high, "token"))
         holder.rows = rows
         holder.until = sent + grant.hold_s * SLOW_CLOCK
@@ -299,18 +300,6 @@
             node.keeper._giving[(row.start, middle)] = (until, to)
 
 
-def _left(start, end, rows):
-    """Return the parts of a range that no row covers."""
-    parts, at = [], start
-    for low, high in sorted(rows):
-        if high < at or low > end:
-            continue
-        if low > at:
-            parts.append((at, low - 1))
-        at = high + 1
-    return [*parts, (at, end)] if at <= end else parts
-
-
 async def play(moves, calm_s=0.0):
     """Play moves, each after a pause, and return the world."""
     async with trio.open_nursery() as nursery:
