Hold keys for 2.4 s, close the gate of a dead target, end long requests before a stop

Keys of a crashed target waited 4 s. A VM that had run nothing counted as slow and got nothing at low load. Change: asks that four times their mean does not fit before the end are refused; a refused connection closes the gate until the next beat; a grant holds 2.4 s, the lease 7.6 s; unmeasured VMs count as fast as the best.

--- a/packages/router/src/jujuberudder_router/_choice.py
+++ b/packages/router/src/jujuberudder_router/_choice.py
@@ -8,6 +8,8 @@
 # Seconds per byte of a body that crosses: for the users, 60 KB between zones cost about
 # a quarter of what an upload in time is worth, and being late most of it.
 CROSSING_BYTE_S = 4e-6
+# Time that a request is taken to run where no VM has run one, in seconds.
+UNKNOWN_SERVICE_S = 0.1
 # Age of a report, in seconds, beyond which the requests sent since count more than it.
 REPORT_OLD_S = 1.0
 
@@ -15,7 +17,8 @@
 class Candidate(NamedTuple):
     """A VM that may run a request, as this node sees it.
 
-    ``own`` counts this node's requests there; ``failures`` is a share in [0, 1].
+    ``own`` counts this node's requests there, ``service_s`` is 0 where none ran yet,
+    and ``failures`` is a share in [0, 1].
     """
 
     vm: str
@@ -53,6 +56,12 @@
     jitter : callable
         Returns numbers in [0, 1); parts equals so that nodes do not all pick one VM.
     """
+    known = [c.service_s for c in candidates if c.service_s > 0]
+    # A VM that has run nothing yet is taken to be as fast as the best.
+    assumed = min(known, default=UNKNOWN_SERVICE_S)
+    candidates = [
+        c if c.service_s > 0 else c._replace(service_s=assumed) for c in candidates
+    ]
     return min(
         candidates,
         key=lambda c: cost(c, body_bytes) * (1 + 0.05 * jitter()),
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -10,8 +10,8 @@
 class Load(msgspec.Struct, array_like=True, frozen=True):
     """What the node beside a target reports of it.
 
-    ``wait_s`` is what a new request would wait, ``service_s`` how long one runs, and
-    ``usage`` the mean of running and queued over slots.
+    ``wait_s`` is what a new request would wait, ``service_s`` how long one runs (0 if
+    none ran yet), and ``usage`` the mean of running and queued over slots.
     """
 
     running: int
--- a/packages/router/src/jujuberudder_router/_gate.py
+++ b/packages/router/src/jujuberudder_router/_gate.py
@@ -20,6 +20,9 @@
 # Share of the time left after which a waiting request is turned away: early enough for
 # its caller to come again.
 HELD_SHARE = 0.6
+# Times the mean for which a request may run at a target whose node ends: their longest
+# runs take five times the mean.
+END_FACTOR = 4.0
 # Weight of the newest run in the mean time that requests of a route take.
 MEAN_WEIGHT = 0.1
 # Time a request is taken to run before one of its route was seen, in seconds: the mean
@@ -145,6 +148,7 @@
         self._foreign, self._foreign_until = 0, 0.0
         self.usage = 0.0
         self.slots = 0
+        self.end_at = None
         self.closed_reason = "no target has announced itself"
 
     @property
@@ -199,8 +203,9 @@
         if queued or self._running >= self.slots:
             ahead = sum(w.service_s for w in self._waiters.values())
             wait = expected_wait(self._mean_s, ahead, self.slots)
+        measured_s = self._mean_s if self._service_s else 0.0
         return Load(
-            self._running, queued, self.slots, wait, self._mean_s,
+            self._running, queued, self.slots, wait, measured_s,
             not self.closed_reason, self.usage,
         )  # fmt: skip
 
@@ -215,6 +220,8 @@
         if self.closed_reason:
             raise Refused(self.closed_reason, 0.0)
         service_s = self._service_s.get(ask.route, self._mean_s)
+        if self.end_at is not None and now + END_FACTOR * service_s > self.end_at:
+            raise Refused("the node ends before the request might", 0.0)
         held = self._holds(ask.key, now)
         if held and self._running < self._room(now) and not self._waiters:
             self._running += 1
--- a/packages/router/src/jujuberudder_router/_keeper.py
+++ b/packages/router/src/jujuberudder_router/_keeper.py
@@ -22,9 +22,10 @@
 
 # Seconds for which a complete read of the map allows grants. With the hold it bridges
 # the 9 s for which the users' store is down.
-LEASE_S = 6.5
-# Seconds for which a grant holds. Beats come every 0.87 s and are at times 2 s late.
-HOLD_S = 3.5
+LEASE_S = 7.6
+# Seconds for which a grant holds: two beats of 0.87 s may be missed. The keys of a
+# target that crashes wait this long.
+HOLD_S = 2.4
 # Share by which a target's clock may run slow, as the platform states.
 DRIFT = 1.02
 # Seconds added where another node's clock or a late timer counts.
@@ -257,7 +258,7 @@
         for (start, end), (until, _) in self._giving.items():
             if now > until and not _overlaps(start, end, released):
                 released.append((start, end, ""))
-        lost = target.leaving or target.silent(now, self._node.settings.beat_interval_s)
+        lost = target.leaving or target.silent(now)
         over = now > max(target.held_until, self._started + HOLD_S * DRIFT) + MARGIN_S
         if lost and over:
             rows = [row for row in self._keymap().rows if row.vm == vm]
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -211,9 +211,7 @@
             if vm.service != service or vm.leaving or not vm.target:
                 continue
             if vm.name == self.settings.vm:
-                lost = self.target.silent(
-                    trio.current_time(), self.settings.beat_interval_s
-                )
+                lost = self.target.silent(trio.current_time())
                 if lost or self.target.leaving or vm.target != self.target.life:
                     continue
             elif not self._open(vm.name):
@@ -306,7 +304,7 @@
             await trio.sleep(self.settings.beat_interval_s)
             now = trio.current_time()
             if self.target.id and not self.gate.closed_reason:
-                if self.target.silent(now, self.settings.beat_interval_s):
+                if self.target.silent(now):
                     self.log("gate_closed", reason="beats are missing")
                     self.gate.close("beats of the target are missing")
                     self.membership.announce()
@@ -366,6 +364,7 @@
     await trio.sleep(min(STOP_ACCEPTING_S, settings.grace_s / 2))
     origin.closing = True
     node.stop_at = end = started + settings.grace_s - STOP_ANSWER_S
+    node.gate.end_at = end
     await _until(end - STOP_TARGET_S, lambda: not origin.busy, origin.close_idle)
     # The target serves other nodes until here, so that its keys wait only shortly.
     node.draining = True
--- a/packages/router/src/jujuberudder_router/_placement.py
+++ b/packages/router/src/jujuberudder_router/_placement.py
@@ -60,7 +60,8 @@
             return _idle_move(own, others, rows, receiver)
     elif own.usage < USAGE_HIGH or difference < USAGE_GAP:
         return None
-    ratio = receiver.service_s / own.service_s if own.service_s > 0 else 1.0
+    measured = own.service_s > 0 and receiver.service_s > 0
+    ratio = receiver.service_s / own.service_s if measured else 1.0
     total = sum(seconds for _, seconds in work)
     wanted = total * difference / (1 + ratio) / max(own.usage, difference)
     found = _best_cut(rows, sorted(work), wanted)
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -14,8 +14,9 @@
 CONNECT_S = 1.0
 # Seconds after which unacknowledged bytes end a connection on the same VM.
 USER_TIMEOUT_S = 3.0
-# Beats missed before a target is taken to be lost: they may be seconds late.
-BEATS_MISSED = 4
+# Seconds without a beat before a target is taken to be lost: about as long as a grant
+# holds, and three beats.
+SILENT_S = 2.6
 
 
 class Verdict(NamedTuple):
@@ -59,9 +60,9 @@
         """When the last grant has surely run out, on the node's clock (s)."""
         return self._held_until
 
-    def silent(self, now, interval_s):
+    def silent(self, now):
         """Whether beats have been missing for long."""
-        return self.beat_at is None or now - self.beat_at > BEATS_MISSED * interval_s
+        return self.beat_at is None or now - self.beat_at > SILENT_S
 
     def take(self, beat, now):
         """Note a beat.
@@ -177,6 +178,9 @@
                 "target_failed", id=ask.request_id, target=life, reason=str(failure),
                 maybe_run=failure.maybe_done,
             )  # fmt: skip
+            if not failure.maybe_done:
+                # No process listens, or it takes no more; its next beat opens the gate.
+                gate.close("the target takes no connections")
             outcome = UNKNOWN if failure.maybe_done else NOT_RUN
             return Reply(ask.id, outcome, reason=str(failure))
         if verdict.load is not None:
--- a/tests/router/test_whole_node.py
+++ b/tests/router/test_whole_node.py
@@ -156,3 +156,21 @@
             answer = await vm.get("/orders/1")
             assert answer.status == 503 and b"retry-after" in answer.headers
             assert trio.current_time() - started < 1.0
+
+
+async def test_a_target_that_takes_no_connections_gets_no_requests():
+    """Guards against requests that go to a dead target until its beats are missed."""
+    async with running("orders", "orders") as deployment:
+        vm, other = deployment.vms["vm-0"], deployment.vms["vm-1"]
+
+        async def both_serve():
+            await vm.get("/orders/1")
+            ran = {run.target for run in deployment.runs}
+            return ran >= {vm.target.id, other.target.id}
+
+        await deployment.until(both_serve)
+        vm.target_scope.cancel()
+        await trio.sleep(0.05)
+        answers = [await vm.get("/orders/1") for _ in range(20)]
+        assert [a.status for a in answers] == [200] * 20, answers[0].body
+        assert "".join(vm.lines).count("event=target_failed") <= 1
