--- a/packages/router/src/jujuberudder_router/_keeper.py
+++ b/packages/router/src/jujuberudder_router/_keeper.py
@@ -210,8 +210,9 @@
         if not target.leaving:
             self._plan_giving(now)
             rows = _keymap.cut(rows, self._giving)
-        target.granted(rows, HOLD_S, DRIFT, now)
-        return Grant(rows, HOLD_S)
+        hold_s = min(HOLD_S, self._node.settings.hold_limit_s)
+        target.granted(rows, hold_s, DRIFT, now)
+        return Grant(rows, hold_s)
 
     def _rows(self):
         target, vm = self._node.target, self._node.settings.vm
--- a/packages/router/src/jujuberudder_router/_types.py
+++ b/packages/router/src/jujuberudder_router/_types.py
@@ -193,10 +193,8 @@
     beat_address: str
     store_address: str
     beat_interval_s: float
-    drain_s: float
     grace_s: float
     hold_limit_s: float
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
-    memory_mb: int
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -28,7 +28,7 @@
 service = "s-1"
 appAddr = "10.1.0.8:8301"
 heartbeatS = 0.87
-bounds = ["drainS=2.5","graceS=5","retryBudgetSlack=184","unknown=1"]
+bounds = ["holdMaxS=8","graceS=5","retryBudgetSlack=184","unknown=1"]
 somethingNew = { a = 1 }
 [listenAddrs]
 inbound = "10.1.0.8:8300"
@@ -47,7 +47,7 @@
     found = read_settings(path)
     assert (found.vm, found.service, found.zone) == ("vm-1", "s-1", "z-a")
     assert found.client_address.endswith("8304") and found.peer_address.endswith("8300")
-    assert (found.drain_s, found.grace_s, found.retry_slack) == (2.5, 5.0, 184.0)
+    assert (found.hold_limit_s, found.grace_s, found.retry_slack) == (8.0, 5.0, 184.0)
     assert found.retry_ratio == 0.2
 
 
@@ -56,7 +56,7 @@
     [
         ("appAddr", "other", "appAddr is missing"),
         ("nodeName =", "nodeName", "line 2"),
-        ('["drainS=2.5"', '["drainS=fast"', "fast"),
+        ('["holdMaxS=8"', '["holdMaxS=fast"', "fast"),
     ],
 )
 def test_wrong_settings_are_named(tmp_path, old, new, told):
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -180,7 +180,7 @@
 
     def _make_node(self, vm):
         node = SimpleNamespace(
-            settings=SimpleNamespace(vm=vm, service=SERVICE, beat_interval_s=BEAT_S),
+            settings=SimpleNamespace(vm=vm, service=SERVICE, hold_limit_s=10.0),
             target=Target("127.0.0.1:1"), keymaps={}, links={},
             is_keyed=lambda service: True,
             encode_keymap=msgspec.msgpack.encode,
