Ask the owner that a refusal names; test the outcomes of a caller's request

Cause: the change that was to use the named owner asked the old one up to four times without a pause instead (found by reading; no test had covered it). Change: the named VM is asked next; tests/router/test_origin.py plays each outcome with scripted VMs. The reason of a request that ran out of time names the VM asked.

--- a/packages/router/src/jujuberudder_router/_origin.py
+++ b/packages/router/src/jujuberudder_router/_origin.py
@@ -102,7 +102,6 @@
             finally:
                 node.active.discard(scope)
         if attempt.answer is None:
-            attempt.reason = attempt.reason or "no answer in time"
             status = TIMED_OUT if attempt.in_doubt else NOT_SERVED
             attempt.answer = own_answer(request, attempt, status)
         return attempt.answer, attempt, route
@@ -141,10 +140,14 @@
         return best.vm if best else None
 
     def pick_owner(request, service, attempt):
+        """Return the VM that another one named, or that the map names."""
+        named, attempt.owner = attempt.owner, ""
+        if named and node.takes_work(named):
+            return named
         keymap = node.keymaps.get(service)
-        row = (
-            locate(keymap, request.key) if keymap and request.key is not None else None
-        )
+        if keymap is None or request.key is None:
+            return None
+        row = locate(keymap, request.key)
         return row.vm if row is not None and node.takes_work(row.vm) else None
 
     async def send(request, route, service, attempt, vm, left_s):
@@ -155,6 +158,7 @@
         )  # fmt: skip
         attempt.sends += 1
         attempt.in_doubt = True
+        attempt.reason = f"{vm} has not answered"
         if vm == node.settings.vm:
             reply = await node.serve(ask)
         else:
--- /dev/null
+++ b/tests/router/test_origin.py
@@ -0,0 +1,102 @@
+"""What becomes of a caller's request, with the other VMs scripted."""
+
+from types import SimpleNamespace
+
+import pytest
+import trio
+
+from jujuberudder_platform.__main__ import WIRE
+from jujuberudder_router import Configuration, Head, KeyMap, Limits, Part, Route, Row
+from jujuberudder_router._choice import Candidate
+from jujuberudder_router._frames import ANSWERED, NOT_RUN, UNKNOWN, Reply
+from jujuberudder_router._origin import make_origin
+from jujuberudder_router._routes import RepeatBudget, Splitter, order_routes
+
+OK = Reply(0, ANSWERED, 200, [], b"done")
+FAILED = Reply(0, ANSWERED, 500, [], b"failed")
+BUSY = Reply(0, NOT_RUN, reason="queue", retry_after_s=0.25)
+CLOSED = Reply(0, NOT_RUN, reason="closed")
+SHED = Reply(0, NOT_RUN, reason="shed", arrived=True)
+IN_DOUBT = Reply(0, UNKNOWN, reason="reset")
+MOVED = Reply(0, NOT_RUN, reason="not the owner", owner="b")
+
+
+def make_node(replies, keyed=False, repeatable=True, slack=100):
+    """Return a node whose other VMs answer by script, and the VMs asked."""
+    asked = []
+
+    def link(vm):
+        async def ask(request):
+            asked.append(vm)
+            await trio.sleep(0.001)
+            return replies[vm].pop(0) if len(replies[vm]) > 1 else replies[vm][0]
+
+        return SimpleNamespace(ask=ask)
+
+    route = Route("r", "h", "/", (Part("s", 1),), repeatable, 1.0, 0.5, 2, 1)
+    node = SimpleNamespace(
+        wire=WIRE, log=lambda event, **fields: None,
+        metrics=SimpleNamespace(
+            count=lambda event: None, observe=lambda name, value: None
+        ),
+        settings=SimpleNamespace(vm="self", service="s"),
+        configuration=Configuration(1, order_routes([route]), {}, Limits()),
+        config_version=1, splitter=Splitter(),
+        budget=RepeatBudget(0.2, slack, 10.0), vms=dict.fromkeys(replies),
+        is_keyed=lambda service: keyed, stop_at=None, active=set(),
+        owner_may_change=lambda service, key: True,
+        takes_work=lambda vm: vm in replies, jitter=lambda: 0.0,
+        candidates=lambda service: [
+            Candidate(vm, True, 0, 0, 4, 0.1, 0, 0.0) for vm in replies
+        ],
+        keymaps={"s": KeyMap("s", 2, (Row(0, 65535, 1, "a", "i@1"),))},
+        links={vm: link(vm) for vm in replies}, note_result=lambda vm, success: None,
+    )  # fmt: skip
+    return node, asked
+
+
+HEAD = Head(
+    b"GET", b"/x", 0,
+    [
+        (b"host", b"h"), (b"jujuberudder-request-id", b"q"),
+        (b"jujuberudder-shard-key", b"7"),
+    ],
+    b"", True,
+)  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    "script, options, status, asked",
+    [
+        ({"a": [OK]}, {}, 200, "a"),
+        ({"a": [BUSY], "b": [OK]}, {}, 200, "ab"),
+        ({"a": [BUSY], "b": [BUSY]}, {}, 503, "ab"),
+        ({"a": [SHED], "b": [OK]}, {}, 200, "ab"),
+        ({"a": [SHED], "b": [OK]}, {"slack": 0}, 503, "a"),
+        ({"a": [IN_DOUBT], "b": [OK]}, {}, 200, "ab"),
+        ({"a": [IN_DOUBT], "b": [OK]}, {"repeatable": False}, 502, "a"),
+        ({"a": [IN_DOUBT], "b": [BUSY]}, {}, 502, "ab"),
+        ({"a": [FAILED], "b": [OK]}, {}, 200, "ab"),
+        ({"a": [FAILED], "b": [BUSY]}, {}, 500, "ab"),
+        ({"a": [FAILED], "b": [OK]}, {"repeatable": False}, 500, "a"),
+        ({"a": [MOVED], "b": [OK]}, {"keyed": True}, 200, "ab"),
+        ({"a": [MOVED], "b": [MOVED, OK]}, {"keyed": True}, 200, "abb"),
+        ({"a": [CLOSED, CLOSED, OK]}, {"keyed": True}, 200, "aaa"),
+        ({"a": [BUSY]}, {"keyed": True}, 503, "a"),
+        ({"a": [IN_DOUBT]}, {"keyed": True}, 502, "a"),
+        ({}, {}, 503, ""),
+    ],
+    ids=[
+        "answered", "busy, then another", "all busy", "shed, then another",
+        "shed, no budget", "in doubt, repeated", "in doubt, once only",
+        "in doubt, then busy", "failed, then another", "failed, then busy",
+        "failed, once only", "owner named", "owner named again", "owner closed",
+        "owner busy", "owner in doubt", "no VM",
+    ],
+)  # fmt: skip
+async def test_outcome(autojump_clock, script, options, status, asked):
+    """Guards against untrue refusals, second runs, and old owners asked for long."""
+    node, seen = make_node({vm: list(r) for vm, r in script.items()}, **options)
+    found, headers, _ = await make_origin(node)(HEAD)
+    assert (found, "".join(seen)) == (status, asked)
+    assert (b"Retry-After" in dict(headers)) == (status == 503)
