Take the first of two answers that come in one read

Change: the first answer is taken and the connection closed. tests/router/ test_exchange.py failed before.

--- a/packages/router/src/jujuberudder_router/_http.py
+++ b/packages/router/src/jujuberudder_router/_http.py
@@ -254,7 +254,7 @@
             early = await self._send_long(data, collector, step)
         while not collector.messages:
             await self._receive(collector, step)
-        response = collector.messages.pop()
+        response = collector.messages.pop(0)
         if collector.messages or collector.begun or early:
             return response._replace(keep_alive=False)
         return response
--- /dev/null
+++ b/tests/router/test_exchange.py
@@ -0,0 +1,66 @@
+"""Exchanges with a target that answers more, less or other than it should."""
+
+import pytest
+import trio
+
+from jujuberudder_emulator import free_addresses
+from jujuberudder_router import ExchangeError, Pool
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: t\r\n\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+SECOND = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo"
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\none"
+
+
+async def answered(nursery, sent, close=False):
+    """Return a pool to a target that answers each request with some bytes."""
+
+    async def serve(stream):
+        while await stream.receive_some(1000):
+            await stream.send_all(sent)
+            if close:
+                await stream.aclose()
+                return
+
+    address = free_addresses(1)[0]
+    port = int(address.split(":")[1])
+    await nursery.start(trio.serve_tcp, serve, port)
+    return Pool(address, 1.0, 1.0)
+
+
+@pytest.mark.parametrize(
+    "sent, close, body",
+    [
+        (ANSWER, False, b"one"),
+        (ANSWER + SECOND, False, b"one"),
+        (ANSWER + b"rubbish", False, b"one"),
+        (ANSWER + SECOND[:20], False, b"one"),
+        (UNFRAMED, True, b"one"),
+        (ANSWER[:-1], True, None),
+        (b"rubbish\r\n\r\n", False, None),
+        (b"", True, None),
+    ],
+    ids=[
+        "whole", "second answer", "rubbish after", "part of a second", "unframed",
+        "cut short", "rubbish", "closed",
+    ],
+)  # fmt: skip
+async def test_answer(nursery, sent, close, body):
+    """Guards against a body of another answer, and one that was cut short."""
+    pool = await answered(nursery, sent, close)
+    for _ in range(2):
+        with trio.fail_after(5):
+            try:
+                found = (await pool.exchange(REQUEST, "test")).body
+            except ExchangeError as error:
+                assert error.failure.maybe_done
+                found = None
+        assert found == body
+
+
+async def test_a_connection_with_more_bytes_is_not_used_again(nursery):
+    """Guards against the rest of one answer being taken for the next."""
+    pool = await answered(nursery, ANSWER + SECOND)
+    for _ in range(3):
+        await pool.exchange(REQUEST, "test")
+    assert pool.opened == 3
