Refuse a request that names another service than this VM's

Change: the node beside the target compares the service. tests/router/ test_reused_address.py failed before.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -118,7 +118,7 @@
         self.keeper = Keeper(self, self.store, self.fleet)
         self.direct_store = store
         self.serve = make_serve(
-            self.target, self.gate, wire, self._not_owner, log, self.metrics
+            self.target, self.gate, wire, self._not_served, log, self.metrics
         )
         self._failures = {}
         self.active = set()
@@ -179,9 +179,14 @@
             return True
         return row.vm not in lost and row.vm in self.vms
 
-    def _not_owner(self, key):
-        """Return why this node may not serve a key and who may, or None."""
-        if not self.is_keyed(self.settings.service):
+    def _not_served(self, service, key):
+        """Return why this node may not serve a request and who may, or None.
+
+        The address of a VM that is gone may be that of a VM of another service.
+        """
+        if service != self.settings.service:
+            return f"this VM belongs to {self.settings.service}, not {service}", ""
+        if not self.is_keyed(service):
             return None
         if key is None:
             return "the service is divided by key and the request has none", ""
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -104,7 +104,7 @@
         return any(start <= key <= end for start, end in self._granted)
 
 
-def make_serve(target, gate, wire, keyed, log, metrics):
+def make_serve(target, gate, wire, not_served, log, metrics):
     """Return ``await serve(ask) -> Reply``, which runs requests at the target.
 
     Parameters
@@ -113,9 +113,9 @@
     gate : Gate
     wire : Wire
         The adapter's reading and writing of headers.
-    keyed : callable
-        ``keyed(key) -> (reason, owner) or None``: why this node may not serve the key,
-        and the VM that may.
+    not_served : callable
+        ``not_served(service, key) -> (reason, owner) or None``: why this node may not
+        serve a request, and the VM that may.
     log : callable
     metrics : Metrics
     """
@@ -140,7 +140,7 @@
         return reply
 
     async def attempt(ask, deadline):
-        elsewhere = keyed(ask.key)
+        elsewhere = not_served(ask.service, ask.key)
         if elsewhere:
             reason, owner = elsewhere
             return Reply(ask.id, NOT_RUN, reason=reason, owner=owner)
--- /dev/null
+++ b/tests/router/test_reused_address.py
@@ -0,0 +1,47 @@
+"""Requests that reach a VM of another service at an address that was used before."""
+
+import pytest
+import trio
+
+from jujuberudder_emulator import free_addresses
+from jujuberudder_platform import settings_of
+from jujuberudder_platform.__main__ import WIRE
+from jujuberudder_router import KeyMap, Node, Row, Service
+from jujuberudder_router._frames import NOT_RUN, Ask
+
+
+def make_node():
+    """Return a node of the service ``jobs``, divided by key, that owns some keys."""
+    addresses = free_addresses(5)
+    names = ("outbound", "inbound", "ready", "control")
+    document = {
+        "nodeName": "vm-a", "zone": "z", "service": "jobs", "appAddr": addresses[4],
+        "listenAddrs": dict(zip(names, addresses)),
+        "platform": {"address": addresses[4]},
+    }  # fmt: skip
+    node = Node(settings_of(document), WIRE, None, lambda event, **fields: None)
+    services = {name: Service(name, name == "jobs", 9) for name in ("jobs", "orders")}
+    node.configuration = type("Found", (), {"services": services, "version": 1})
+    rows = (Row(0, 99, 1, "vm-a", "i@1"), Row(100, 65535, 2, "vm-b", "i@2"))
+    node.keymaps["jobs"] = KeyMap("jobs", 3, rows)
+    return node
+
+
+@pytest.mark.parametrize(
+    "service, key, reason, owner",
+    [
+        ("orders", None, "belongs to jobs", ""),
+        ("jobs", 100, "does not own", "vm-b"),
+        ("jobs", None, "has none", ""),
+    ],
+    ids=["another service", "another owner", "no key"],
+)
+async def test_not_served(autojump_clock, service, key, reason, owner):
+    """Guards against a request that the target of another service runs."""
+    ask = Ask(1, "q", b"GET", b"/", [], b"", 1.0, 1.0, 1, key, "c", service, "r")
+    node = make_node()
+    node.gate.open(4)
+    with trio.fail_after(5):
+        reply = await node.serve(ask)
+    assert (reply.outcome, reply.owner) == (NOT_RUN, owner)
+    assert reason in reply.reason
