Remove members of the router that nothing reads

Connection._collector and Waiter.give_up_at were never read; the wait for a slot uses a local of the same value. The collector tells itself whether a response has a length. tests/router and tests/adapter pass; no behaviour changes.

--- a/packages/router/src/jujuberudder_router/_gate.py
+++ b/packages/router/src/jujuberudder_router/_gate.py
@@ -49,7 +49,6 @@
 
     priority: int
     aim_at: float
-    give_up_at: float
     service_s: float
     key: int | None
     event: trio.Event
@@ -253,9 +252,8 @@
         number = self._numbers
         give_up_at = now + min(ask.left_s * HELD_SHARE, ask.left_s - service_s)
         waiter = Waiter(
-            ask.priority, now + ask.aim_s, give_up_at, service_s, ask.key,
-            trio.Event(), number,
-        )  # fmt: skip
+            ask.priority, now + ask.aim_s, service_s, ask.key, trio.Event(), number
+        )
         self._waiters[number] = waiter
         self.wake()
         try:
--- a/packages/router/src/jujuberudder_router/_http.py
+++ b/packages/router/src/jujuberudder_router/_http.py
@@ -58,6 +58,12 @@
         self._header_bytes = 0
         self._body_bytes = 0
 
+    @property
+    def has_length(self):
+        """Whether the headers tell where the body ends."""
+        names = {name for name, _ in self._headers}
+        return b"content-length" in names or b"transfer-encoding" in names
+
     def on_message_begin(self):
         self.begun = True
 
@@ -211,7 +217,6 @@
         self._stream = stream
         self._peer = peer
         self._max_body_bytes = max_body_bytes
-        self._collector = None
         self.idle_since = trio.current_time()
         self.idle_limit_s = None
 
@@ -300,8 +305,8 @@
             feed(collector, data)
         except HttpError as error:
             if collector.messages:
-                last = collector.messages[0]
-                collector.messages[:] = [last._replace(keep_alive=False)]
+                first = collector.messages[0]
+                collector.messages[:] = [first._replace(keep_alive=False)]
                 return
             raise ExchangeError(step, self._peer, f"malformed: {error}") from error
 
@@ -310,8 +315,7 @@
     """Complete a response without a length that ends with its connection."""
     if not collector.headers_done or collector.messages:
         return bool(collector.messages)
-    names = dict(collector._headers)
-    if b"content-length" in names or b"transfer-encoding" in names:
+    if collector.has_length:
         return False
     collector.on_message_complete()
     last = collector.messages[-1]
--- a/tests/router/test_gate.py
+++ b/tests/router/test_gate.py
@@ -16,7 +16,7 @@
 
 def waiter(number, priority=1, aim_at=10.0, service_s=0.1, key=None):
     """Return a waiting request; unspecified fields do not matter."""
-    return Waiter(priority, aim_at, 99.0, service_s, key, trio.Event(), number)
+    return Waiter(priority, aim_at, service_s, key, trio.Event(), number)
 
 
 @pytest.mark.parametrize(
