Catch signals before a node imports its modules

Ruled out: a fault of the reload itself; the process had logged nothing yet. jujuberudder_run installs handlers first and hands on what came early. The soak waits until a process catches signals before it signals it: before the interpreter runs, a signal ends any process.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,5 +9,5 @@
 fi
 rm -rf $deps/jujuberudder_*
 cp -R packages/base/src/jujuberudder_base packages/router/src/jujuberudder_router \
-  platform/src/jujuberudder_platform $deps/
+  platform/src/jujuberudder_platform platform/src/jujuberudder_run.py $deps/
 python3 -m compileall -q $deps
--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -1,14 +1,15 @@
 """The soak: its checks, its schedule, and short runs of it."""
 
 import random
+import signal
 
 import pytest
 import trio
 
-from jujuberudder_emulator import Answer, Run
+from jujuberudder_emulator import Answer, Deployment, Run
 from jujuberudder_emulator._soak_checks import overlapping_owners, untrue_answers
 from jujuberudder_emulator._soak_faults import FAULTS, make_schedule
-from jujuberudder_emulator.soak import run
+from jujuberudder_emulator.soak import catches, run
 
 # Seed, seconds and VMs of a run, with what it guards against. A seed that failed stays
 # here with its cause.
@@ -74,6 +75,33 @@
     assert events == sorted(events) and events[-1].at_s < 610.0
 
 
+@pytest.mark.parametrize(
+    "numbers", [(signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM)], ids=str
+)
+def test_early_signals(numbers, tmp_path):
+    """Guards against a node that a signal ends while it imports (seed 4, 25 s)."""
+
+    async def play():
+        async with trio.open_nursery() as nursery:
+            vm = Deployment(nursery).add("vm-0", "jobs")
+            with open(tmp_path / "out", "wb") as output:
+                process = vm.start_process(tmp_path, output)
+            try:
+                with trio.fail_after(30):
+                    while not catches(process.pid, signal.SIGHUP):
+                        await trio.sleep(0.001)
+                    for number in numbers:
+                        process.send_signal(number)
+                    code = await trio.to_thread.run_sync(process.wait)
+            finally:
+                process.kill()
+            nursery.cancel_scope.cancel()
+            return code
+
+    assert trio.run(play) == 0
+    assert b"event=stop " in (tmp_path / "out").read_bytes()
+
+
 @pytest.mark.parametrize("seed, seconds, vms, guards", RUNS)
 def test_run(seed, seconds, vms, guards, tmp_path):
     """Guards against broken promises of real processes under faults from outside."""
