Compare a random handful of VMs for each request, not all

Cause: on 72 VMs all nodes sent to the one VM that was best in the last reports: a target of dispatch got 7.46 times the mean while others idled. Each request now compares two VMs of its zone and one other; sites with three VMs to a service compare all, as before.

--- a/packages/router/src/jujuberudder_router/_choice.py
+++ b/packages/router/src/jujuberudder_router/_choice.py
@@ -10,6 +10,10 @@
 CROSSING_BYTE_S = 4e-6
 # Time that a request is taken to run where no VM has run one, in seconds.
 UNKNOWN_SERVICE_S = 0.1
+# VMs of the own zone and of the others that one request compares. Where there are more,
+# all nodes would send to the same few VMs until the next reports; out of a random
+# handful, each VM gets part (power of two choices).
+NEAR_SAMPLE, FAR_SAMPLE = 2, 1
 # Age of a report, in seconds, beyond which the requests sent since count more than it.
 REPORT_OLD_S = 1.0
 
@@ -46,6 +50,35 @@
     return (wait + c.service_s + crowding + crossing) / max(0.05, 1 - c.failures)
 
 
+def sample(near, far, jitter):
+    """Return the VMs that one request compares: all of few, a handful of many.
+
+    Parameters
+    ----------
+    near, far : list
+        VMs of the own availability zone and of the others.
+    jitter : callable
+        Returns numbers in [0, 1).
+    """
+    if len(near) + len(far) <= NEAR_SAMPLE + FAR_SAMPLE:
+        return near + far
+    missing = max(0, NEAR_SAMPLE - len(near))
+    return _pick(near, NEAR_SAMPLE, jitter) + _pick(far, FAR_SAMPLE + missing, jitter)
+
+
+def _pick(items, count, jitter):
+    """Return ``count`` different items, or all if there are no more."""
+    if len(items) <= count:
+        return items
+    rest, picked = list(items), []
+    for _ in range(count):
+        index = int(jitter() * len(rest))
+        picked.append(rest[index])
+        rest[index] = rest[-1]
+        rest.pop()
+    return picked
+
+
 def choose(candidates, body_bytes, jitter):
     """Return the candidate of least cost, or None.
 
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from ._choice import Candidate
+from ._choice import Candidate, sample
 from ._follow import Follower
 from ._gate import Gate
 from ._http import split_address
@@ -242,28 +242,41 @@
             return 0.0
         return 0.9
 
-    def candidates(self, service):
-        """Return the VMs that may run a request of a service without keys."""
-        now, found = trio.current_time(), []
+    def candidates(self, service, refused=()):
+        """Return the VMs of a service without keys that one request compares.
+
+        Parameters
+        ----------
+        service : str
+        refused : set of str
+            VMs that refused the request.
+        """
+        near, far = [], []
         for vm in self.vms.values():
             if vm.service != service or vm.leaving or not vm.target:
                 continue
-            if vm.name == self.settings.vm:
-                load, own, age = self.gate.load(), 0, 0.0
-            else:
-                link = self.links.get(vm.name)
-                if link is None or not link.up or link.load is None:
-                    continue
-                load, own, age = link.load, link.in_flight, now - link.load_at
-            if load.open:
-                found.append(
-                    Candidate(
-                        vm.name, vm.zone == self.settings.zone, load.running,
-                        load.queued, load.slots, load.service_s, own, age,
-                        self._failure_share(vm.name, now),
-                    )
-                )  # fmt: skip
-        return found
+            if vm.name not in refused and self._takes_requests(vm.name):
+                (near if vm.zone == self.settings.zone else far).append(vm)
+        now = trio.current_time()
+        return [self._candidate(vm, now) for vm in sample(near, far, self.jitter)]
+
+    def _takes_requests(self, vm):
+        """Whether a VM is known to take requests at present."""
+        if vm == self.settings.vm:
+            return not self.gate.closed_reason
+        link = self.links.get(vm)
+        return link is not None and link.up and bool(link.load) and link.load.open
+
+    def _candidate(self, vm, now):
+        if vm.name == self.settings.vm:
+            load, own, age = self.gate.load(), 0, 0.0
+        else:
+            link = self.links[vm.name]
+            load, own, age = link.load, link.in_flight, now - link.load_at
+        return Candidate(
+            vm.name, vm.zone == self.settings.zone, load.running, load.queued,
+            load.slots, load.service_s, own, age, self._failure_share(vm.name, now),
+        )  # fmt: skip
 
     def take_beat(self, beat):
         """Note a beat of the target on this VM and return the ``Grant``, or None."""
--- a/packages/router/src/jujuberudder_router/_origin.py
+++ b/packages/router/src/jujuberudder_router/_origin.py
@@ -133,9 +133,7 @@
         """Return the name of the VM to ask next, or None."""
         if node.is_keyed(service):
             return pick_owner(request, service, attempt)
-        candidates = [
-            c for c in node.candidates(service) if c.vm not in attempt.refused
-        ]
+        candidates = node.candidates(service, attempt.refused)
         best = choose(candidates, len(request.body), node.jitter)
         return best.vm if best else None
 
--- a/tests/router/test_origin.py
+++ b/tests/router/test_origin.py
@@ -46,8 +46,10 @@
         is_keyed=lambda service: keyed, stop_at=None, active=set(),
         owner_may_change=lambda service, key: True,
         takes_work=lambda vm: vm in replies, jitter=lambda: 0.0,
-        candidates=lambda service: [
-            Candidate(vm, True, 0, 0, 4, 0.1, 0, 0.0) for vm in replies
+        candidates=lambda service, refused=(): [
+            Candidate(vm, True, 0, 0, 4, 0.1, 0, 0.0)
+            for vm in replies
+            if vm not in refused
         ],
         keymaps={"s": KeyMap("s", 2, (Row(0, 65535, 1, "a", "i@1"),))},
         links={vm: link(vm) for vm in replies}, note_result=lambda vm, success: None,
