Follow topics with fewer calls: gathered reads, long polls, hints of peers

Reads now pause after records, polls of the configuration wait 4 s, and pings tell how far each node has read, so that a lost answer is noticed sooner than by the poll.

--- a/packages/router/src/jujuberudder_router/_follow.py
+++ b/packages/router/src/jujuberudder_router/_follow.py
@@ -8,6 +8,11 @@
 # Pauses after a failed call, doubling from the first to the last, in seconds. The last
 # bounds how late a node is after the store returns.
 PAUSE_FIRST_S, PAUSE_LAST_S = 0.1, 1.0
+# Seconds that a read may go on after another node has read further: its own answer
+# comes within the store's delay, unless it was lost.
+BEHIND_S = 0.4
+# Reads that are cut short for one end heard, so that a wrong end can't go on for ever.
+BEHIND_TRIES = 3
 
 
 class Follower:
@@ -22,15 +27,21 @@
     apply : callable
         ``apply(record)``, in the order of offsets for each key.
     log : callable
+    gather_s : callable, default=None
+        Returns the pause after a read that brought records, in seconds: what is
+        appended meanwhile comes with one call.
     """
 
-    def __init__(self, store, topic, wait_s, apply, log):
+    def __init__(self, store, topic, wait_s, apply, log, gather_s=None):
         self._store = store
         self._topic = topic
         self._wait_s = wait_s
         self._apply = apply
         self._log = log
+        self._gather_s = gather_s
         self._offsets = {}
+        self._heard, self._tries = 0, 0
+        self._reading = trio.CancelScope()
         self.end = None
         self.read_at = None
         self.failing_since = None
@@ -41,6 +52,14 @@
         """Whether the topic was read once."""
         return self.end is not None
 
+    def hear(self, end):
+        """Note that another node has read up to an offset; hurries a read in vain."""
+        if self.end is None or end <= max(self.end, self._heard):
+            return
+        self._heard, self._tries = end, 0
+        latest = trio.current_time() + BEHIND_S
+        self._reading.deadline = min(self._reading.deadline, latest)
+
     async def run(self):
         """Follow until cancelled."""
         pause = PAUSE_FIRST_S
@@ -54,22 +73,38 @@
 
     async def _step(self):
         sent_at = trio.current_time()
-        if self.end is None:
-            found = await self._store.newest(self._topic)
-        else:
-            found = await self._store.read(self._topic, self.end, self._wait_s)
+        found = None
+        with trio.CancelScope(deadline=self._latest(sent_at)) as self._reading:
+            if self.end is None:
+                found = await self._store.newest(self._topic)
+            else:
+                found = await self._store.read(self._topic, self.end, self._wait_s)
         match found:
+            case None:
+                self._log(
+                    "read_behind", topic=self._topic, end=self.end, heard=self._heard
+                )
+                return True
             case Ok(Forgotten(first)):
                 self._log("records_forgotten", topic=self._topic, first=first)
                 self.end = None
                 return False
             case Ok(page):
                 self._take(page, sent_at)
+                if page.records and self._gather_s is not None:
+                    await trio.sleep(self._gather_s())
                 return True
             case Err(failure):
                 self._note_failure(failure)
                 return False
 
+    def _latest(self, now):
+        """Return when a read that begins now is cut short."""
+        if self.end is None or self._heard <= self.end or self._tries >= BEHIND_TRIES:
+            return float("inf")
+        self._tries += 1
+        return now + BEHIND_S
+
     def _take(self, page, sent_at):
         if self.failing_since is not None:
             self._log(
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -68,9 +68,10 @@
 
 
 class Ping(msgspec.Struct, array_like=True, tag="p"):
-    """Asks for a ``Pong``."""
+    """Asks for a ``Pong``; ``ends`` tells how far the sender has read each topic."""
 
     id: int
+    ends: tuple[int, ...] = ()
 
 
 class Pong(msgspec.Struct, array_like=True, tag="q"):
@@ -78,6 +79,7 @@
 
     id: int
     load: Load | None = None
+    ends: tuple[int, ...] = ()
 
 
 class Relay(msgspec.Struct, array_like=True, tag="s"):
--- a/packages/router/src/jujuberudder_router/_links.py
+++ b/packages/router/src/jujuberudder_router/_links.py
@@ -65,10 +65,15 @@
     vm : VM
         Entry of the node.
     log : callable
+    ends, hear : callable
+        ``ends()`` returns how far this node has read each topic, and ``hear(ends)``
+        takes the same of the other one.
     """
 
-    def __init__(self, vm, log):
+    def __init__(self, vm, log, ends=tuple, hear=None):
         self.vm = vm
+        self._ends = ends
+        self._hear = hear
         self.load = None
         self.load_at = -1.0
         self.in_flight = 0
@@ -149,6 +154,8 @@
         if isinstance(frame, (Reply, Pong)) and frame.load is not None:
             self.load = frame.load
             self.load_at = trio.current_time()
+        if isinstance(frame, Pong) and self._hear is not None:
+            self._hear(frame.ends)
         if isinstance(frame, (Reply, Relayed)):
             slot = self._waiting.pop(frame.id, None)
             if slot is not None:
@@ -156,7 +163,7 @@
 
     async def _ping(self, writer):
         while True:
-            writer.send(Ping(0))
+            writer.send(Ping(0, self._ends()))
             await trio.sleep(PING_INTERVAL_S)
 
     async def ask(self, ask):
@@ -200,7 +207,7 @@
         return self._frame
 
 
-async def serve_links(address, handle_ask, handle_relay, load, log):
+async def serve_links(address, handle_ask, handle_relay, load, seen, log):
     """Accept connections of other nodes until cancelled.
 
     Parameters
@@ -212,6 +219,9 @@
         ``await handle_relay(call) -> (result, reason)``.
     load : callable
         Returns the ``Load`` of the target beside this node, or None.
+    seen : callable
+        ``seen(ends)`` takes how far another node has read each topic and returns the
+        same of this one.
     log : callable
     """
     host, port = address
@@ -253,7 +263,7 @@
                         if frame.id in scopes:
                             scopes[frame.id].cancel()
                     elif isinstance(frame, Ping):
-                        writer.send(Pong(frame.id, load()))
+                        writer.send(Pong(frame.id, load(), seen(frame.ends)))
                     elif isinstance(frame, Relay):
                         nursery.start_soon(relay, frame)
 
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -12,6 +12,9 @@
 
 # Seconds between two attempts to write the entry.
 RETRY_S = 0.5
+# Longest wait for the first beat before the first entry, in seconds: a beat comes each
+# 0.87 s, and an entry without a target would be written again at once.
+FIRST_BEAT_S = 1.0
 
 _vm_encoder = msgspec.msgpack.Encoder()
 _vm_decoder = msgspec.msgpack.Decoder(VM)
@@ -91,7 +94,7 @@
             self._add_link(vm)
 
     def _add_link(self, vm):
-        link = Link(vm, self._node.log)
+        link = Link(vm, self._node.log, self._node.ends, self._node.hear)
         self._node.links[vm.name] = link
         if self._nursery is not None:
             self._start(link)
@@ -118,6 +121,9 @@
         for link in list(self._node.links.values()):
             if link.vm.name not in self._scopes:
                 self._start(link)
+        with trio.move_on_after(FIRST_BEAT_S):
+            while not self._node.target.id:
+                await trio.sleep(FIRST_BEAT_S / 20)
         self._wake.set()
         while True:
             await self._wake.wait()
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -24,11 +24,17 @@
 from ._target import Target, make_serve
 from ._types import Limits, Settings
 
-# How long a read of the configuration waits for a record, in seconds: with the call's
-# own margin it bounds how late a node notices a silent connection.
-CONFIG_WAIT_S = 1.0
+# How long a read of the configuration waits for a record, in seconds. A lost answer is
+# noticed sooner, by what other nodes have read.
+CONFIG_WAIT_S = 4.0
 # The same for membership and owners; each read that ends renews the lease.
 FLEET_WAIT_S = 2.5
+# Seconds, for each VM, between two reads of membership and owners while records come:
+# each record is a call of every node, so their calls would grow with the square of the
+# VMs. Nodes that own no keys learn of moved ones from the VMs that had them.
+GATHER_KEYED_S, GATHER_S = 0.004, 0.02
+# The most of these pauses, in seconds.
+GATHER_MOST_S = 2.0
 # Seconds after SIGTERM in which requests are taken as before: callers notice the
 # readiness after two looks, one a second.
 STOP_ACCEPTING_S = 2.4
@@ -110,7 +116,7 @@
         self.store = with_relays(store, self)
         self.membership = Membership(self, self.store)
         self.fleet = Follower(
-            self.store, FLEET, FLEET_WAIT_S, self.membership.apply, log
+            self.store, FLEET, FLEET_WAIT_S, self.membership.apply, log, self._gather_s
         )
         self.operator = Follower(
             self.store, OPERATOR, CONFIG_WAIT_S, self._apply_operator, log
@@ -168,6 +174,20 @@
             routes=routes, services=len(found.services),
         )  # fmt: skip
 
+    def _gather_s(self):
+        each_s = GATHER_KEYED_S if self.is_keyed(self.settings.service) else GATHER_S
+        return min(GATHER_MOST_S, each_s * len(self.vms))
+
+    def ends(self):
+        """Return how far this node has read the operator's topic and the fleet's."""
+        return self.operator.end or 0, self.fleet.end or 0
+
+    def hear(self, ends):
+        """Take the same of another node, and return this one's."""
+        for follower, end in zip((self.operator, self.fleet), ends):
+            follower.hear(end)
+        return self.ends()
+
     def owner_may_change(self, service, key):
         """Whether a key without a reachable owner may soon have one."""
         keymap = self.keymaps.get(service)
@@ -355,7 +375,7 @@
             nursery.start_soon(server.serve, split_address(address))
         nursery.start_soon(
             serve_links, split_address(settings.peer_address), node.serve,
-            make_relay_handler(node), node.gate.load, log,
+            make_relay_handler(node), node.gate.load, node.hear, log,
         )  # fmt: skip
         nursery.start_soon(node.operator.run)
         nursery.start_soon(node.fleet.run)
