Give keys in pairs: the more used half of the VMs to the less used half

Cause: only the most used VM of a service gave keys, one move in 2.5 s for all; 26 VMs of unequal speed never evened out. Now the second most used gives to the second least used at the same time, and so on.

--- a/packages/router/src/jujuberudder_router/_placement.py
+++ b/packages/router/src/jujuberudder_router/_placement.py
@@ -1,7 +1,8 @@
 """Which keys a VM gives to another one: answers hot keys and targets that join.
 
 Every move leaves its keys without an owner until the next beat of the receiving
-target, so a move is made only for a clear gain, and by one VM at a time.
+target, so a move is made only for a clear gain, and each VM is part of one move at a
+time: the most used gives to the least used, the second to the second least, and so on.
 """
 
 from typing import NamedTuple
@@ -51,13 +52,15 @@
     work : list of (key, seconds)
         What the target worked on lately.
     """
-    if not others or not rows or any(o.usage > own.usage for o in others):
+    if not others or not rows:
+        return None
+    receiver = find_receiver(own, others)
+    if receiver is None:
         return None
-    receiver = min(others, key=lambda o: (o.width > 0, o.usage, o.vm))
     difference = own.usage - receiver.usage
     if receiver.width == 0:
         if difference < USAGE_GAP_EMPTY:
-            return _idle_move(own, others, rows, receiver)
+            return _idle_move(own, others, rows)
     elif own.usage < USAGE_HIGH or difference < USAGE_GAP:
         return None
     measured = own.service_s > 0 and receiver.service_s > 0
@@ -68,15 +71,31 @@
     return Move(*found, receiver.vm) if found else None
 
 
-def _idle_move(own, others, rows, receiver):
+def find_receiver(own, others):
+    """Return the ``Share`` of the VM that this one may give keys to, or None.
+
+    VMs without keys come first; only the more used half of all VMs gives.
+    """
+    everyone = [own, *others]
+    rank = sorted(everyone, key=lambda s: (-s.usage, s.vm)).index(own)
+    if rank >= len(everyone) // 2:
+        return None
+    receiver = sorted(everyone, key=lambda s: (s.width > 0, s.usage, s.vm))[rank]
+    return None if receiver.vm == own.vm else receiver
+
+
+def _idle_move(own, others, rows):
     """Give keys to a VM that owns none where there is no work to go by."""
-    if any((o.width, o.vm) > (own.width, own.vm) for o in others):
+    everyone = [own, *others]
+    empty = sorted(s.vm for s in everyone if s.width == 0)
+    rank = sorted(everyone, key=lambda s: (-s.width, s.vm)).index(own)
+    if rank >= len(empty):
         return None
     start, end = max(rows, key=lambda row: row[1] - row[0])
     if end == start:
         return None
     size = int((end - start + 1) * IDLE_SHARE)
-    return Move(end - size + 1, end, receiver.vm)
+    return Move(end - size + 1, end, empty[rank])
 
 
 def _best_cut(rows, work, wanted):
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -29,11 +29,30 @@
         (share("a", 0.4), [share("b", 0.0, 0)], EVEN, Move(0, 400, "b")),
         (share("a", 0.0), [share("b", 0.0, 0)], [], Move(500, 999, "b")),
         (share("a", 0.0, 9), [share("b", 0.0, 0), share("c", 0.0, 99)], [], None),
+        (
+            share("a", 1.0), [share("b", 1.2), share("c", 0.6), share("d", 0.5)], EVEN,
+            Move(0, 100, "c"),
+        ),
+        (
+            share("a", 0.6), [share("b", 1.2), share("c", 1.0), share("d", 0.1)], EVEN,
+            None,
+        ),
+        (
+            share("a", 0.0, 98), [share(v, 0.0, w) for v, w in (("b", 99), ("c", 0))],
+            [], None,
+        ),
+        (
+            share("a", 0.0, 98),
+            [share(v, 0.0, w) for v, w in (("b", 99), ("c", 0), ("d", 0))], [],
+            Move(500, 999, "d"),
+        ),
     ],
     ids=[
         "low usage", "small gain", "another is busier", "alone", "even out",
         "to the least used", "beside a hot key", "to one without keys",
         "to one without keys, no work", "another has more keys",
+        "the second most used to the second least", "the less used half keeps its keys",
+        "one without keys, another has more", "two without keys, the second is next",
     ],
 )  # fmt: skip
 def test_move(own, others, work, expected):
