Ping at a rate that all links share

The interval now grows with the number of links, from 0.5 s up to 33 links to 1.07 s for 71; quiet and silent times follow it.

--- a/packages/router/src/jujuberudder_router/_links.py
+++ b/packages/router/src/jujuberudder_router/_links.py
@@ -22,19 +22,28 @@
 from ._server import where
 
 # Seconds between two pings: the age of the load that a choice sees on an idle link.
-PING_INTERVAL_S = 0.5
-# Seconds without any frame after which a link is not chosen for new requests: a ping
-# interval, a round trip and a late timer.
-QUIET_S = 1.2
-# Seconds without any frame after which a link is closed and dialled again. Requests on
-# it are then in doubt, so it is above the freezes and queues of a busy VM.
-SILENT_S = 3.0
+PING_LEAST_S = 0.5
+# Seconds for each link, and the most: the pings of all links take a fixed share of a
+# processor, about 0.1 ms each at both ends.
+PING_LINK_S, PING_MOST_S = 0.015, 1.5
+# Intervals without any frame after which a link is not chosen for new requests: one, a
+# round trip and a late timer.
+QUIET_INTERVALS = 2.4
+# Seconds, and the least number of intervals, without any frame after which a link is
+# closed and dialled again. Requests on it are then in doubt, so it is above the freezes
+# and queues of a busy VM.
+SILENT_S, SILENT_INTERVALS = 3.0, 2.8
 # Longest wait for a connection to another VM of the deployment, in seconds.
 CONNECT_S = 1.0
 # Seconds between two attempts to dial, doubling from the first to the last.
 REDIAL_FIRST_S, REDIAL_LAST_S = 0.1, 2.0
 
 
+def ping_interval(links):
+    """Return the seconds between two pings on each of a number of links."""
+    return min(PING_MOST_S, max(PING_LEAST_S, PING_LINK_S * links))
+
+
 class FrameWriter:
     """Sends frames on a stream; frames that wait together leave in one write."""
 
@@ -65,13 +74,16 @@
     vm : VM
         Entry of the node.
     log : callable
+    count : callable
+        Returns the number of links of this node.
     ends, hear : callable
         ``ends()`` returns how far this node has read each topic, and ``hear(ends)``
         takes the same of the other one.
     """
 
-    def __init__(self, vm, log, ends=tuple, hear=None):
+    def __init__(self, vm, log, count=int, ends=tuple, hear=None):
         self.vm = vm
+        self._count = count
         self._ends = ends
         self._hear = hear
         self.load = None
@@ -94,7 +106,7 @@
         """Whether the node was heard lately."""
         if self._writer is None:
             return False
-        return self.quiet_s < QUIET_S
+        return self.quiet_s < QUIET_INTERVALS * ping_interval(self._count())
 
     async def run(self):
         """Keep a connection open until cancelled."""
@@ -140,10 +152,12 @@
     async def _read(self, stream):
         frames = FrameBuffer()
         while True:
-            with trio.move_on_after(SILENT_S) as scope:
+            interval_s = ping_interval(self._count())
+            silent_s = max(SILENT_S, SILENT_INTERVALS * interval_s)
+            with trio.move_on_after(silent_s) as scope:
                 data = await stream.receive_some(READ_BYTES)
             if scope.cancelled_caught:
-                raise TimeoutError(f"silent for {SILENT_S} s")
+                raise TimeoutError(f"silent for {silent_s} s")
             if not data:
                 return
             self._heard_at = trio.current_time()
@@ -164,7 +178,7 @@
     async def _ping(self, writer):
         while True:
             writer.send(Ping(0, self._ends()))
-            await trio.sleep(PING_INTERVAL_S)
+            await trio.sleep(ping_interval(self._count()))
 
     async def ask(self, ask):
         """Send an ``Ask`` and return the ``Reply``; cancelling tells the peer."""
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -94,8 +94,9 @@
             self._add_link(vm)
 
     def _add_link(self, vm):
-        link = Link(vm, self._node.log, self._node.ends, self._node.hear)
-        self._node.links[vm.name] = link
+        node = self._node
+        link = Link(vm, node.log, node.links.__len__, node.ends, node.hear)
+        node.links[vm.name] = link
         if self._nursery is not None:
             self._start(link)
 
--- /dev/null
+++ b/tests/router/test_links.py
@@ -0,0 +1,15 @@
+"""Pings between nodes."""
+
+import pytest
+
+from jujuberudder_router._links import SILENT_INTERVALS, SILENT_S, ping_interval
+
+
+@pytest.mark.parametrize(
+    "links, expected", [(0, 0.5), (8, 0.5), (33, 0.5), (72, 1.08), (300, 1.5)]
+)
+def test_ping_interval(links, expected):
+    """Guards against pings that take most of a processor where there are many VMs."""
+    assert ping_interval(links) == pytest.approx(expected)
+    assert links * 2 / ping_interval(links) <= 400
+    assert max(SILENT_S, SILENT_INTERVALS * ping_interval(links)) < 4.5
