Renew leases by reads of other nodes, draw the waits of reads

Cause: every node had to read the store each 2.5 s to keep its lease, and reads that one record ended began again in step. Pongs now tell how old a node's last complete read is and what it showed; a node that has read as far may count it from when it was sent. The protocol test plays it, also while VMs are cut off; two rules switched off (the end, the age) are noticed.

--- a/packages/router/src/jujuberudder_router/_follow.py
+++ b/packages/router/src/jujuberudder_router/_follow.py
@@ -22,8 +22,8 @@
     ----------
     store : Store
     topic : str
-    wait_s : float
-        How long a read waits for a record.
+    wait_s : callable
+        Returns how long a read waits for a record, in seconds.
     apply : callable
         ``apply(record)``, in the order of offsets for each key.
     log : callable
@@ -60,6 +60,14 @@
         latest = trio.current_time() + BEHIND_S
         self._reading.deadline = min(self._reading.deadline, latest)
 
+    def confirm(self, end, at):
+        """Note that another node's complete read, sent at a time, showed an end.
+
+        Whatever this node has not read was appended after that time.
+        """
+        if self.end is not None and end <= self.end and self.read_at is not None:
+            self.read_at = max(self.read_at, at)
+
     async def run(self):
         """Follow until cancelled."""
         pause = PAUSE_FIRST_S
@@ -78,7 +86,7 @@
             if self.end is None:
                 found = await self._store.newest(self._topic)
             else:
-                found = await self._store.read(self._topic, self.end, self._wait_s)
+                found = await self._store.read(self._topic, self.end, self._wait_s())
         match found:
             case None:
                 self._log(
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -67,19 +67,31 @@
     id: int
 
 
+class Seen(msgspec.Struct, array_like=True, frozen=True):
+    """How far a node has read the topics.
+
+    ``fleet_age_s`` is the time since the node sent its last complete read of the
+    fleet's topic, negative if there was none.
+    """
+
+    operator_end: int = 0
+    fleet_end: int = 0
+    fleet_age_s: float = -1.0
+
+
 class Ping(msgspec.Struct, array_like=True, tag="p"):
-    """Asks for a ``Pong``; ``ends`` tells how far the sender has read each topic."""
+    """Asks for a ``Pong``; ``sent_at`` is a time of the sender's clock, sent back."""
 
-    id: int
-    ends: tuple[int, ...] = ()
+    sent_at: float
+    seen: Seen = Seen()
 
 
 class Pong(msgspec.Struct, array_like=True, tag="q"):
     """Answers a ``Ping`` with the load of the target beside the node."""
 
-    id: int
+    sent_at: float
     load: Load | None = None
-    ends: tuple[int, ...] = ()
+    seen: Seen = Seen()
 
 
 class Relay(msgspec.Struct, array_like=True, tag="s"):
--- a/packages/router/src/jujuberudder_router/_links.py
+++ b/packages/router/src/jujuberudder_router/_links.py
@@ -16,6 +16,7 @@
     Relay,
     Relayed,
     Reply,
+    Seen,
     encode_frame,
 )
 from ._http import READ_BYTES, dial
@@ -76,15 +77,15 @@
     log : callable
     count : callable
         Returns the number of links of this node.
-    ends, hear : callable
-        ``ends()`` returns how far this node has read each topic, and ``hear(ends)``
-        takes the same of the other one.
+    seen, hear : callable
+        ``seen()`` returns the ``Seen`` of this node; ``hear(seen, sent_at)`` takes that
+        of the other one, told after ``sent_at``.
     """
 
-    def __init__(self, vm, log, count=int, ends=tuple, hear=None):
+    def __init__(self, vm, log, count=int, seen=Seen, hear=None):
         self.vm = vm
         self._count = count
-        self._ends = ends
+        self._seen = seen
         self._hear = hear
         self.load = None
         self.load_at = -1.0
@@ -169,7 +170,7 @@
             self.load = frame.load
             self.load_at = trio.current_time()
         if isinstance(frame, Pong) and self._hear is not None:
-            self._hear(frame.ends)
+            self._hear(frame.seen, frame.sent_at)
         if isinstance(frame, (Reply, Relayed)):
             slot = self._waiting.pop(frame.id, None)
             if slot is not None:
@@ -177,7 +178,7 @@
 
     async def _ping(self, writer):
         while True:
-            writer.send(Ping(0, self._ends()))
+            writer.send(Ping(trio.current_time(), self._seen()))
             await trio.sleep(ping_interval(self._count()))
 
     async def ask(self, ask):
@@ -234,8 +235,7 @@
     load : callable
         Returns the ``Load`` of the target beside this node, or None.
     seen : callable
-        ``seen(ends)`` takes how far another node has read each topic and returns the
-        same of this one.
+        ``seen(other)`` takes the ``Seen`` of another node and returns that of this one.
     log : callable
     """
     host, port = address
@@ -277,7 +277,7 @@
                         if frame.id in scopes:
                             scopes[frame.id].cancel()
                     elif isinstance(frame, Ping):
-                        writer.send(Pong(frame.id, load(), seen(frame.ends)))
+                        writer.send(Pong(frame.sent_at, load(), seen(frame.seen)))
                     elif isinstance(frame, Relay):
                         nursery.start_soon(relay, frame)
 
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -95,7 +95,7 @@
 
     def _add_link(self, vm):
         node = self._node
-        link = Link(vm, node.log, node.links.__len__, node.ends, node.hear)
+        link = Link(vm, node.log, node.links.__len__, node.seen, node.hear)
         node.links[vm.name] = link
         if self._nursery is not None:
             self._start(link)
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -9,6 +9,7 @@
 
 from ._choice import Candidate, sample
 from ._follow import Follower
+from ._frames import Seen
 from ._gate import Gate
 from ._http import split_address
 from ._keeper import Keeper
@@ -24,11 +25,15 @@
 from ._target import Target, make_serve
 from ._types import Limits, Settings
 
-# How long a read of the configuration waits for a record, in seconds. A lost answer is
-# noticed sooner, by what other nodes have read.
-CONFIG_WAIT_S = 4.0
-# The same for membership and owners; each read that ends renews the lease.
-FLEET_WAIT_S = 2.5
+# Least and most seconds that a read of the configuration waits for a record, and the
+# most for each VM. A lost answer is noticed sooner, by what other nodes have read.
+CONFIG_WAIT_LEAST_S, CONFIG_WAIT_MOST_S, CONFIG_WAIT_VM_S = 2.0, 4.0, 0.2
+# The same for membership and owners: each read that ends renews the leases of all nodes
+# that hear of it. The waits are drawn, so that reads that one record ends don't all
+# begin again in step.
+FLEET_WAIT_LEAST_S, FLEET_WAIT_MOST_S, FLEET_WAIT_VM_S = 2.0, 3.0, 0.25
+# The most that any read waits, in seconds.
+WAIT_MOST_S = 10.0
 # Seconds, for each VM, between two reads of membership and owners while records come:
 # each record is a call of every node, so their calls would grow with the square of the
 # VMs. Nodes that own no keys learn of moved ones from the VMs that had them.
@@ -116,10 +121,15 @@
         self.store = with_relays(store, self)
         self.membership = Membership(self, self.store)
         self.fleet = Follower(
-            self.store, FLEET, FLEET_WAIT_S, self.membership.apply, log, self._gather_s
+            self.store,
+            FLEET,
+            self._fleet_wait_s,
+            self.membership.apply,
+            log,
+            self._gather_s,
         )
         self.operator = Follower(
-            self.store, OPERATOR, CONFIG_WAIT_S, self._apply_operator, log
+            self.store, OPERATOR, self._config_wait_s, self._apply_operator, log
         )
         self.keeper = Keeper(self, self.store, self.fleet)
         self.direct_store = store
@@ -174,19 +184,38 @@
             routes=routes, services=len(found.services),
         )  # fmt: skip
 
+    def _fleet_wait_s(self):
+        return self._draw_wait(FLEET_WAIT_LEAST_S, FLEET_WAIT_MOST_S, FLEET_WAIT_VM_S)
+
+    def _config_wait_s(self):
+        return self._draw_wait(
+            CONFIG_WAIT_LEAST_S, CONFIG_WAIT_MOST_S, CONFIG_WAIT_VM_S
+        )
+
+    def _draw_wait(self, least_s, most_s, each_s):
+        most_s = min(WAIT_MOST_S, max(most_s, each_s * len(self.vms)))
+        return least_s + self.jitter() * (most_s - least_s)
+
     def _gather_s(self):
         each_s = GATHER_KEYED_S if self.is_keyed(self.settings.service) else GATHER_S
         return min(GATHER_MOST_S, each_s * len(self.vms))
 
-    def ends(self):
-        """Return how far this node has read the operator's topic and the fleet's."""
-        return self.operator.end or 0, self.fleet.end or 0
+    def seen(self):
+        """Return how far this node has read the topics."""
+        read_at = self.fleet.read_at
+        age_s = -1.0 if read_at is None else trio.current_time() - read_at
+        return Seen(self.operator.end or 0, self.fleet.end or 0, age_s)
+
+    def hear(self, seen, sent_at=None):
+        """Take how far another node has read, and return the same of this one.
 
-    def hear(self, ends):
-        """Take the same of another node, and return this one's."""
-        for follower, end in zip((self.operator, self.fleet), ends):
-            follower.hear(end)
-        return self.ends()
+        The node told it after ``sent_at``, on this node's clock; None if unknown.
+        """
+        self.operator.hear(seen.operator_end)
+        self.fleet.hear(seen.fleet_end)
+        if sent_at is not None and seen.fleet_age_s >= 0:
+            self.fleet.confirm(seen.fleet_end, sent_at - seen.fleet_age_s)
+        return self.seen()
 
     def owner_may_change(self, service, key):
         """Whether a key without a reachable owner may soon have one."""
--- a/tests/router/test_follow.py
+++ b/tests/router/test_follow.py
@@ -43,7 +43,7 @@
         taken.append((trio.current_time(), record.value))
 
     follower = Follower(
-        Store(None, read, newest), OPERATOR, WAIT_S, take, lambda *a, **k: None,
+        Store(None, read, newest), OPERATOR, lambda: WAIT_S, take, lambda *a, **k: None,
         gather_s,
     )  # fmt: skip
     return follower, taken, reads
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -165,8 +165,9 @@
         scope = trio.CancelScope()
         node = self._make_node(vm)
         follower = Follower(
-            self.log.store_of(vm), FLEET, 1.0, node.apply, lambda *a, **f: None
+            self.log.store_of(vm), FLEET, lambda: 1.0, node.apply, lambda *a, **f: None
         )
+        node.follower = follower
         node.keeper = Keeper(node, self.log.store_of(vm), follower)
         self.nodes[vm] = (node, scope)
 
@@ -222,6 +223,25 @@
             self.nodes[vm][1].cancel()
             self.nodes[vm] = None
 
+    async def tell(self, vm, other):
+        """Let a node hear how far another one has read, also while both are cut off.
+
+        Every third answer is on its way for long.
+        """
+        for number in itertools.count():
+            await trio.sleep(0.5)
+            if self.nodes[vm] is None or self.nodes[other] is None:
+                continue
+            hearer, teller = self.nodes[vm][0].follower, self.nodes[other][0].follower
+            sent = trio.current_time()
+            await trio.sleep(0.01)
+            if teller.read_at is None:
+                continue
+            end, age_s = teller.end, trio.current_time() - teller.read_at
+            await trio.sleep(0.01 if number % 3 else 1.5)
+            if end is not None:
+                hearer.confirm(end, sent - age_s)
+
     async def beat(self, vm):
         """Send the beats of a VM's targets until cancelled."""
         while True:
@@ -308,6 +328,9 @@
             world.holders[vm] = Holder(vm)
             world.start_node(vm)
             nursery.start_soon(world.beat, vm)
+            for other in VMS:
+                if other != vm:
+                    nursery.start_soon(world.tell, vm, other)
         await trio.sleep(4.0)
         for kind, vm, pause in moves:
             world.move(kind, vm)
@@ -338,17 +361,36 @@
 
 # Rules of the keeper, the constant or function that each lives in, and moves that need
 # it. Switching one off must show two holders, or this file would prove nothing.
+def confirm_any(follower, end, at):
+    """Take another node's read as this one's, whatever it showed."""
+    follower.read_at = max(follower.read_at or 0.0, at)
+
+
+def confirm_late(follower, end, at):
+    """Take another node's read as if it were sent when it was heard of."""
+    if follower.end is not None and end <= follower.end:
+        follower.read_at = trio.current_time()
+
+
 RULES = {
+    "another node's read counts only if it showed nothing new": (
+        (Follower, "confirm", confirm_any),
+        [("cut", "a", 6), ("give", "b", 3)],
+    ),
+    "another node's read counts from when it was sent": (
+        (Follower, "confirm", confirm_late),
+        [("store down", "b", 0), ("cut", "a", 8)],
+    ),
     "wait for lease and hold before a takeover": (
-        ("TAKEOVER_S", 0.5),
+        (keeper_module, "TAKEOVER_S", 0.5),
         [("cut", "a", 6), ("give", "b", 3)],
     ),
     "the hold counts in the wait": (
-        ("TAKEOVER_S", keeper_module.LEASE_S - 2.0),
+        (keeper_module, "TAKEOVER_S", keeper_module.LEASE_S - 2.0),
         [("cut", "a", 6)],
     ),
     "grants end with the lease": (
-        ("LEASE_S", 1e6),
+        (keeper_module, "LEASE_S", 1e6),
         [("cut", "a", 6), ("give", "b", 3)],
     ),
 }
@@ -357,9 +399,9 @@
 @pytest.mark.parametrize("rule", RULES, ids=str)
 def test_a_rule_that_is_switched_off_is_noticed(rule):
     """Guards against a test that cannot fail."""
-    (name, value), moves = RULES[rule]
+    (place, name, value), moves = RULES[rule]
     run(moves)
-    with mock.patch.object(keeper_module, name, value):
+    with mock.patch.object(place, name, value):
         with pytest.raises((AssertionError, ExceptionGroup)):
             run(moves)
 
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -123,7 +123,7 @@
 
         address = ("127.0.0.1", int(free_addresses(1)[0].split(":")[1]))
         nursery.start_soon(
-            serve_links, address, handle, None, lambda: None, tuple, quiet
+            serve_links, address, handle, None, lambda: None, None, quiet
         )
         await trio.sleep(0.05)
         stream = await trio.open_tcp_stream(*address)
