--- a/packages/router/src/jujuberudder_router/_keeper.py
+++ b/packages/router/src/jujuberudder_router/_keeper.py
@@ -164,6 +164,7 @@
         self._released = {}
         self._giving = {}
         self._suspicions = {}
+        self._noted, self._widths, self._grown = None, {}, {}
         self._started = trio.current_time()
         self._give_after = self._started + GIVE_AFTER_S
 
@@ -225,8 +226,8 @@
         node = self._node
         if self._giving or now < self._give_after:
             return
-        keymap, vm = self._keymap(), node.settings.vm
-        shares = [self._share(keymap, o.vm) for o in node.owners(self._service)]
+        vm = node.settings.vm
+        shares = [self._share(o.vm, now) for o in node.owners(self._service)]
         own = next((s for s in shares if s.vm == vm), None)
         if own is None:
             return
@@ -244,13 +245,24 @@
             usage=own.usage, usages=",".join(f"{s.vm}:{s.usage:.2f}" for s in others),
         )  # fmt: skip
 
-    def _share(self, keymap, vm):
-        node = self._node
-        width = _keymap.width(keymap, vm)
+    def _note_growth(self, now):
+        """Note which VMs own more keys than before."""
+        keymap = self._keymap()
+        if keymap is self._noted:
+            return
+        widths = {vm: _keymap.width(keymap, vm) for vm in {r.vm for r in keymap.rows}}
+        for vm, width in widths.items():
+            if width > self._widths.get(vm, 0):
+                self._grown[vm] = now
+        self._noted, self._widths = keymap, widths
+
+    def _share(self, vm, now):
+        node, width = self._node, self._widths.get(vm, 0)
+        settled = now - self._grown.get(vm, -GIVE_PAUSE_S) >= GIVE_PAUSE_S
         load = node.gate.load() if vm == node.settings.vm else node.links[vm].load
         if load is None:
-            return Share(vm, 0.0, width, 0.0)
-        return Share(vm, load.usage, width, load.service_s)
+            return Share(vm, 0.0, width, 0.0, settled)
+        return Share(vm, load.usage, width, load.service_s, settled)
 
     def _release_view(self, now):
         """Return the ranges that the target gave up or lost."""
@@ -292,7 +304,9 @@
         """Change the map as needed until cancelled."""
         while True:
             await trio.sleep(TICK_S)
-            self._node.gate.sample(trio.current_time())
+            now = trio.current_time()
+            self._node.gate.sample(now)
+            self._note_growth(now)
             if not self._follower.started or not self._node.is_keyed(self._service):
                 continue
             if self._follower.failing_since is None:
--- a/packages/router/src/jujuberudder_router/_placement.py
+++ b/packages/router/src/jujuberudder_router/_placement.py
@@ -23,13 +23,15 @@
     """What is known of a VM that may own keys.
 
     ``usage`` is requests running and waiting over slots, averaged; ``width`` the number
-    of keys; ``service_s`` how long a request runs.
+    of keys; ``service_s`` how long a request runs. ``settled`` is false while the usage
+    does not yet show keys that the VM just got.
     """
 
     vm: str
     usage: float
     width: int
     service_s: float
+    settled: bool = True
 
 
 class Move(NamedTuple):
@@ -74,20 +76,24 @@
 def find_receiver(own, others):
     """Return the ``Share`` of the VM that this one may give keys to, or None.
 
-    VMs without keys come first; only the more used half of all VMs gives.
+    VMs without keys come first; only the more used half of all VMs gives, and none
+    gets keys from two at a time.
     """
     everyone = [own, *others]
     rank = sorted(everyone, key=lambda s: (-s.usage, s.vm)).index(own)
     if rank >= len(everyone) // 2:
         return None
-    receiver = sorted(everyone, key=lambda s: (s.width > 0, s.usage, s.vm))[rank]
-    return None if receiver.vm == own.vm else receiver
+    settled = [share for share in everyone if share.settled]
+    settled.sort(key=lambda s: (s.width > 0, s.usage, s.vm))
+    if rank >= len(settled) or settled[rank].vm == own.vm:
+        return None
+    return settled[rank]
 
 
 def _idle_move(own, others, rows):
     """Give keys to a VM that owns none where there is no work to go by."""
     everyone = [own, *others]
-    empty = sorted(s.vm for s in everyone if s.width == 0)
+    empty = sorted(s.vm for s in everyone if s.width == 0 and s.settled)
     rank = sorted(everyone, key=lambda s: (-s.width, s.vm)).index(own)
     if rank >= len(empty):
         return None
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -33,6 +33,14 @@
             share("a", 1.0), [share("b", 1.2), share("c", 0.6), share("d", 0.5)], EVEN,
             Move(0, 100, "c"),
         ),
+        (
+            share("a", 1.0), [share("b", 0.6)._replace(settled=False)], EVEN, None,
+        ),
+        (
+            share("a", 1.0),
+            [share("b", 0.5)._replace(settled=False), share("c", 0.6)], EVEN,
+            Move(0, 100, "c"),
+        ),
         (
             share("a", 0.6), [share("b", 1.2), share("c", 1.0), share("d", 0.1)], EVEN,
             None,
@@ -51,7 +59,8 @@
         "low usage", "small gain", "another is busier", "alone", "even out",
         "to the least used", "beside a hot key", "to one without keys",
         "to one without keys, no work", "another has more keys",
-        "the second most used to the second least", "the less used half keeps its keys",
+        "the second most used to the second least", "one that just got keys",
+        "one that just got keys is passed over", "the less used half keeps its keys",
         "one without keys, another has more", "two without keys, the second is next",
     ],
 )  # fmt: skip
