Gather reads on all nodes, and hurry the VMs that get keys

Cause: nodes of keyed services read almost each record by itself, so that moved keys were not delayed. A node that gives keys now tells the receiver at once, and all others may read later.

--- a/packages/router/src/jujuberudder_router/_follow.py
+++ b/packages/router/src/jujuberudder_router/_follow.py
@@ -38,7 +38,8 @@
         self._wait_s = wait_s
         self._apply = apply
         self._log = log
-        self._gather_s = gather_s
+        self._gather_s = gather_s or float
+        self._pause = trio.CancelScope()
         self._offsets = {}
         self._heard, self._tries = 0, 0
         self._reading = trio.CancelScope()
@@ -47,6 +48,15 @@
         self.failing_since = None
         self.changed = trio.Event()
 
+    @property
+    def gather_s(self):
+        """Pause after a read that brought records, in seconds."""
+        return self._gather_s()
+
+    def hurry(self):
+        """End the pause after a read, as a record is waited for."""
+        self._pause.cancel()
+
     @property
     def started(self):
         """Whether the topic was read once."""
@@ -99,8 +109,9 @@
                 return False
             case Ok(page):
                 self._take(page, sent_at)
-                if page.records and self._gather_s is not None:
-                    await trio.sleep(self._gather_s())
+                if page.records:
+                    with trio.CancelScope() as self._pause:
+                        await trio.sleep(self.gather_s)
                 return True
             case Err(failure):
                 self._note_failure(failure)
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -80,10 +80,14 @@
 
 
 class Ping(msgspec.Struct, array_like=True, tag="p"):
-    """Asks for a ``Pong``; ``sent_at`` is a time of the sender's clock, sent back."""
+    """Asks for a ``Pong``; ``sent_at`` is a time of the sender's clock, sent back.
+
+    ``hurry`` tells of a record that concerns the receiver.
+    """
 
     sent_at: float
     seen: Seen = Seen()
+    hurry: bool = False
 
 
 class Pong(msgspec.Struct, array_like=True, tag="q"):
--- a/packages/router/src/jujuberudder_router/_keeper.py
+++ b/packages/router/src/jujuberudder_router/_keeper.py
@@ -69,7 +69,7 @@
     suspicions : dict of str to float
         Ids of suspicions in the map, and when this node first read each.
     settled_s : float
-        Seconds since this node is in touch.
+        Seconds since this node has surely read what was written before its start.
     """
 
     now: float
@@ -297,7 +297,7 @@
             owners, {vm: node.down_s(vm) for vm in names},
             self._release_view(now),
             [(*pair, receiver) for pair, (_, receiver) in self._giving.items()],
-            self._suspicions, now - self._started,
+            self._suspicions, now - self._started - self._follower.gather_s,
         )  # fmt: skip
 
     async def run(self):
@@ -327,8 +327,16 @@
             next_fence=step.keymap.next_fence,
         )  # fmt: skip
         self._node.metrics.count("key_map_changes")
+        if isinstance(done, Ok):
+            self._hurry_receivers(view.keymap, step.keymap)
         await self._catch_up(done)
 
+    def _hurry_receivers(self, before, after):
+        """Let the VMs that got keys read of them at once."""
+        for vm in {row.vm for row in set(after.rows) - set(before.rows)}:
+            if vm in self._node.links:
+                self._node.links[vm].hurry()
+
     def _forget_released(self, keymap):
         """Forget ranges that this VM does not own any more."""
         vm = self._node.settings.vm
@@ -343,6 +351,7 @@
         if not isinstance(done, Ok):
             return
         seen = done.ok_value
+        self._follower.hurry()
         goal = seen.offset + 1 if isinstance(seen, Appended) else seen.end
         with trio.move_on_after(1.0):
             while self._follower.end is not None and self._follower.end < goal:
--- a/packages/router/src/jujuberudder_router/_links.py
+++ b/packages/router/src/jujuberudder_router/_links.py
@@ -181,6 +181,11 @@
             writer.send(Ping(trio.current_time(), self._seen()))
             await trio.sleep(ping_interval(self._count()))
 
+    def hurry(self):
+        """Tell the node that the store has a record that concerns it."""
+        if self._writer is not None:
+            self._writer.send(Ping(trio.current_time(), self._seen(), True))
+
     async def ask(self, ask):
         """Send an ``Ask`` and return the ``Reply``; cancelling tells the peer."""
         return await self._call(ask, cancel=True)
@@ -235,7 +240,8 @@
     load : callable
         Returns the ``Load`` of the target beside this node, or None.
     seen : callable
-        ``seen(other)`` takes the ``Seen`` of another node and returns that of this one.
+        ``seen(other, hurry)`` takes the ``Seen`` of another node, and whether a record
+        concerns this one; returns the ``Seen`` of this node.
     log : callable
     """
     host, port = address
@@ -277,7 +283,9 @@
                         if frame.id in scopes:
                             scopes[frame.id].cancel()
                     elif isinstance(frame, Ping):
-                        writer.send(Pong(frame.sent_at, load(), seen(frame.seen)))
+                        writer.send(
+                            Pong(frame.sent_at, load(), seen(frame.seen, frame.hurry))
+                        )
                     elif isinstance(frame, Relay):
                         nursery.start_soon(relay, frame)
 
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -27,17 +27,17 @@
 
 # Least and most seconds that a read of the configuration waits for a record, and the
 # most for each VM. A lost answer is noticed sooner, by what other nodes have read.
-CONFIG_WAIT_LEAST_S, CONFIG_WAIT_MOST_S, CONFIG_WAIT_VM_S = 2.0, 4.0, 0.2
+CONFIG_WAIT_LEAST_S, CONFIG_WAIT_MOST_S, CONFIG_WAIT_VM_S = 3.0, 5.0, 0.2
 # The same for membership and owners: each read that ends renews the leases of all nodes
 # that hear of it. The waits are drawn, so that reads that one record ends don't all
 # begin again in step.
-FLEET_WAIT_LEAST_S, FLEET_WAIT_MOST_S, FLEET_WAIT_VM_S = 2.0, 3.0, 0.25
+FLEET_WAIT_LEAST_S, FLEET_WAIT_MOST_S, FLEET_WAIT_VM_S = 2.0, 5.0, 0.25
 # The most that any read waits, in seconds.
 WAIT_MOST_S = 10.0
 # Seconds, for each VM, between two reads of membership and owners while records come:
 # each record is a call of every node, so their calls would grow with the square of the
-# VMs. Nodes that own no keys learn of moved ones from the VMs that had them.
-GATHER_KEYED_S, GATHER_S = 0.004, 0.02
+# VMs. A VM that gets keys is told at once; others learn it from the VM that had them.
+GATHER_S = 0.02
 # The most of these pauses, in seconds.
 GATHER_MOST_S = 2.0
 # Seconds after SIGTERM in which requests are taken as before: callers notice the
@@ -197,8 +197,7 @@
         return least_s + self.jitter() * (most_s - least_s)
 
     def _gather_s(self):
-        each_s = GATHER_KEYED_S if self.is_keyed(self.settings.service) else GATHER_S
-        return min(GATHER_MOST_S, each_s * len(self.vms))
+        return min(GATHER_MOST_S, GATHER_S * len(self.vms))
 
     def seen(self):
         """Return how far this node has read the topics."""
@@ -206,15 +205,19 @@
         age_s = -1.0 if read_at is None else trio.current_time() - read_at
         return Seen(self.operator.end or 0, self.fleet.end or 0, age_s)
 
-    def hear(self, seen, sent_at=None):
-        """Take how far another node has read, and return the same of this one.
-
-        The node told it after ``sent_at``, on this node's clock; None if unknown.
-        """
+    def hear(self, seen, sent_at):
+        """Take how far another node has read; it told that after ``sent_at``."""
         self.operator.hear(seen.operator_end)
         self.fleet.hear(seen.fleet_end)
-        if sent_at is not None and seen.fleet_age_s >= 0:
+        if seen.fleet_age_s >= 0:
             self.fleet.confirm(seen.fleet_end, sent_at - seen.fleet_age_s)
+
+    def hear_ping(self, seen, hurry):
+        """Take how far another node has read, and return the same of this one."""
+        self.operator.hear(seen.operator_end)
+        self.fleet.hear(seen.fleet_end)
+        if hurry:
+            self.fleet.hurry()
         return self.seen()
 
     def owner_may_change(self, service, key):
@@ -404,7 +407,7 @@
             nursery.start_soon(server.serve, split_address(address))
         nursery.start_soon(
             serve_links, split_address(settings.peer_address), node.serve,
-            make_relay_handler(node), node.gate.load, node.hear, log,
+            make_relay_handler(node), node.gate.load, node.hear_ping, log,
         )  # fmt: skip
         nursery.start_soon(node.operator.run)
         nursery.start_soon(node.fleet.run)
--- a/tests/router/test_follow.py
+++ b/tests/router/test_follow.py
@@ -90,3 +90,15 @@
     await trio.sleep(4.0)
     assert [value for _, value in taken] == [value for _, value in records]
     assert len(reads) <= 9
+
+
+async def test_hurry(autojump_clock, nursery):
+    """Guards against keys that wait for the pause of the VM that gets them."""
+    start = trio.current_time()
+    records = [(start + 1.0, b"1"), (start + 1.2, b"2")]
+    follower, taken, _ = following(records, gather_s=lambda: 1.5)
+    nursery.start_soon(follower.run)
+    await trio.sleep(1.3)
+    follower.hurry()
+    await trio.sleep(0.1)
+    assert [value for _, value in taken] == [b"1", b"2"]
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -198,7 +198,9 @@
         node.apply = apply
         node.owners = lambda service: self._owners(vm)
         node.down_s = lambda other: self._down_s(other)
-        node.links = {other: SimpleNamespace(load=None) for other in VMS if other != vm}
+        node.links = {
+            other: SimpleNamespace(load=None, hurry=int) for other in VMS if other != vm
+        }
         return node
 
     def _owners(self, vm):
