--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -25,15 +25,13 @@
 from ._target import Target, make_serve
 from ._types import Limits, Settings
 
-# Least and most seconds that a read of the configuration waits for a record, and the
-# most for each VM. A lost answer is noticed sooner, by what other nodes have read.
-CONFIG_WAIT_LEAST_S, CONFIG_WAIT_MOST_S, CONFIG_WAIT_VM_S = 3.0, 5.0, 0.2
-# The same for membership and owners: each read that ends renews the leases of all nodes
-# that hear of it. The waits are drawn, so that reads that one record ends don't all
-# begin again in step.
-FLEET_WAIT_LEAST_S, FLEET_WAIT_MOST_S, FLEET_WAIT_VM_S = 2.0, 5.0, 0.25
-# The most that any read waits, in seconds.
-WAIT_MOST_S = 10.0
+# Least and most seconds that a read waits for a record. A lost answer is noticed sooner,
+# by what other nodes have read. The waits are drawn, so that reads that one record ends
+# don't all begin again in step.
+WAIT_LEAST_S, WAIT_MOST_S = 3.0, 10.0
+# The same for reads of the fleet's topic where they renew leases, and the most for each
+# VM: one node's read renews the leases of all that hear of it.
+LEASE_WAIT_LEAST_S, LEASE_WAIT_MOST_S, LEASE_WAIT_VM_S = 2.0, 5.0, 0.25
 # Seconds, for each VM, between two reads of membership and owners while records come:
 # each record is a call of every node, so their calls would grow with the square of the
 # VMs. A VM that gets keys is told at once; others learn it from the VM that had them.
@@ -129,7 +127,7 @@
             self._gather_s,
         )
         self.operator = Follower(
-            self.store, OPERATOR, self._config_wait_s, self._apply_operator, log
+            self.store, OPERATOR, self._wait_s, self._apply_operator, log
         )
         self.keeper = Keeper(self, self.store, self.fleet)
         self.direct_store = store
@@ -185,16 +183,16 @@
         )  # fmt: skip
 
     def _fleet_wait_s(self):
-        return self._draw_wait(FLEET_WAIT_LEAST_S, FLEET_WAIT_MOST_S, FLEET_WAIT_VM_S)
+        if not self.is_keyed(self.settings.service):
+            return self._wait_s()
+        most_s = max(LEASE_WAIT_MOST_S, LEASE_WAIT_VM_S * len(self.vms))
+        return self._draw(LEASE_WAIT_LEAST_S, min(WAIT_MOST_S, most_s))
 
-    def _config_wait_s(self):
-        return self._draw_wait(
-            CONFIG_WAIT_LEAST_S, CONFIG_WAIT_MOST_S, CONFIG_WAIT_VM_S
-        )
+    def _wait_s(self):
+        return self._draw(WAIT_LEAST_S, WAIT_MOST_S)
 
-    def _draw_wait(self, least_s, most_s, each_s):
-        most_s = min(WAIT_MOST_S, max(most_s, each_s * len(self.vms)))
-        return least_s + self.jitter() * (most_s - least_s)
+    def _draw(self, least, most):
+        return least + self.jitter() * (most - least)
 
     def _gather_s(self):
         return min(GATHER_MOST_S, GATHER_S * len(self.vms))
