--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -25,9 +25,9 @@
 from ._target import Target, make_serve
 from ._types import Limits, Settings
 
-# Least and most seconds that a read waits for a record. A lost answer is noticed sooner,
-# by what other nodes have read. The waits are drawn, so that reads that one record ends
-# don't all begin again in step.
+# Least and most seconds that a read waits for a record. Other nodes tell how far they
+# have read, so a lost answer is noticed sooner. The waits are drawn, so that reads that
+# one record ends don't all begin again in step.
 WAIT_LEAST_S, WAIT_MOST_S = 3.0, 10.0
 # The same for reads of the fleet's topic where they renew leases, and the most for each
 # VM: one node's read renews the leases of all that hear of it.
