Shorten idle times of a target that resets idle connections

Cause: a target may forget idle connections sooner than it states; whatever is sent next is reset and in doubt, one request after the other. After a reset of an idle connection the pool keeps others for half of that idle time, for 10 s. tests/router/test_exchange.py: three of four requests were lost before, one now.

--- a/packages/router/src/jujuberudder_router/_pool.py
+++ b/packages/router/src/jujuberudder_router/_pool.py
@@ -9,6 +9,9 @@
 IDLE_MARGIN_S = 1.0
 # Idle time assumed where a peer states none; servers of the users close after 10 s.
 IDLE_DEFAULT_S = 5.0
+# After a reset of an idle connection: the share of its idle time that others may idle,
+# and the seconds for which that holds, before longer idle times are tried again.
+RESET_SHARE, RESET_HOLDS_S = 0.5, 10.0
 
 
 class Pool:
@@ -26,6 +29,7 @@
         self._connect_s = connect_s
         self._user_timeout_s = user_timeout_s
         self._idle = []
+        self._reset_limit_s, self._reset_until = 0.0, -1.0
         self.opened = 0
 
     def close(self):
@@ -37,13 +41,31 @@
         now = trio.current_time()
         while self._idle:
             connection = self._idle.pop()
-            limit = connection.idle_limit_s
-            fresh = limit is None or now - connection.idle_since < limit
-            if fresh and not connection.stale():
+            if (
+                now - connection.idle_since < self._idle_limit(connection, now)
+                and not connection.stale()
+            ):
                 return connection
             connection.close()
         return None
 
+    def _idle_limit(self, connection, now):
+        limit_s = connection.idle_limit_s
+        if limit_s is None:
+            limit_s = IDLE_DEFAULT_S
+        return min(limit_s, self._reset_limit_s) if now < self._reset_until else limit_s
+
+    def _note_reset(self, idle_s):
+        """Note that a connection that was idle for some seconds was of no use.
+
+        A peer may forget idle connections sooner than it states.
+        """
+        now = trio.current_time()
+        limit_s = RESET_SHARE * idle_s
+        if now < self._reset_until:
+            limit_s = min(limit_s, self._reset_limit_s)
+        self._reset_limit_s, self._reset_until = limit_s, now + RESET_HOLDS_S
+
     async def _open(self, step):
         try:
             stream = await dial(self.address, self._connect_s, self._user_timeout_s)
@@ -71,10 +93,19 @@
         ExchangeError
             ``failure.maybe_done`` tells whether the request may have arrived.
         """
-        connection = self._take_idle() or await self._open(step)
+        connection, idle_s = self._take_idle(), None
+        if connection is not None:
+            idle_s = trio.current_time() - connection.idle_since
+        else:
+            connection = await self._open(step)
         keep = False
         try:
-            response = await connection.exchange(data, step)
+            try:
+                response = await connection.exchange(data, step)
+            except ExchangeError:
+                if idle_s is not None:
+                    self._note_reset(idle_s)
+                raise
             reason = expect(response) if expect else None
             if reason:
                 raise ExchangeError(step, self.address, reason)
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -1,5 +1,8 @@
 """Exchanges with a target that answers more, less or other than it should."""
 
+import socket
+import struct
+
 import pytest
 import trio
 
@@ -9,6 +12,8 @@
 REQUEST = b"GET / HTTP/1.1\r\nHost: t\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
 SECOND = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo"
+# Close with a reset: linger for 0 s.
+RESET = struct.pack("ii", 1, 0)
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\none"
 
 
@@ -64,3 +69,29 @@
     for _ in range(3):
         await pool.exchange(REQUEST, "test")
     assert pool.opened == 3
+
+
+async def test_idle_connections_are_forgotten(nursery):
+    """Guards against requests lost one after the other on forgotten connections."""
+
+    async def serve(stream):
+        last = trio.current_time()
+        while await stream.receive_some(1000):
+            if trio.current_time() - last > 0.2:
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                stream.socket.close()
+                return
+            await stream.send_all(ANSWER)
+            last = trio.current_time()
+
+    address = free_addresses(1)[0]
+    await nursery.start(trio.serve_tcp, serve, int(address.split(":")[1]))
+    pool = Pool(address, 1.0, 1.0)
+    failed = 0
+    for pause_s in (0.0, 0.4, 0.4, 0.4):
+        await trio.sleep(pause_s)
+        try:
+            await pool.exchange(REQUEST, "test")
+        except ExchangeError:
+            failed += 1
+    assert failed == 1
