Draw the waits of reads from half a second

Cause: a lease is as old as the newest read that a node heard of when the store goes away; with waits of 2 s or more that took 2 to 3 s of the 10 s that lease and hold last, and the users' store is away for 9 s. Some read of nine nodes now ends about each second; a node that hears of no other still reads within 6 s.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -25,13 +25,15 @@
 from ._target import Target, make_serve
 from ._types import Limits, Settings
 
-# Least and most seconds that a read waits for a record. Other nodes tell how far they
-# have read, so a lost answer is noticed sooner. The waits are drawn, so that reads that
-# one record ends don't all begin again in step.
-WAIT_LEAST_S, WAIT_MOST_S = 3.0, 10.0
-# The same for reads of the fleet's topic where they renew leases, and the most for each
-# VM: one node's read renews the leases of all that hear of it.
-LEASE_WAIT_LEAST_S, LEASE_WAIT_MOST_S, LEASE_WAIT_VM_S = 2.0, 5.0, 0.25
+# Least and most seconds that a read of the configuration waits for a record. Other
+# nodes tell how far they have read, so a lost answer is noticed sooner.
+CONFIG_WAIT_S = (3.0, 10.0)
+# The same for reads of the fleet's topic. The waits are drawn: one read renews the
+# leases of all nodes that hear of it, so some read should end each second or so.
+FLEET_WAIT_S = (0.5, 10.0)
+# The same where a lease hangs on it: below LEASE_S of the keeper, for a node that hears
+# of no other.
+LEASE_WAIT_S = (0.5, 6.0)
 # Seconds, for each VM, between two reads of membership and owners while records come:
 # each record is a call of every node, so their calls would grow with the square of the
 # VMs. A VM that gets keys is told at once; others learn it from the VM that had them.
@@ -127,7 +129,7 @@
             self._gather_s,
         )
         self.operator = Follower(
-            self.store, OPERATOR, self._wait_s, self._apply_operator, log
+            self.store, OPERATOR, self._config_wait_s, self._apply_operator, log
         )
         self.keeper = Keeper(self, self.store, self.fleet)
         self.direct_store = store
@@ -182,14 +184,12 @@
             routes=routes, services=len(found.services),
         )  # fmt: skip
 
-    def _fleet_wait_s(self):
-        if not self.is_keyed(self.settings.service):
-            return self._wait_s()
-        most_s = max(LEASE_WAIT_MOST_S, LEASE_WAIT_VM_S * len(self.vms))
-        return self._draw(LEASE_WAIT_LEAST_S, min(WAIT_MOST_S, most_s))
+    def _config_wait_s(self):
+        return self._draw(*CONFIG_WAIT_S)
 
-    def _wait_s(self):
-        return self._draw(WAIT_LEAST_S, WAIT_MOST_S)
+    def _fleet_wait_s(self):
+        keyed = self.is_keyed(self.settings.service)
+        return self._draw(*(LEASE_WAIT_S if keyed else FLEET_WAIT_S))
 
     def _draw(self, least, most):
         return least + self.jitter() * (most - least)
