--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -2,11 +2,14 @@
 
 import random
 import signal
+import socket
+import subprocess
+import sys
 
 import pytest
 import trio
 
-from jujuberudder_emulator import Answer, Deployment, Run
+from jujuberudder_emulator import Answer, Deployment, Run, free_addresses
 from jujuberudder_emulator._soak_checks import overlapping_owners, untrue_answers
 from jujuberudder_emulator._soak_faults import FAULTS, make_schedule
 from jujuberudder_emulator.soak import catches, run
@@ -108,3 +111,21 @@
     report = trio.run(run, seed, seconds, vms, tmp_path)
     assert report["broken"] == {}, guards
     assert report["runs"] > 0
+
+
+def test_ports_of_two_processes():
+    """Guards against two runs at once that give out the same ports.
+
+    A target of one took the store of the other for its node (seed 125).
+    """
+    code = "from jujuberudder_emulator import _deployment as d; import sys;"
+    code += "d._PORTS = iter(range(int(sys.argv[1]), 32000));"
+    code += "print(d.free_addresses(1)[0], flush=True); sys.stdin.read()"
+    mine = free_addresses(1)[0]
+    command = [sys.executable, "-c", code, mine.rpartition(":")[2]]
+    found = subprocess.run(
+        command, input="", capture_output=True, text=True, timeout=60
+    )
+    assert found.stdout.strip() not in ("", mine)
+    server = socket.create_server(("127.0.0.1", int(mine.rpartition(":")[2])))
+    server.close()
