Hurry the own read after an append to the fleet's topic

Cause, by reading: a read whose answer was lost goes on for up to 6 s now; a node that has just changed the map waited for it, or for a ping of another node. The end that the append tells of cuts the read short like any other.

--- a/packages/router/src/jujuberudder_router/_keeper.py
+++ b/packages/router/src/jujuberudder_router/_keeper.py
@@ -353,6 +353,7 @@
         seen = done.ok_value
         self._follower.hurry()
         goal = seen.offset + 1 if isinstance(seen, Appended) else seen.end
+        self._follower.hear(goal)
         with trio.move_on_after(1.0):
             while self._follower.end is not None and self._follower.end < goal:
                 await self._follower.changed.wait()
