--- a/packages/router/src/jujuberudder_router/_follow.py
+++ b/packages/router/src/jujuberudder_router/_follow.py
@@ -8,8 +8,9 @@
 # Pauses after a failed call, doubling from the first to the last, in seconds. The last
 # bounds how late a node is after the store returns.
 PAUSE_FIRST_S, PAUSE_LAST_S = 0.1, 1.0
-# Seconds that a read may go on after another node has read further: its own answer
-# comes within the store's delay, unless it was lost.
+# Seconds that a read may go on after the topic is known to go further: its own answer
+# comes within the store's delay, unless it was lost. Doubled with each further try, as
+# the store may be slow.
 BEHIND_S = 0.4
 # Reads that are cut short for one end heard, so that a wrong end can't go on for ever.
 BEHIND_TRIES = 3
@@ -63,7 +64,7 @@
         return self.end is not None
 
     def hear(self, end):
-        """Note that another node has read up to an offset; hurries a read in vain."""
+        """Note that the topic goes up to an offset; hurries a read in vain."""
         if self.end is None or end <= max(self.end, self._heard):
             return
         self._heard, self._tries = end, 0
@@ -122,7 +123,7 @@
         if self.end is None or self._heard <= self.end or self._tries >= BEHIND_TRIES:
             return float("inf")
         self._tries += 1
-        return now + BEHIND_S
+        return now + BEHIND_S * 2**self._tries
 
     def _take(self, page, sent_at):
         if self.failing_since is not None:
