--- a/packages/router/src/jujuberudder_router/_gate.py
+++ b/packages/router/src/jujuberudder_router/_gate.py
@@ -44,6 +44,10 @@
 WORK_WINDOW_S = 4.0
 
 
+# Reason of a refusal while a node ends.
+ENDS_FIRST = "the node ends before the request might"
+
+
 class Waiter(NamedTuple):
     """A request that waits for a slot; times on the node's clock, in seconds."""
 
@@ -219,8 +223,8 @@
         if self.closed_reason:
             raise Refused(self.closed_reason, 0.0)
         service_s = self._service_s.get(ask.route, self._mean_s)
-        if self.end_at is not None and now + END_FACTOR * service_s > self.end_at:
-            raise Refused("the node ends before the request might", 0.0)
+        if self._outlasts(service_s, now):
+            raise Refused(ENDS_FIRST, 0.0)
         held = self._holds(ask.key, now)
         if held and self._running < self._room(now) and not self._waiters:
             self._running += 1
@@ -228,6 +232,10 @@
         self._check(ask, now, service_s)
         await self._wait(ask, now, service_s)
 
+    def _outlasts(self, service_s, now):
+        """Whether a request that begins now may still run when the node ends."""
+        return self.end_at is not None and now + END_FACTOR * service_s > self.end_at
+
     def _check(self, ask, now, service_s):
         waiters = self._waiters.values()
         order = (ask.priority, now + ask.aim_s)
@@ -267,6 +275,8 @@
             return
         if self.closed_reason:
             raise Refused(self.closed_reason, 0.0)
+        if self._outlasts(service_s, trio.current_time()):
+            raise Refused(ENDS_FIRST, 0.0)
         raise Refused("no slot came free in time", RETRY_LEAST_S)
 
     def leave(self, ask=None, took_s=None):
@@ -286,12 +296,17 @@
         if self.closed_reason:
             return
         now = trio.current_time()
-        while self._running < self._room(now) and self._waiters:
-            waiter = next_waiter(
-                self._waiters.values(), now, lambda key: self._holds(key, now)
-            )
+        waiters = []
+        for waiter in self._waiters.values():
+            if self._outlasts(waiter.service_s, now):
+                waiter.event.set()
+            else:
+                waiters.append(waiter)
+        while self._running < self._room(now) and waiters:
+            waiter = next_waiter(waiters, now, lambda key: self._holds(key, now))
             if waiter is None:
                 return
+            waiters.remove(waiter)
             del self._waiters[waiter.number]
             self._running += 1
             waiter.event.set()
--- a/tests/router/test_gate.py
+++ b/tests/router/test_gate.py
@@ -152,3 +152,30 @@
     await trio.sleep(0.3)
     with pytest.raises(Refused, match="ends before"):
         await gate.enter(ask(), trio.current_time())
+
+
+async def test_a_node_that_ends_starts_only_what_it_can_finish(autojump_clock):
+    """Guards against a request that waits until it can't end before its node.
+
+    A request waited for 1.25 s and was cut 1.2 s after it began.
+    """
+    gate = Gate(lambda key, now: True)
+    gate.open(1)
+    started = trio.current_time()
+    await gate.enter(ask(), started)
+    refused = []
+
+    async def wait():
+        try:
+            await gate.enter(ask(), trio.current_time())
+        except Refused as error:
+            refused.append((str(error), trio.current_time() - started))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait)
+        await trio.testing.wait_all_tasks_blocked()
+        gate.end_at = started + 1.0
+        await trio.sleep(0.8)
+        gate.leave(ask(), 0.2)
+    assert refused and refused[0][0].startswith("the node ends before")
+    assert gate.running == 0
