Let a read take its time after three that were cut short

Tries were counted anew with each end; they are now counted until a read brings records. The new test in test_follow.py failed before.

--- a/packages/router/src/jujuberudder_router/_follow.py
+++ b/packages/router/src/jujuberudder_router/_follow.py
@@ -12,7 +12,8 @@
 # comes within the store's delay, unless it was lost. Doubled with each further try, as
 # the store may be slow.
 BEHIND_S = 0.4
-# Reads that are cut short for one end heard, so that a wrong end can't go on for ever.
+# Reads that are cut short in a row before one may take its time: a slow node or store
+# needs it, and a wrong end can't go on for ever.
 BEHIND_TRIES = 3
 
 
@@ -67,8 +68,8 @@
         """Note that the topic goes up to an offset; hurries a read in vain."""
         if self.end is None or end <= max(self.end, self._heard):
             return
-        self._heard, self._tries = end, 0
-        latest = trio.current_time() + BEHIND_S
+        self._heard = end
+        latest = self._latest(trio.current_time())
         self._reading.deadline = min(self._reading.deadline, latest)
 
     def confirm(self, end, at):
@@ -100,6 +101,7 @@
                 found = await self._store.read(self._topic, self.end, self._wait_s())
         match found:
             case None:
+                self._tries += 1
                 self._log(
                     "read_behind", topic=self._topic, end=self.end, heard=self._heard
                 )
@@ -119,10 +121,9 @@
                 return False
 
     def _latest(self, now):
-        """Return when a read that begins now is cut short."""
+        """Return when a read that goes on now is cut short."""
         if self.end is None or self._heard <= self.end or self._tries >= BEHIND_TRIES:
             return float("inf")
-        self._tries += 1
         return now + BEHIND_S * 2**self._tries
 
     def _take(self, page, sent_at):
@@ -132,6 +133,8 @@
                 after_s=trio.current_time() - self.failing_since,
             )  # fmt: skip
             self.failing_since = None
+        if page.records:
+            self._tries = 0
         for record in page.records:
             if record.offset > self._offsets.get(record.key, -1):
                 self._offsets[record.key] = record.offset
--- a/tests/router/test_follow.py
+++ b/tests/router/test_follow.py
@@ -102,3 +102,30 @@
     follower.hurry()
     await trio.sleep(0.1)
     assert [value for _, value in taken] == [b"1", b"2"]
+
+
+async def test_slow_reads(autojump_clock, nursery):
+    """Guards against reads that are all cut short where the store or node is slow.
+
+    A node that was short of processor stayed 80 records behind for seconds.
+    """
+    taken = []
+
+    async def read(topic, start, wait_s):
+        end = int(trio.current_time() - began)
+        await trio.sleep(1.2)
+        return Ok(Page([Record(i, "k", b"") for i in range(start, end)], end))
+
+    async def newest(topic):
+        return Ok(Page([], 0))
+
+    began = trio.current_time()
+    follower = Follower(
+        Store(None, read, newest), OPERATOR, lambda: WAIT_S,
+        lambda record: taken.append(record.offset), lambda *a, **k: None,
+    )  # fmt: skip
+    nursery.start_soon(follower.run)
+    for end in range(1, 20):
+        await trio.sleep(1.0)
+        follower.hear(end)
+    assert len(taken) >= 12
