Use the library's sampling and state each check of the router once

The router drew a handful of VMs with a loop of its own; random.sample does it. The gate added up the waiting work in two places and copied its queue at each wake, and its reason for a refusal at the end stood in the origin as well. Node took the ends that a ping and a pong tell in two copies. Defaults of Link and an idle limit of None were never used. Behaviour is the same but for the numbers drawn. tests/router passes.

--- a/packages/router/src/jujuberudder_router/_choice.py
+++ b/packages/router/src/jujuberudder_router/_choice.py
@@ -50,33 +50,21 @@
     return (wait + c.service_s + crowding + crossing) / max(0.05, 1 - c.failures)
 
 
-def sample(near, far, jitter):
+def sample(near, far, draw):
     """Return the VMs that one request compares: all of few, a handful of many.
 
     Parameters
     ----------
     near, far : list
         VMs of the own availability zone and of the others.
-    jitter : callable
-        Returns numbers in [0, 1).
+    draw : callable
+        ``draw(items, count)`` returns different items, as ``random.sample``.
     """
     if len(near) + len(far) <= NEAR_SAMPLE + FAR_SAMPLE:
         return near + far
-    missing = max(0, NEAR_SAMPLE - len(near))
-    return _pick(near, NEAR_SAMPLE, jitter) + _pick(far, FAR_SAMPLE + missing, jitter)
-
-
-def _pick(items, count, jitter):
-    """Return ``count`` different items, or all if there are no more."""
-    if len(items) <= count:
-        return items
-    rest, picked = list(items), []
-    for _ in range(count):
-        index = int(jitter() * len(rest))
-        picked.append(rest[index])
-        rest[index] = rest[-1]
-        rest.pop()
-    return picked
+    near_count = min(len(near), NEAR_SAMPLE)
+    far_count = min(len(far), NEAR_SAMPLE + FAR_SAMPLE - near_count)
+    return draw(near, near_count) + draw(far, far_count)
 
 
 def choose(candidates, body_bytes, jitter):
--- a/packages/router/src/jujuberudder_router/_gate.py
+++ b/packages/router/src/jujuberudder_router/_gate.py
@@ -200,12 +200,15 @@
         """Return (key, seconds) of the runs of the last seconds."""
         return [(key, seconds) for _, key, seconds in self._work]
 
+    def _waiting_s(self):
+        """Return the time that all waiting requests will run, added up."""
+        return sum(waiter.service_s for waiter in self._waiters.values())
+
     def load(self):
         """Return the report for other nodes."""
         queued, wait = len(self._waiters), 0.0
         if queued or self._running >= self.slots:
-            ahead = sum(w.service_s for w in self._waiters.values())
-            wait = expected_wait(self._mean_s, ahead, self.slots)
+            wait = expected_wait(self._mean_s, self._waiting_s(), self.slots)
         measured_s = self._mean_s if self._service_s else 0.0
         return Load(
             self._running, queued, self.slots, wait, measured_s,
@@ -244,7 +247,7 @@
             for w in waiters
             if (w.priority, w.aim_at) <= order and now + w.service_s <= w.aim_at
         )
-        everything = sum(w.service_s for w in waiters)
+        everything = self._waiting_s()
         away_s = refusal(
             expected_wait(self._mean_s, ahead, self.slots),
             expected_wait(self._mean_s, everything, self.slots),
@@ -296,17 +299,21 @@
         if self.closed_reason:
             return
         now = trio.current_time()
-        waiters = []
         for waiter in self._waiters.values():
             if self._outlasts(waiter.service_s, now):
                 waiter.event.set()
-            else:
-                waiters.append(waiter)
-        while self._running < self._room(now) and waiters:
-            waiter = next_waiter(waiters, now, lambda key: self._holds(key, now))
+        while self._running < self._room(now) and self._waiters:
+            waiter = next_waiter(
+                (
+                    w
+                    for w in self._waiters.values()
+                    if not self._outlasts(w.service_s, now)
+                ),
+                now,
+                lambda key: self._holds(key, now),
+            )
             if waiter is None:
                 return
-            waiters.remove(waiter)
             del self._waiters[waiter.number]
             self._running += 1
             waiter.event.set()
--- a/packages/router/src/jujuberudder_router/_http.py
+++ b/packages/router/src/jujuberudder_router/_http.py
@@ -218,7 +218,7 @@
         self._peer = peer
         self._max_body_bytes = max_body_bytes
         self.idle_since = trio.current_time()
-        self.idle_limit_s = None
+        self.idle_limit_s = 0.0
 
     def close(self):
         """Close at once."""
--- a/packages/router/src/jujuberudder_router/_links.py
+++ b/packages/router/src/jujuberudder_router/_links.py
@@ -16,7 +16,6 @@
     Relay,
     Relayed,
     Reply,
-    Seen,
     encode_frame,
 )
 from ._http import READ_BYTES, dial
@@ -82,7 +81,7 @@
         of the other one, told after ``sent_at``.
     """
 
-    def __init__(self, vm, log, count=int, seen=Seen, hear=None):
+    def __init__(self, vm, log, count, seen, hear):
         self.vm = vm
         self._count = count
         self._seen = seen
@@ -169,7 +168,7 @@
         if isinstance(frame, (Reply, Pong)) and frame.load is not None:
             self.load = frame.load
             self.load_at = trio.current_time()
-        if isinstance(frame, Pong) and self._hear is not None:
+        if isinstance(frame, Pong):
             self._hear(frame.seen, frame.sent_at)
         if isinstance(frame, (Reply, Relayed)):
             slot = self._waiting.pop(frame.id, None)
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -114,7 +114,8 @@
         self.budget = RepeatBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
-        self.jitter = random.Random(settings.vm).random
+        self._random = random.Random(settings.vm)
+        self.jitter = self._random.random
         self.target = Target(settings.target_address)
         self.gate = Gate(self.target.holds)
         self.stopping = False
@@ -205,19 +206,21 @@
 
     def hear(self, seen, sent_at):
         """Take how far another node has read; it told that after ``sent_at``."""
-        self.operator.hear(seen.operator_end)
-        self.fleet.hear(seen.fleet_end)
+        self._hear_ends(seen)
         if seen.fleet_age_s >= 0:
             self.fleet.confirm(seen.fleet_end, sent_at - seen.fleet_age_s)
 
     def hear_ping(self, seen, hurry):
         """Take how far another node has read, and return the same of this one."""
-        self.operator.hear(seen.operator_end)
-        self.fleet.hear(seen.fleet_end)
+        self._hear_ends(seen)
         if hurry:
             self.fleet.hurry()
         return self.seen()
 
+    def _hear_ends(self, seen):
+        self.operator.hear(seen.operator_end)
+        self.fleet.hear(seen.fleet_end)
+
     def owner_may_change(self, service, key):
         """Whether a key without a reachable owner may soon have one."""
         keymap = self.keymaps.get(service)
@@ -308,7 +311,9 @@
             if vm.name not in refused and self._takes_requests(vm.name):
                 (near if vm.zone == self.settings.zone else far).append(vm)
         now = trio.current_time()
-        return [self._candidate(vm, now) for vm in sample(near, far, self.jitter)]
+        return [
+            self._candidate(vm, now) for vm in sample(near, far, self._random.sample)
+        ]
 
     def _takes_requests(self, vm):
         """Whether a VM is known to take requests at present."""
@@ -383,10 +388,8 @@
 
     Parameters
     ----------
-    settings : Settings
-    wire : Wire
-    store : Store
-    log : LineLog
+    settings, wire, store, log
+        As for ``Node``.
     stopping : trio.Event
         Set when the node is to let its requests end and return.
     """
--- a/packages/router/src/jujuberudder_router/_origin.py
+++ b/packages/router/src/jujuberudder_router/_origin.py
@@ -4,6 +4,7 @@
 
 from ._choice import choose
 from ._frames import ANSWERED, NOT_RUN, Ask
+from ._gate import ENDS_FIRST
 from ._http import HttpError
 from ._keymap import locate
 from ._routes import match_route
@@ -93,7 +94,7 @@
             left_s = min(left_s, request.budget_s)
         deadline = started + left_s
         if node.stop_at is not None and deadline > node.stop_at:
-            attempt.reason = "the node ends before the request might"
+            attempt.reason = ENDS_FIRST
             return own_answer(request, attempt, NOT_SERVED), attempt, route
         with trio.CancelScope(deadline=deadline - RETURN_S) as scope:
             node.active.add(scope)
--- a/packages/router/src/jujuberudder_router/_pool.py
+++ b/packages/router/src/jujuberudder_router/_pool.py
@@ -51,8 +51,6 @@
 
     def _idle_limit(self, connection, now):
         limit_s = connection.idle_limit_s
-        if limit_s is None:
-            limit_s = IDLE_DEFAULT_S
         return min(limit_s, self._reset_limit_s) if now < self._reset_until else limit_s
 
     def _note_reset(self, idle_s):
--- a/tests/router/test_choice_of_vm.py
+++ b/tests/router/test_choice_of_vm.py
@@ -51,7 +51,7 @@
 def test_sample(near, far, expected):
     """Guards against requests without a VM to go to, and ones that compare all."""
     vms = [("near", n) for n in range(near)], [("far", n) for n in range(far)]
-    found = sample(*vms, random.Random(1).random)
+    found = sample(*vms, random.Random(1).sample)
     assert len(set(found)) == len(found) <= NEAR_SAMPLE + FAR_SAMPLE
     assert tuple(sum(kind == k for k, _ in found) for kind in ("near", "far")) == (
         expected
@@ -84,7 +84,7 @@
                     vm, vm % 3 == node % 3, reported[vm], 0, slots, service_s[vm], 0,
                     report_s / 2,
                 )
-                for vm in sample(near, far, rng.random)
+                for vm in sample(near, far, rng.sample)
             ]  # fmt: skip
             vm = choose(compared, 0, rng.random).vm
             sent += 1
