Check the demo and the soak by the same code

Both now use _checks.py (was _soak_checks.py). The check of owners compares with the last and the highest run of each other target, so that it finds what the comparison of all pairs found; two rows are added to its table.

--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -10,7 +10,7 @@
 import trio
 
 from jujuberudder_emulator import Answer, Deployment, Run, free_addresses
-from jujuberudder_emulator._soak_checks import overlapping_owners, untrue_answers
+from jujuberudder_emulator._checks import overlapping_owners, untrue_answers
 from jujuberudder_emulator._soak_faults import FAULTS, make_schedule
 from jujuberudder_emulator.soak import catches, run
 
@@ -35,6 +35,8 @@
         ([ran("a", 0, 2, 2), ran("b", 3, 4, 2)], 1),
         ([ran("a", 0, 2, 1), ran("a", 1, 4, 1)], 0),
         ([ran("a", 0, 9, 1), ran("a", 1, 2, 1), ran("b", 3, 4, 2)], 1),
+        ([ran("a", 0, 1, 6), ran("a", 2, 3, 3), ran("b", 4, 5, 4)], 1),
+        ([ran("a", 0, 9, 1), ran("b", 10, 11, 2), ran("c", 10.5, 12, 3)], 1),
         ([ran("a", 0, 2, 1), ran("b", 1, 4, 1, key=8)], 0),
         ([ran("a", 0, 2, None), ran("b", 1, 4, None)], 0),
     ],
