Refuse frames between nodes that are longer than 66 MiB

Cause: the length of a frame was taken from four received bytes without a limit. An address of a VM that is gone may belong to another program; the four bytes HTTP are a length of 1.2 GB, and all that the peer sends is kept until then. Change: FrameBuffer raises FrameError above MAX_FRAME_BYTES; both ends of a link log the reason and close the connection.

--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -3,6 +3,10 @@
 import msgspec
 
 LENGTH_BYTES = 4
+# Maximum length of a frame: a body of 64 MiB, the most that the users' limits allow,
+# with its header. A peer that sends something else than frames exceeds it at once: the
+# four bytes "HTTP" are a length of 1.2 GB.
+MAX_FRAME_BYTES = 69206016
 
 ANSWERED, NOT_RUN, UNKNOWN = 0, 1, 2
 
@@ -137,6 +141,10 @@
     return buffer
 
 
+class FrameError(Exception):
+    """Received bytes that are not frames."""
+
+
 class FrameBuffer:
     """Splits received bytes into frames."""
 
@@ -144,12 +152,22 @@
         self._buffer = bytearray()
 
     def feed(self, data):
-        """Append received bytes and return the frames that are now complete."""
+        """Append received bytes and return the frames that are now complete.
+
+        Raises
+        ------
+        FrameError
+            A frame is longer than ``MAX_FRAME_BYTES``.
+        msgspec.MsgspecError
+            A frame is malformed.
+        """
         buffer = self._buffer
         buffer += data
         frames, start = [], 0
         while len(buffer) - start >= LENGTH_BYTES:
             frame_bytes = int.from_bytes(buffer[start : start + LENGTH_BYTES], "big")
+            if frame_bytes > MAX_FRAME_BYTES:
+                raise FrameError(f"frame over {MAX_FRAME_BYTES} bytes")
             end = start + LENGTH_BYTES + frame_bytes
             if len(buffer) < end:
                 break
--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_links.py
@@ -12,6 +12,7 @@
     ForwardReply,
     ForwardRequest,
     FrameBuffer,
+    FrameError,
     Ping,
     Pong,
     StoreCall,
@@ -150,7 +151,7 @@
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError) as group:
             reason = str(group.exceptions[0])
-        except* (TimeoutError, msgspec.MsgspecError) as group:
+        except* (TimeoutError, FrameError, msgspec.MsgspecError) as group:
             reason = str(group.exceptions[0])
         finally:
             stream.socket.close()
@@ -330,6 +331,7 @@
         except* (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
+            FrameError,
             msgspec.MsgspecError,
         ) as group:
             log("peer_connection_lost", reason=str(group.exceptions[0]))
