Limit the heads, bodies and framing of messages without end

What peers could do: a response or request head without a line end, empty lines, chunk extensions, zeros of a chunk size and interim responses were read for as long as the sender went on, since the parser reads them without a callback and the limits were asked in callbacks only. A body could take 64 MiB, several at once more than a VM has. An interim response (1xx) was returned as the whole answer. Empty lines kept an idle client connection open for ever.

Change: the bytes of a message that are not body are counted as they arrive, and limited: 64 KiB for a response, the operator's limit for a request, and five bytes for each byte of a chunked body. Interim responses are skipped and count as head. A Content-Length above the limit is refused at once. The failure names peer and limit.

--- a/packages/router/src/jujuberudder_router/_connection_pool.py
+++ b/packages/router/src/jujuberudder_router/_connection_pool.py
@@ -2,7 +2,13 @@
 
 import trio
 
-from ._http import Connection, ExchangeError, dial, find_header
+from ._http import (
+    MAX_RESPONSE_BODY_BYTES,
+    Connection,
+    ExchangeError,
+    dial,
+    find_header,
+)
 
 # Margin subtracted from the idle time-out that a peer announces, so that the peer never
 # closes a connection while a request is on its way: covers a link delay and a late
@@ -27,10 +33,23 @@
         Seconds to wait for a connection.
     user_timeout_s : float
         Seconds after which unacknowledged bytes end a connection.
+    max_body_bytes : int
+        Maximum length of a response body.
+    body_budget : BodyBudget, default=None
+        Limits the response bodies of all connections together.
     """
 
-    def __init__(self, address, connect_timeout_s, user_timeout_s):
+    def __init__(
+        self,
+        address,
+        connect_timeout_s,
+        user_timeout_s,
+        max_body_bytes=MAX_RESPONSE_BODY_BYTES,
+        body_budget=None,
+    ):
         self.address = address
+        self._max_body_bytes = max_body_bytes
+        self._body_budget = body_budget
         self._connect_timeout_s = connect_timeout_s
         self._user_timeout_s = user_timeout_s
         self._idle = []
@@ -83,7 +102,7 @@
                 step, self.address, f"connect: {error}", may_have_run=False
             ) from error
         self.opened += 1
-        return Connection(stream, self.address)
+        return Connection(stream, self.address, self._max_body_bytes, self._body_budget)
 
     async def exchange(self, data, step, check=None):
         """Send a request on an idle or new connection and return the response.
--- a/packages/router/src/jujuberudder_router/_http.py
+++ b/packages/router/src/jujuberudder_router/_http.py
@@ -11,6 +11,13 @@
 
 # Maximum bytes per read: most messages arrive in one read, uploads in a few.
 READ_BYTES = 65536
+# Maximum bytes of the head of a response; interim responses before it count as well.
+MAX_RESPONSE_HEADER_BYTES = 65536
+# Maximum bytes of a response body: 500 times the longest in the users' data sheets.
+MAX_RESPONSE_BODY_BYTES = 16777216
+# Bytes of chunk framing that are accepted for each byte of a body, beside the limit of
+# the head: a chunk of one byte has five (RFC 9112, section 7.1).
+CHUNK_FRAMING_BYTES = 5
 
 _REASON_PHRASES = {s.value: s.phrase.encode() for s in HTTPStatus}
 # Headers that apply to one connection only (RFC 9110, section 7.6.1).
@@ -39,12 +46,47 @@
     keep_alive: bool
 
 
+class BodyBudget:
+    """Bytes of long response bodies that a node holds before they are complete.
+
+    The first ``READ_BYTES`` of a body are free, so that a few endless bodies do not
+    make short responses fail.
+
+    Parameters
+    ----------
+    limit_bytes : int
+    """
+
+    def __init__(self, limit_bytes):
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+
+    def take(self, size):
+        """Count ``size`` more bytes.
+
+        Raises
+        ------
+        HttpError
+            The bodies would exceed the limit; nothing is counted.
+        """
+        if self.used_bytes + size > self.limit_bytes:
+            reason = f"bodies in progress over {self.limit_bytes} bytes"
+            raise HttpError(413, reason)
+        self.used_bytes += size
+
+    def release(self, size):
+        """Count ``size`` bytes less."""
+        self.used_bytes -= size
+
+
 class _MessageParser:
     """Callbacks of an httptools parser; complete messages are put in ``messages``."""
 
-    def __init__(self, max_header_bytes, max_body_bytes):
+    def __init__(self, max_header_bytes, max_body_bytes, body_budget=None):
         self._max_header_bytes = max_header_bytes
         self._max_body_bytes = max_body_bytes
+        self._body_budget = body_budget
+        self.budgeted_bytes = 0
         self.parser = None
         self.messages = []
         self.message_begun = False
@@ -52,11 +94,14 @@
         self._reset()
 
     def _reset(self):
+        self._received_bytes = 0
+        self._header_bytes = 0
+        self._reset_content()
+
+    def _reset_content(self):
         self._target = b""
         self._headers = []
-        self._body = []
-        self._header_bytes = 0
-        self._body_bytes = 0
+        self._body = bytearray()
 
     @property
     def has_length(self):
@@ -64,6 +109,24 @@
         names = {name for name, _ in self._headers}
         return b"content-length" in names or b"transfer-encoding" in names
 
+    def count_received(self, size):
+        """Count received bytes, before they are parsed."""
+        self._received_bytes += size
+
+    def check_framing(self):
+        """Raise ``HttpError`` if too many bytes of a message are not body.
+
+        The parser reads lines without an end, empty lines, chunk extensions and
+        leading zeros of chunk sizes without a callback.
+        """
+        limit, kind = self._max_header_bytes, "header"
+        if self.headers_done:
+            limit += CHUNK_FRAMING_BYTES * len(self._body)
+            kind = "body framing"
+        if self._received_bytes - len(self._body) > limit:
+            status = 400 if self.headers_done else 431
+            raise HttpError(status, f"{kind} over {limit} bytes")
+
     def on_message_begin(self):
         self.message_begun = True
 
@@ -78,31 +141,46 @@
     def _count_header(self, size):
         self._header_bytes += size
         if self._header_bytes > self._max_header_bytes:
-            raise HttpError(431, "header too large")
+            raise HttpError(431, f"header over {self._max_header_bytes} bytes")
 
     def on_headers_complete(self):
         self.headers_done = True
+        length = find_header(self._headers, b"content-length")
+        if length is not None:
+            self._check_body_size(int(length))
 
     def on_body(self, data):
-        self._body_bytes += len(data)
-        if self._body_bytes > self._max_body_bytes:
-            raise HttpError(413, "body too large")
-        self._body.append(data)
+        self._check_body_size(len(self._body) + len(data))
+        self._body += data
+        if self._body_budget is not None:
+            size = len(self._body) - READ_BYTES - self.budgeted_bytes
+            if size > 0:
+                self._body_budget.take(size)
+                self.budgeted_bytes += size
+
+    def _check_body_size(self, size):
+        if size > self._max_body_bytes:
+            raise HttpError(413, f"body over {self._max_body_bytes} bytes")
 
     def on_message_complete(self):
         parser = self.parser
         is_request = isinstance(parser, httptools.HttpRequestParser)
+        status = 0 if is_request else parser.get_status_code()
+        self.message_begun = self.headers_done = False
+        if 100 <= status < 200:
+            # An interim response. Its bytes stay counted: they precede the same answer.
+            self._reset_content()
+            return
         self.messages.append(
             HttpMessage(
                 parser.get_method() if is_request else b"",
                 self._target,
-                0 if is_request else parser.get_status_code(),
+                status,
                 self._headers,
-                b"".join(self._body),
+                bytes(self._body),
                 parser.should_keep_alive(),
             )
         )
-        self.message_begun = self.headers_done = False
         self._reset()
 
 
@@ -113,6 +191,15 @@
     return message_parser
 
 
+def make_response_parser(max_body_bytes, body_budget=None):
+    """Return a ``_MessageParser`` for responses; pass received bytes to ``parse``."""
+    message_parser = _MessageParser(
+        MAX_RESPONSE_HEADER_BYTES, max_body_bytes, body_budget
+    )
+    message_parser.parser = httptools.HttpResponseParser(message_parser)
+    return message_parser
+
+
 def parse(message_parser, data):
     """Parse received bytes.
 
@@ -121,6 +208,7 @@
     HttpError
         The message is malformed, too large or an upgrade.
     """
+    message_parser.count_received(len(data))
     try:
         message_parser.parser.feed_data(data)
     except httptools.HttpParserUpgrade:
@@ -130,6 +218,7 @@
         if isinstance(cause, HttpError):
             raise cause from None
         raise HttpError(400, str(error) or type(error).__name__) from None
+    message_parser.check_framing()
 
 
 def response_bytes(status, headers, body, keep_alive=True):
@@ -214,12 +303,17 @@
         Named in failures.
     max_body_bytes : int
         Maximum length of a response body.
+    body_budget : BodyBudget, default=None
+        Limits the bodies of several connections together.
     """
 
-    def __init__(self, stream, peer, max_body_bytes=67108864):
+    def __init__(
+        self, stream, peer, max_body_bytes=MAX_RESPONSE_BODY_BYTES, body_budget=None
+    ):
         self._stream = stream
         self._peer = peer
         self._max_body_bytes = max_body_bytes
+        self._body_budget = body_budget
         self.idle_since = trio.current_time()
         self.idle_limit_s = 0.0
 
@@ -251,17 +345,22 @@
         Raises
         ------
         ExchangeError
-            The response is missing, truncated or malformed.
+            The response is missing, truncated, malformed or too long.
         """
-        message_parser = _MessageParser(65536, self._max_body_bytes)
-        message_parser.parser = httptools.HttpResponseParser(message_parser)
+        message_parser = make_response_parser(self._max_body_bytes, self._body_budget)
         responded_early = False
-        if len(data) <= READ_BYTES:
-            await self._send(data, step)
-        else:
-            responded_early = await self._send_while_reading(data, message_parser, step)
-        while not message_parser.messages:
-            await self._receive(message_parser, step)
+        try:
+            if len(data) <= READ_BYTES:
+                await self._send(data, step)
+            else:
+                responded_early = await self._send_while_reading(
+                    data, message_parser, step
+                )
+            while not message_parser.messages:
+                await self._receive(message_parser, step)
+        finally:
+            if self._body_budget is not None:
+                self._body_budget.release(message_parser.budgeted_bytes)
         response = message_parser.messages.pop(0)
         if message_parser.messages or message_parser.message_begun or responded_early:
             return response._replace(keep_alive=False)
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -12,7 +12,7 @@
 from ._client_requests import make_client_handler
 from ._follower import Follower
 from ._frames import ReadProgress
-from ._http import parse_address
+from ._http import BodyBudget, parse_address
 from ._keymap import Owner, locate
 from ._membership import Membership
 from ._metrics import Metrics
@@ -56,6 +56,12 @@
 # Consecutive failures after which a VM counts as failing, and the time since the last
 # one for which it does.
 EJECTION_FAILURES, EJECTION_S = 3, 2.0
+# Share of a VM's memory for long response bodies that are not complete. A complete one
+# is copied up to three times on its way to the client.
+BODY_MEMORY_SHARE = 0.2
+# Limits on requests of the target's heartbeats and of readiness probes. A heartbeat
+# lists at most a few key ranges of 30 bytes each.
+CONTROL_LIMITS = Limits(body_bytes=1048576)
 
 _keymap_encoder = msgspec.msgpack.Encoder()
 
@@ -142,7 +148,10 @@
         )
         self._random = random.Random(settings.vm)
         self.jitter = self._random.random
-        self.target = Target(settings.target_address)
+        self.target = Target(
+            settings.target_address,
+            BodyBudget(int(BODY_MEMORY_SHARE * settings.memory_bytes)),
+        )
         self.admission = AdmissionQueue(self.target.grant_covers)
         self.stopping = False
         self.store = with_relays(store, self)
@@ -451,8 +460,8 @@
     node = Node(settings, adapter, store, log)
     log("start", service=settings.service, zone=settings.zone)
     client_server = Server(make_client_handler(node), node.limits, log)
-    heartbeat_server = Server(adapter.make_heartbeat_handler(node), Limits, log)
-    readiness_server = Server(make_ready_handler(node), Limits, log)
+    heartbeat_server = Server(adapter.make_heartbeat_handler(node), control_limits, log)
+    readiness_server = Server(make_ready_handler(node), control_limits, log)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(log.run)
         for server, address in (
@@ -524,6 +533,11 @@
         await trio.sleep(STOP_POLL_S)
 
 
+def control_limits():
+    """Return the limits for heartbeats, readiness probes and metrics."""
+    return CONTROL_LIMITS
+
+
 def make_ready_handler(node):
     """Return the handler of the ready address, which serves readiness and metrics."""
 
--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -168,13 +168,14 @@
             data = await self._stream.receive_some(READ_BYTES)
             if not data:
                 return
-            if not self.reading:
-                self._last_used = trio.current_time()
+            was_reading = self.reading
             try:
                 parse(self._message_parser, data)
             except HttpError as error:
                 await self._refuse(error)
                 return
+            if not was_reading and (self.reading or self._message_parser.messages):
+                self._last_used = trio.current_time()
             if len(self._message_parser.messages) > PIPELINE_LIMIT:
                 return
             if self._message_parser.messages and not self.busy:
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -7,7 +7,7 @@
 from ._admission import Refused
 from ._connection_pool import ConnectionPool
 from ._frames import ANSWERED, NOT_RUN, UNKNOWN, ForwardReply
-from ._http import ExchangeError, request_bytes
+from ._http import MAX_RESPONSE_BODY_BYTES, ExchangeError, request_bytes
 
 # Time-out of a connection attempt to the target on the same VM. A target whose accept
 # queue is full accepts the connection after 1 s at the earliest.
@@ -38,6 +38,8 @@
     Parameters
     ----------
     address : str
+    body_budget : BodyBudget, default=None
+        Limits the bodies of the responses in progress.
 
     Attributes
     ----------
@@ -51,8 +53,11 @@
         Whether the target announced that it is about to stop.
     """
 
-    def __init__(self, address):
-        self.pool = ConnectionPool(address, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+    def __init__(self, address, body_budget=None):
+        self.pool = ConnectionPool(
+            address, CONNECT_TIMEOUT_S, USER_TIMEOUT_S, MAX_RESPONSE_BODY_BYTES,
+            body_budget,
+        )  # fmt: skip
         self.id = ""
         self.started_ms = -1
         self.sequence = -1
--- a/packages/router/src/jujuberudder_router/_types.py
+++ b/packages/router/src/jujuberudder_router/_types.py
@@ -195,7 +195,8 @@
     ``client_address`` is for clients on this VM, ``peer_address`` for other nodes,
     ``beat_address`` for heartbeats of the target, and ``ready_address`` for readiness
     and metrics. ``grace_s`` is the time from SIGTERM to the end of the node,
-    ``hold_limit_s`` the longest validity of a grant.
+    ``hold_limit_s`` the longest validity of a grant. ``memory_bytes`` is the memory
+    that the process may use.
     """
 
     vm: str
@@ -213,3 +214,4 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    memory_bytes: int
--- /dev/null
+++ b/tests/router/test_endless_messages.py
@@ -0,0 +1,250 @@
+"""Responses and requests without end."""
+
+import itertools
+
+import pytest
+import trio
+
+from jujuberudder_emulator import free_addresses
+from jujuberudder_router import ConnectionPool, ExchangeError, Limits
+from jujuberudder_router._http import (
+    MAX_RESPONSE_HEADER_BYTES,
+    READ_BYTES,
+    BodyBudget,
+    HttpError,
+    make_request_parser,
+    make_response_parser,
+    parse,
+)
+from jujuberudder_router._server import Server
+
+MAX_BODY_BYTES = 262144
+STATUS = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = STATUS + b"Transfer-Encoding: chunked\r\n\r\n"
+POST_CHUNKED = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n"
+# Bytes before the repeated ones, and the bytes that are repeated without end.
+ENDLESS_HEADS = {
+    "header name": (STATUS + b"X", b"y" * 8192),
+    "header value": (STATUS + b"X: ", b"y" * 8192),
+    "headers": (STATUS, b"X: y\r\n" * 1000),
+    "reason phrase": (b"HTTP/1.1 200 ", b"y" * 8192),
+    "empty lines": (b"", b"\r\n" * 4096),
+    "interim responses": (b"", b"HTTP/1.1 103 Early Hints\r\nLink: y\r\n\r\n" * 200),
+}
+ENDLESS_BODIES = {
+    "body without length": (STATUS + b"\r\n", b"y" * 8192),
+    "body with length": (STATUS + b"Content-Length: 999999999\r\n\r\n", b"y" * 8192),
+    "chunks": (CHUNKED, b"2000\r\n" + b"y" * 8192 + b"\r\n"),
+    "chunks of one byte": (CHUNKED, b"1\r\ny\r\n" * 1365),
+    "chunk extension": (CHUNKED + b"1;", b"y" * 8192),
+    "extensions of each chunk": (CHUNKED, b"1;" + b"y" * 8192 + b"\r\nz\r\n"),
+    "chunk size": (CHUNKED, b"0" * 8192),
+    "trailer value": (CHUNKED + b"0\r\nX: ", b"y" * 8192),
+    "trailers": (CHUNKED + b"0\r\n", b"X: y\r\n" * 1000),
+}
+ENDLESS_RESPONSES = ENDLESS_HEADS | ENDLESS_BODIES
+ENDLESS_REQUESTS = {
+    "request target": (b"GET /", b"y" * 8192),
+    "header name": (GET + b"X", b"y" * 8192),
+    "header value": (GET + b"X: ", b"y" * 8192),
+    "headers": (GET, b"X: y\r\n" * 1000),
+    "empty lines": (b"", b"\r\n" * 4096),
+    "body": (POST_CHUNKED, b"2000\r\n" + b"y" * 8192 + b"\r\n"),
+    "chunk extension": (POST_CHUNKED + b"1;", b"y" * 8192),
+    "chunk size": (POST_CHUNKED, b"0" * 8192),
+    "trailer value": (POST_CHUNKED + b"0\r\nX: ", b"y" * 8192),
+}
+
+
+def log_nothing(event, **fields):
+    """Ignore a log event."""
+
+
+def parametrize_shapes(shapes):
+    """Return a decorator that runs a test with each (first, repeated) of a table."""
+    return pytest.mark.parametrize("first, repeated", shapes.values(), ids=shapes)
+
+
+def parse_until_refused(parser, first, repeated, limit):
+    """Return the error of the parser and the number of bytes parsed before it."""
+    parsed = 0
+    for data in itertools.chain([first], itertools.repeat(repeated)):
+        try:
+            parse(parser, data)
+        except HttpError as error:
+            return error, parsed
+        parsed += len(data)
+        assert parsed <= limit, "the parser does not refuse the bytes"
+
+
+@parametrize_shapes(ENDLESS_HEADS)
+def test_parser_refuses_an_endless_head(first, repeated):
+    """Guards against memory and time spent on a response head without end."""
+    parser = make_response_parser(MAX_BODY_BYTES)
+    error, _ = parse_until_refused(parser, first, repeated, MAX_RESPONSE_HEADER_BYTES)
+    assert str(MAX_RESPONSE_HEADER_BYTES) in str(error)
+    assert parser.messages == []
+
+
+@parametrize_shapes(ENDLESS_BODIES)
+def test_parser_refuses_an_endless_body(first, repeated):
+    """Guards against memory and time spent on a body, or its framing, without end."""
+    parser = make_response_parser(MAX_BODY_BYTES)
+    # A chunk of one byte is six bytes long.
+    limit = MAX_RESPONSE_HEADER_BYTES + 6 * MAX_BODY_BYTES
+    error, _ = parse_until_refused(parser, first, repeated, limit)
+    assert "bytes" in str(error)
+    assert parser.messages == []
+
+
+@parametrize_shapes(ENDLESS_REQUESTS)
+def test_parser_refuses_an_endless_request(first, repeated):
+    """Guards against memory and time spent on a client's request without end."""
+    parser = make_request_parser(16384, MAX_BODY_BYTES)
+    error, _ = parse_until_refused(parser, first, repeated, 16384 + 6 * MAX_BODY_BYTES)
+    assert error.status in (400, 413, 431)
+    assert parser.messages == []
+
+
+@parametrize_shapes(ENDLESS_RESPONSES)
+async def test_exchange_with_an_endless_response_fails(nursery, first, repeated):
+    """Guards against a request that waits for its deadline on bytes without end."""
+    ended = trio.Event()
+
+    async def serve(stream):
+        try:
+            await stream.receive_some(1000)
+            await stream.send_all(first)
+            while True:
+                await stream.send_all(repeated)
+        except trio.BrokenResourceError:
+            ended.set()
+
+    address = free_addresses(1)[0]
+    await nursery.start(trio.serve_tcp, serve, int(address.split(":")[1]))
+    pool = ConnectionPool(address, 1.0, 1.0, MAX_BODY_BYTES)
+    with trio.fail_after(5):
+        with pytest.raises(ExchangeError) as caught:
+            await pool.exchange(b"GET / HTTP/1.1\r\nHost: t\r\n\r\n", "test")
+        await ended.wait()
+    failure = caught.value.failure
+    assert failure.peer == address
+    assert "bytes" in failure.reason
+    assert failure.may_have_run
+
+
+@parametrize_shapes(ENDLESS_REQUESTS)
+async def test_server_closes_the_connection_of_an_endless_request(
+    nursery, first, repeated
+):
+    """Guards against a client that keeps a server busy with bytes without end."""
+
+    async def handle(message):
+        raise AssertionError("an incomplete request was handled")
+
+    def limits():
+        return Limits(body_bytes=MAX_BODY_BYTES)
+
+    server = Server(handle, limits, log_nothing)
+    address = free_addresses(1)[0]
+    port = int(address.split(":")[1])
+    nursery.start_soon(server.serve, ("127.0.0.1", port))
+    await trio.sleep(0.1)
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    with trio.fail_after(5), pytest.raises(trio.BrokenResourceError):
+        await stream.send_all(first)
+        while True:
+            await stream.send_all(repeated)
+
+
+async def test_empty_lines_do_not_keep_an_idle_connection_open(nursery):
+    """Guards against a connection kept open beyond its time-out by empty lines."""
+
+    def limits():
+        return Limits(idle_timeout_s=1.0)
+
+    server = Server(None, limits, log_nothing)
+    address = free_addresses(1)[0]
+    port = int(address.split(":")[1])
+    nursery.start_soon(server.serve, ("127.0.0.1", port))
+    await trio.sleep(0.1)
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    with trio.fail_after(10), pytest.raises(trio.BrokenResourceError):
+        while True:
+            await stream.send_all(b"\r\n")
+            await trio.sleep(0.1)
+
+
+@pytest.mark.parametrize(
+    "first, body",
+    [
+        (b"HTTP/1.1 100 Continue\r\n\r\n", b"one"),
+        (b"HTTP/1.1 103 Early Hints\r\nContent-Type: a\r\n\r\n" * 3, b"one"),
+    ],
+    ids=["100", "three times 103"],
+)
+def test_interim_response_is_not_the_answer(first, body):
+    """Guards against an interim response returned as the whole answer."""
+    parser = make_response_parser(MAX_BODY_BYTES)
+    parse(parser, first)
+    assert parser.messages == []
+    parse(parser, STATUS + b"Content-Length: 3\r\n\r\n" + body)
+    (message,) = parser.messages
+    assert (message.status, message.body) == (200, body)
+    assert message.headers == [(b"content-length", b"3")]
+
+
+def test_switch_of_protocols_is_refused():
+    """Guards against a 101 response, which no request asked for, as an answer."""
+    parser = make_response_parser(MAX_BODY_BYTES)
+    with pytest.raises(HttpError):
+        parse(parser, b"HTTP/1.1 101 S\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n")
+    assert parser.messages == []
+
+
+def test_bodies_together_stay_within_the_budget():
+    """Guards against several long bodies that use up the memory together."""
+    budget = BodyBudget(4 * READ_BYTES)
+    parsers = [make_response_parser(100 * READ_BYTES, budget) for _ in range(3)]
+    for parser in parsers:
+        parse(parser, CHUNKED)
+    part = b"%x\r\n" % READ_BYTES + b"y" * READ_BYTES + b"\r\n"
+    for parser in parsers[:2]:
+        for _ in range(3):
+            parse(parser, part)
+    assert budget.used_bytes == 4 * READ_BYTES
+    with pytest.raises(HttpError, match="bodies in progress"):
+        parse(parsers[0], part)
+    # A short body passes while the budget is spent.
+    parse(parsers[2], b"3\r\none\r\n0\r\n\r\n")
+    assert parsers[2].messages[0].body == b"one"
+
+
+async def test_budget_is_released_after_each_exchange(nursery):
+    """Guards against a budget that shrinks with each long or failed response."""
+    body = b"y" * (3 * READ_BYTES)
+    responses = [
+        STATUS + b"Content-Length: %d\r\n\r\n" % len(body) + body,
+        CHUNKED + b"%x\r\n" % len(body) + body + b"\r\nno chunk size\r\n",
+    ]
+
+    async def serve(stream):
+        with trio.move_on_after(5):
+            while await stream.receive_some(1000):
+                await stream.send_all(responses[0])
+                responses.reverse()
+
+    address = free_addresses(1)[0]
+    await nursery.start(trio.serve_tcp, serve, int(address.split(":")[1]))
+    budget = BodyBudget(3 * READ_BYTES)
+    pool = ConnectionPool(address, 1.0, 1.0, 4 * READ_BYTES, budget)
+    outcomes = []
+    for _ in range(4):
+        try:
+            response = await pool.exchange(b"GET / HTTP/1.1\r\n\r\n", "test")
+            outcomes.append(len(response.body))
+        except ExchangeError:
+            outcomes.append(None)
+        assert budget.used_bytes == 0
+    assert outcomes == [len(body), None] * 2
