End an exchange with a target at the request's deadline

What could happen: a request of another node was cancelled by that node alone. If it was lost without a reset, the exchange went on until the target answered; a slow response without end kept the slot for ever. Change: the node beside the target ends the exchange 0.3 s after the deadline, with the outcome unknown.

--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -17,6 +17,9 @@
 # Time without a heartbeat after which a target counts as failed: about the validity of
 # a grant, and three heartbeats.
 HEARTBEAT_TIMEOUT_S = 2.6
+# Time after a request's deadline at which its exchange with the target ends. The node
+# that sent the request cancels it at the deadline, unless that node was lost.
+DEADLINE_MARGIN_S = 0.3
 
 
 class ResponseCheck(NamedTuple):
@@ -190,8 +193,10 @@
         started_at = trio.current_time()
         metrics.observe("gate_wait", started_at - arrived_at)
         took_s = None
+        reply = ForwardReply(request.id, UNKNOWN, reason="no answer by the deadline")
         try:
-            reply = await send_to_target(request, deadline - started_at)
+            with trio.move_on_at(deadline + DEADLINE_MARGIN_S):
+                reply = await send_to_target(request, deadline - started_at)
             if reply.outcome == ANSWERED:
                 took_s = trio.current_time() - started_at
                 metrics.observe("target", took_s)
--- a/tests/router/test_endless_messages.py
+++ b/tests/router/test_endless_messages.py
@@ -1,12 +1,16 @@
 """Responses and requests without end."""
 
+import contextlib
 import itertools
+from types import SimpleNamespace
 
 import pytest
 import trio
 
 from jujuberudder_emulator import free_addresses
 from jujuberudder_router import ConnectionPool, ExchangeError, Limits
+from jujuberudder_router._admission import AdmissionQueue
+from jujuberudder_router._frames import UNKNOWN, ForwardRequest
 from jujuberudder_router._http import (
     MAX_RESPONSE_HEADER_BYTES,
     READ_BYTES,
@@ -16,7 +20,9 @@
     make_response_parser,
     parse,
 )
+from jujuberudder_router._metrics import Metrics
 from jujuberudder_router._server import Server
+from jujuberudder_router._target import Target, make_target_handler
 
 MAX_BODY_BYTES = 262144
 STATUS = b"HTTP/1.1 200 OK\r\n"
@@ -158,6 +164,37 @@
             await stream.send_all(repeated)
 
 
+async def test_exchange_with_a_target_ends_after_the_deadline(nursery):
+    """Guards against a slot held for ever by a slow response without end.
+
+    The node that sent the request was lost, so nobody cancels it.
+    """
+
+    async def serve(stream):
+        await stream.receive_some(1000)
+        with contextlib.suppress(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(b"\r\n")
+                await trio.sleep(0.05)
+
+    address = free_addresses(1)[0]
+    await nursery.start(trio.serve_tcp, serve, int(address.split(":")[1]))
+    target = Target(address)
+    admission = AdmissionQueue(target.grant_covers)
+    admission.open(1)
+    adapter = SimpleNamespace(target_request_headers=lambda *arguments: [])
+    handle = make_target_handler(
+        target, admission, adapter, lambda *arguments: None, log_nothing, Metrics()
+    )
+    request = ForwardRequest(
+        1, "r", b"GET", b"/", [], b"", 0.2, 0.2, 1, None, "s", "s", "r"
+    )
+    with trio.fail_after(5):
+        reply = await handle(request)
+    assert reply.outcome == UNKNOWN
+    assert admission.running == 0
+
+
 async def test_empty_lines_do_not_keep_an_idle_connection_open(nursery):
     """Guards against a connection kept open beyond its time-out by empty lines."""
 
