Log what a cancelled read had received, the age of a version and the times of routes

read_behind names the age of the read and the bytes that had arrived; configuration says for how long other nodes had read further; route_times gives count, mean and maximum of the three histograms for the ten busiest routes every 5 s, at most two lines a second.

--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -75,7 +75,7 @@
             return error.status, [], str(error).encode()
         response, state, route = await route_request(request, started)
         took_s = trio.current_time() - started
-        metrics.observe("request", took_s)
+        metrics.observe("request", took_s, route.name if route else None)
         if response.status >= 500 or route is None:
             metrics.count("failed")
             log(
--- a/packages/router/src/jujuberudder_router/_connection_pool.py
+++ b/packages/router/src/jujuberudder_router/_connection_pool.py
@@ -104,7 +104,7 @@
         self.opened += 1
         return Connection(stream, self.address, self._max_body_bytes, self._body_budget)
 
-    async def exchange(self, data, step, check=None):
+    async def exchange(self, data, step, check=None, on_data=None):
         """Send a request on an idle or new connection and return the response.
 
         Parameters
@@ -115,6 +115,8 @@
         check : callable, default=None
             ``check(response) -> reason or None``; with a reason, the response is
             discarded and the exchange fails.
+        on_data : callable, default=None
+            ``on_data(size)``, called whenever bytes of the response arrive.
 
         Raises
         ------
@@ -130,7 +132,7 @@
         reusable = False
         try:
             try:
-                response = await connection.exchange(data, step)
+                response = await connection.exchange(data, step, on_data)
             except ExchangeError:
                 if idle_s is not None:
                     self._record_reset(idle_s)
--- a/packages/router/src/jujuberudder_router/_follower.py
+++ b/packages/router/src/jujuberudder_router/_follower.py
@@ -58,6 +58,7 @@
         self._batch_pause = trio.CancelScope()
         self._offsets = {}
         self._known_end, self._cancelled_reads = 0, 0
+        self._received_bytes, self._behind_since = 0, None
         self._read_scope = trio.CancelScope()
         self.end = None
         self.read_at = None
@@ -78,11 +79,23 @@
         """Whether the topic has been read at least once."""
         return self.end is not None
 
+    @property
+    def behind_s(self):
+        """Seconds since another node reported records that this node has not read.
+
+        0 if none did.
+        """
+        if self._behind_since is None:
+            return 0.0
+        return trio.current_time() - self._behind_since
+
     def observe_end(self, end):
         """Record a known end of the topic and limit the time of a read behind it."""
         if self.end is None or end <= max(self.end, self._known_end):
             return
         self._known_end = end
+        if self._behind_since is None:
+            self._behind_since = trio.current_time()
         deadline = self._read_deadline(trio.current_time())
         self._read_scope.deadline = min(self._read_scope.deadline, deadline)
 
@@ -109,13 +122,16 @@
     async def _step(self):
         sent_at = trio.current_time()
         result = None
+        self._received_bytes = 0
         with trio.CancelScope(
             deadline=self._read_deadline(sent_at)
         ) as self._read_scope:
             if self.end is None:
-                result = await self._store.newest(self._topic)
+                result = await self._store.newest(self._topic, self._on_data)
             else:
-                result = await self._store.read(self._topic, self.end, self._wait_s())
+                result = await self._store.read(
+                    self._topic, self.end, self._wait_s(), self._on_data
+                )
         match result:
             case None:
                 self._cancelled_reads += 1
@@ -124,6 +140,8 @@
                     topic=self._topic,
                     end=self.end,
                     known_end=self._known_end,
+                    after_s=trio.current_time() - sent_at,
+                    received_bytes=self._received_bytes,
                 )
                 return True
             case Ok(Truncated(first)):
@@ -140,6 +158,9 @@
                 self._record_failure(failure)
                 return False
 
+    def _on_data(self, size):
+        self._received_bytes += size
+
     def _read_deadline(self, now):
         """Return the time at which a read that is in progress now is cancelled."""
         if (
@@ -169,6 +190,8 @@
             self.end = max(self.end, page.records[-1].offset + 1)
         if self.end >= page.end:
             self.read_at = sent_at
+        if self.end >= self._known_end:
+            self._behind_since = None
         self.changed.set()
         self.changed = trio.Event()
 
--- a/packages/router/src/jujuberudder_router/_http.py
+++ b/packages/router/src/jujuberudder_router/_http.py
@@ -334,9 +334,17 @@
             sock.detach()
         return True
 
-    async def exchange(self, data, step):
+    async def exchange(self, data, step, on_data=None):
         """Send a request and read the complete response.
 
+        Parameters
+        ----------
+        data : bytes
+        step : str
+            Name of the step, for failures.
+        on_data : callable, default=None
+            ``on_data(size)``, called whenever bytes of the response arrive.
+
         Returns
         -------
         response : HttpMessage
@@ -354,10 +362,10 @@
                 await self._send(data, step)
             else:
                 responded_early = await self._send_while_reading(
-                    data, message_parser, step
+                    data, message_parser, step, on_data
                 )
             while not message_parser.messages:
-                await self._receive(message_parser, step)
+                await self._receive(message_parser, step, on_data)
         finally:
             if self._body_budget is not None:
                 self._body_budget.release(message_parser.budgeted_bytes)
@@ -372,7 +380,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ExchangeError(step, self._peer, f"send: {error}") from error
 
-    async def _send_while_reading(self, data, message_parser, step):
+    async def _send_while_reading(self, data, message_parser, step, on_data):
         """Send a long request while reading the response.
 
         Returns whether the response was complete before all of the request was sent.
@@ -381,7 +389,7 @@
 
         async def read():
             while not message_parser.messages:
-                await self._receive(message_parser, step)
+                await self._receive(message_parser, step, on_data)
             nonlocal responded_early
             responded_early = True
             nursery.cancel_scope.cancel()
@@ -397,11 +405,13 @@
                 raise group.exceptions[0] from None
         return responded_early
 
-    async def _receive(self, message_parser, step):
+    async def _receive(self, message_parser, step, on_data):
         try:
             data = await self._stream.receive_some(READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ExchangeError(step, self._peer, f"receive: {error}") from error
+        if on_data is not None:
+            on_data(len(data))
         if not data:
             if not finish_at_eof(message_parser):
                 raise ExchangeError(step, self._peer, "closed before the answer's end")
--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -71,15 +71,54 @@
 
     def __init__(self):
         self._events = Counter()
+        # Route to the name of a histogram to [count, sum, maximum] in seconds.
+        self._route_times = {}
         self._histograms = {name: Histogram() for name in HISTOGRAMS}
 
     def count(self, event):
         """Count an event of ``EVENTS``."""
         self._events[event] += 1
 
-    def observe(self, name, duration_s):
-        """Add a duration in seconds to a histogram of ``HISTOGRAMS``."""
+    def observe(self, name, duration_s, route=None):
+        """Add a duration in seconds to a histogram of ``HISTOGRAMS``.
+
+        With a ``route``, it is added to the times of that route as well.
+        """
         self._histograms[name].observe(duration_s)
+        if route is not None:
+            times = self._route_times.setdefault(route, {})
+            entry = times.setdefault(name, [0, 0.0, 0.0])
+            entry[0] += 1
+            entry[1] += duration_s
+            entry[2] = max(entry[2], duration_s)
+
+    def take_route_times(self, max_routes):
+        """Return the times of the busiest routes since the last call.
+
+        Returns
+        -------
+        list of (str, dict)
+            Route, and for each histogram with durations its ``NAME_n``,
+            ``NAME_mean_s`` and ``NAME_max_s``.
+        """
+        route_times, self._route_times = self._route_times, {}
+        busiest = sorted(
+            route_times.items(),
+            key=lambda item: -sum(entry[0] for entry in item[1].values()),
+        )
+        return [
+            (
+                route,
+                {
+                    f"{name}_{suffix}": value
+                    for name, (count, sum_s, max_s) in times.items()
+                    for suffix, value in (
+                        ("n", count), ("mean_s", sum_s / count), ("max_s", max_s),
+                    )
+                },
+            )
+            for route, times in busiest[:max_routes]
+        ]  # fmt: skip
 
     def text(self, gauges):
         """Return all metrics in the text format.
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -62,6 +62,9 @@
 # Limits on requests of the target's heartbeats and of readiness probes. A heartbeat
 # lists at most a few key ranges of 30 bytes each.
 CONTROL_LIMITS = Limits(body_bytes=1048576)
+# Interval of the log lines with the times of each route, in seconds, and the maximum
+# number of routes in them: the busiest ones.
+ROUTE_TIMES_INTERVAL_S, MAX_LOGGED_ROUTES = 5.0, 10
 
 _keymap_encoder = msgspec.msgpack.Encoder()
 
@@ -225,6 +228,7 @@
         self.log(
             "configuration", version=configuration.version, offset=record.offset,
             routes=routes, services=len(configuration.services),
+            behind_s=self.configuration_follower.behind_s,
         )  # fmt: skip
 
     def _configuration_wait_s(self):
@@ -478,6 +482,7 @@
         nursery.start_soon(node.membership_follower.run)
         nursery.start_soon(node.ownership.run)
         nursery.start_soon(node.watch_target)
+        nursery.start_soon(log_route_times, node)
         nursery.start_soon(node.membership.run, nursery)
         await stopping.wait()
         await _stop(node, client_server)
@@ -533,6 +538,14 @@
         await trio.sleep(STOP_POLL_S)
 
 
+async def log_route_times(node):
+    """Log the times of each route periodically, until cancelled."""
+    while True:
+        await trio.sleep(ROUTE_TIMES_INTERVAL_S)
+        for route, times in node.metrics.take_route_times(MAX_LOGGED_ROUTES):
+            node.log("route_times", route=route, **times)
+
+
 def control_limits():
     """Return the limits for heartbeats, readiness probes and metrics."""
     return CONTROL_LIMITS
--- a/packages/router/src/jujuberudder_router/_relay.py
+++ b/packages/router/src/jujuberudder_router/_relay.py
@@ -79,7 +79,7 @@
             return Err(Failure(f"relay {name}", vm, reason, may_have_run=True))
         return Err(Failure(f"relay {name}", vm, "no answer in time", may_have_run=True))
 
-    async def call_store(name, *arguments, wait_s=0.0):
+    async def call_store(name, *arguments, wait_s=0.0, **callbacks):
         nonlocal prefer_relay_until
         now = trio.current_time()
         if now < prefer_relay_until:
@@ -89,7 +89,7 @@
             prefer_relay_until = 0.0
             if result is not None and name == "append":
                 return result
-        result = await getattr(store, name)(*arguments)
+        result = await getattr(store, name)(*arguments, **callbacks)
         if isinstance(result, Err):
             node.metrics.count("store_failures")
             prefer_relay_until = trio.current_time() + PREFER_RELAY_S
@@ -98,10 +98,12 @@
     async def append(topic, key, value, expected_end):
         return await call_store("append", topic, key, value, expected_end)
 
-    async def read(topic, start, wait_s):
-        return await call_store("read", topic, start, wait_s, wait_s=wait_s)
+    async def read(topic, start, wait_s, on_data=None):
+        return await call_store(
+            "read", topic, start, wait_s, wait_s=wait_s, on_data=on_data
+        )
 
-    async def newest(topic):
-        return await call_store("newest", topic)
+    async def newest(topic, on_data=None):
+        return await call_store("newest", topic, on_data=on_data)
 
     return Store(append, read, newest)
--- a/packages/router/src/jujuberudder_router/_store.py
+++ b/packages/router/src/jujuberudder_router/_store.py
@@ -62,11 +62,12 @@
         ``await append(topic, key, value, expected_end)``: ``Appended`` or ``Conflict``.
         The append is unconditional if ``expected_end`` is None.
     read : callable
-        ``await read(topic, start, wait_s)``: ``Page`` or ``Truncated``. Waits up to
-        ``wait_s`` seconds for a record.
+        ``await read(topic, start, wait_s, on_data=None)``: ``Page`` or ``Truncated``.
+        Waits up to ``wait_s`` seconds for a record. ``on_data(size)`` is called
+        whenever bytes of the response arrive.
     newest : callable
-        ``await newest(topic)``: ``Page`` with the newest record of each key. ``end`` is
-        the end of the topic before the first record was read.
+        ``await newest(topic, on_data=None)``: ``Page`` with the newest record of each
+        key. ``end`` is the end of the topic before the first record was read.
     """
 
     append: Callable
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -191,7 +191,7 @@
         arrived_at = trio.current_time()
         await admission.acquire(request, arrived_at)
         started_at = trio.current_time()
-        metrics.observe("gate_wait", started_at - arrived_at)
+        metrics.observe("gate_wait", started_at - arrived_at, request.route)
         took_s = None
         reply = ForwardReply(request.id, UNKNOWN, reason="no answer by the deadline")
         try:
@@ -199,7 +199,7 @@
                 reply = await send_to_target(request, deadline - started_at)
             if reply.outcome == ANSWERED:
                 took_s = trio.current_time() - started_at
-                metrics.observe("target", took_s)
+                metrics.observe("target", took_s, request.route)
         finally:
             admission.release(request, took_s)
         return reply
--- a/tests/router/test_client_requests.py
+++ b/tests/router/test_client_requests.py
@@ -45,7 +45,7 @@
     node = SimpleNamespace(
         adapter=ADAPTER, log=lambda event, **fields: None,
         metrics=SimpleNamespace(
-            count=lambda event: None, observe=lambda name, value: None
+            count=lambda event: None, observe=lambda name, value, route=None: None
         ),
         settings=SimpleNamespace(vm="self", service="s"),
         configuration=Configuration(1, order_routes([route]), {}, Limits()),
--- a/tests/router/test_follower.py
+++ b/tests/router/test_follower.py
@@ -26,7 +26,7 @@
             Record(i, "k", value) for i, (at, value) in enumerate(records) if at <= now
         ]
 
-    async def read(topic, start, wait_s):
+    async def read(topic, start, wait_s, on_data=None):
         sent = trio.current_time()
         reads.append(sent)
         if sent < lost_until:
@@ -39,7 +39,7 @@
             await trio.sleep(0.01)
         return Ok(Page([], start))
 
-    async def newest(topic):
+    async def newest(topic, on_data=None):
         available = records_at(trio.current_time())
         return Ok(Page(available[-1:], len(available)))
 
@@ -115,12 +115,12 @@
     """
     applied = []
 
-    async def read(topic, start, wait_s):
+    async def read(topic, start, wait_s, on_data=None):
         end = int(trio.current_time() - started_at)
         await trio.sleep(1.2)
         return Ok(Page([Record(i, "k", b"") for i in range(start, end)], end))
 
-    async def newest(topic):
+    async def newest(topic, on_data=None):
         return Ok(Page([], 0))
 
     started_at = trio.current_time()
--- a/tests/router/test_metrics.py
+++ b/tests/router/test_metrics.py
@@ -3,6 +3,8 @@
 import re
 from pathlib import Path
 
+import pytest
+
 from jujuberudder_router._metrics import EVENTS, HISTOGRAMS, Histogram, Metrics
 
 ROOT = Path(__file__).parent.parent.parent
@@ -44,3 +46,17 @@
     text = metrics.text({"ready": 1})
     assert 'jujuberudder_events_total{event="completed"} 1\n' in text
     assert "\njujuberudder_ready 1\n" in text
+
+
+def test_route_times_start_anew_after_each_report():
+    """Guards against route times that include requests of earlier reports."""
+    metrics = Metrics()
+    for duration_s, route in ((0.1, "a"), (0.3, "a"), (0.5, "b"), (0.7, None)):
+        metrics.observe("target", duration_s, route)
+    metrics.observe("request", 1.0, "a")
+    ((route, times),) = metrics.take_route_times(1)
+    assert route == "a"
+    assert times["target_n"] == 2 and times["request_n"] == 1
+    assert times["target_mean_s"] == pytest.approx(0.2)
+    assert times["target_max_s"] == 0.3
+    assert metrics.take_route_times(10) == []
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -86,7 +86,7 @@
                 return Err(Failure("append", "store", "lost", True))
             return Ok(done)
 
-        async def read(topic, start, wait_s):
+        async def read(topic, start, wait_s, on_data=None):
             if self.modes[vm] == "store down":
                 await trio.sleep(1.0)
                 return Err(Failure("read", "store", "down"))
@@ -101,7 +101,7 @@
             await trio.sleep(0.004 if start % 3 else 0.5)
             return Ok(page)
 
-        async def newest(topic):
+        async def newest(topic, on_data=None):
             if self.modes[vm] == "store down":
                 await trio.sleep(1.0)
                 return Err(Failure("newest", "store", "down"))
