Read the newest configuration in place of all that were missed

Cause: after the outage, 88 nodes read every version (22 to 26 KB each), which is near the 80 MB/s that all reads of the store share. The response of a node that was behind took more than 0.4 s to begin; then the node cancelled the read, since other nodes had read further, and asked again for more records, after 0.8 and 1.6 s once more. Node b-24: reads from offset 5 cancelled with 10, 15 and 27 records known, 2.8 s without progress.

--- a/packages/router/src/jujuberudder_router/_follower.py
+++ b/packages/router/src/jujuberudder_router/_follower.py
@@ -1,4 +1,8 @@
-"""Follower of a topic: reads the newest record of each key, then every new record."""
+"""Follower of a topic: reads the newest record of each key, then new records.
+
+A follower that is far behind reads the newest record of each key again, so that the
+bytes to read are bounded however many records were written.
+"""
 
 import trio
 from result import Err, Ok
@@ -12,14 +16,25 @@
 # its response comes within the store's delay unless it was lost. The time doubles with
 # each further attempt, as the store may be slow.
 BEHIND_READ_LIMIT_S = 0.4
+# Seconds for which a read that is behind may continue after its response has begun: the
+# longest response takes 0.5 s on the users' slowest links of 5 Mbit/s, if no other
+# traffic is on them.
+RESPONSE_LIMIT_S = 2.0
 # Number of consecutive reads that are cancelled before reads run without this limit: a
 # slow node or store needs more time, and a wrong end must not cancel all reads.
 MAX_CANCELLED_READS = 3
 
 
+# Number of unread records up to which all of them are read: the newest record of each
+# key takes a third more bytes in the response of the store.
+MIN_UNREAD_RECORDS = 2
+
+
 class Follower:
     """Reads a topic in order and applies its records.
 
+    Records that were replaced before they were read may be skipped.
+
     Parameters
     ----------
     store : Store
@@ -96,6 +111,8 @@
         self._known_end = end
         if self._behind_since is None:
             self._behind_since = trio.current_time()
+        if self._received_bytes:
+            return
         deadline = self._read_deadline(trio.current_time())
         self._read_scope.deadline = min(self._read_scope.deadline, deadline)
 
@@ -123,10 +140,11 @@
         sent_at = trio.current_time()
         result = None
         self._received_bytes = 0
+        newest = self._reads_newest()
         with trio.CancelScope(
             deadline=self._read_deadline(sent_at)
         ) as self._read_scope:
-            if self.end is None:
+            if newest:
                 result = await self._store.newest(self._topic, self._on_data)
             else:
                 result = await self._store.read(
@@ -149,7 +167,7 @@
                 self.end = None
                 return False
             case Ok(page):
-                self._apply_page(page, sent_at)
+                self._apply_page(page, newest, sent_at)
                 if page.records:
                     with trio.CancelScope() as self._batch_pause:
                         await trio.sleep(self.batch_delay_s)
@@ -159,8 +177,22 @@
                 return False
 
     def _on_data(self, size):
+        """Count received bytes, and let a response that has begun arrive."""
+        if self._received_bytes == 0:
+            deadline = trio.current_time() + RESPONSE_LIMIT_S
+            self._read_scope.deadline = max(self._read_scope.deadline, deadline)
         self._received_bytes += size
 
+    def _reads_newest(self):
+        """Whether to read the newest record of each key in place of all records.
+
+        The newest ones are fewer if there are more unread records than keys. How many
+        there are is not known after a failed call.
+        """
+        if self.end is None or self.failing_since is not None:
+            return True
+        return self._known_end - self.end > max(MIN_UNREAD_RECORDS, len(self._offsets))
+
     def _read_deadline(self, now):
         """Return the time at which a read that is in progress now is cancelled."""
         if (
@@ -171,7 +203,7 @@
             return float("inf")
         return now + BEHIND_READ_LIMIT_S * 2**self._cancelled_reads
 
-    def _apply_page(self, page, sent_at):
+    def _apply_page(self, page, newest, sent_at):
         if self.failing_since is not None:
             self._log(
                 "store_regained", topic=self._topic,
@@ -184,10 +216,12 @@
             if record.offset > self._offsets.get(record.key, -1):
                 self._offsets[record.key] = record.offset
                 self._apply(record)
-        if self.end is None:
-            self.end = page.end
+        if newest:
+            self.end = max(self.end or 0, page.end)
         elif page.records:
             self.end = max(self.end, page.records[-1].offset + 1)
+        # The end that the store stated is right; one that a node reported may not be.
+        self._known_end = page.end
         if self.end >= page.end:
             self.read_at = sent_at
         if self.end >= self._known_end:
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -42,6 +42,10 @@
 BATCH_DELAY_PER_VM_S = 0.02
 # Upper limit of this delay.
 BATCH_DELAY_MAX_S = 2.0
+# Delay between two reads of the configuration topic while versions arrive, which bounds
+# the load on the store: a version of 26 KB is read by every node. The users' bound for
+# a version to be in force is 2 s.
+CONFIG_BATCH_DELAY_S = 0.3
 # Time after SIGTERM during which the node accepts requests as before: clients detect
 # the failing readiness check after two probes, one per second.
 STOP_ACCEPTING_S = 2.4
@@ -173,6 +177,7 @@
             self._configuration_wait_s,
             self._apply_configuration,
             log,
+            lambda: CONFIG_BATCH_DELAY_S,
         )
         self.ownership = OwnershipManager(self, self.store, self.membership_follower)
         self.direct_store = store
