Do not hand over keys that the target was granted again

What could happen: two targets served the same keys after a node was restarted while keys moved. The previous process had planned the move and its target had released the range; the new process learned of the release from the next heartbeat, granted the range again, since the key map still names the VM, and then handed it over by the release.

Change: a grant forgets releases of the ranges that it contains, and leaves out ranges that an append may have given to others, until the node has read beyond the end that this append expects. If nothing else is appended, an unchanged key map decides it.

--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -189,6 +189,8 @@
         self._released = {}
         # (start, end) to the time by which the grant has expired, and the receiver.
         self._pending_moves = {}
+        # Own ranges that the last append gives to others, and the end that it expects.
+        self._handing_over = _HandingOver((), -1)
         # Id to the time at which this node first read the suspicion.
         self._suspicions = {}
         self._last_keymap, self._key_counts, self._grown_at = None, {}, {}
@@ -239,10 +241,35 @@
         if not target.leaving:
             self._plan_move(now)
             key_ranges = _keymap.subtract(key_ranges, self._pending_moves)
+            if self._handing_over_undecided():
+                key_ranges = _keymap.subtract(key_ranges, self._handing_over.ranges)
+            self._forget_granted_again(key_ranges)
         ttl_s = min(GRANT_TTL_S, self._node.settings.hold_limit_s)
         target.apply_grant(key_ranges, ttl_s, CLOCK_DRIFT_FACTOR, now)
         return Grant(key_ranges, ttl_s)
 
+    def _handing_over_undecided(self):
+        """Whether the last append may have given ranges of this VM to others.
+
+        It has, or never will, once this node has read beyond the end that the append
+        expects.
+        """
+        end = self._follower.end
+        return end is None or end <= self._handing_over.expected_end
+
+    def _forget_granted_again(self, key_ranges):
+        """Forget releases of ranges that the target is about to be granted again.
+
+        A previous process of this node may have planned to move them.
+        """
+        granted = [(r.start, r.end, "") for r in key_ranges]
+        for start, end in list(self._released):
+            if not _overlaps(start, end, granted):
+                continue
+            token = self._released.pop((start, end))
+            for piece in _uncovered(start, end, granted):
+                self._released[piece] = token
+
     def _own_ranges(self):
         target, vm = self._node.target, self._node.settings.vm
         for key_range in self._keymap().ranges:
@@ -359,7 +386,11 @@
         self._forget_moved_ranges(view.keymap)
         change = next_change(view, lambda: secrets.token_hex(4))
         if change is None:
-            return
+            if not self._handing_over_undecided():
+                return
+            # An earlier append may still take effect; after this one it cannot.
+            change = KeyMapChange(view.keymap, "the outcome of an append is unknown")
+        self._handing_over = _HandingOver(self._given_up(view.keymap, change), end)
         value = self._node.encode_keymap(change.keymap)
         key = f"keys/{self._service}"
         result = await self._store.append(MEMBERSHIP_TOPIC, key, value, end)
@@ -372,6 +403,19 @@
             self._request_reads(view.keymap, change.keymap)
         await self._catch_up(result)
 
+    def _given_up(self, keymap, change):
+        """Return the ranges (start, end) that a change gives from this VM to others.
+
+        Ranges of an append whose outcome is unknown are included.
+        """
+        vm = self._node.settings.vm
+        before = [r for r in keymap.ranges if r.vm == vm]
+        after = [(r.start, r.end) for r in change.keymap.ranges if r.vm == vm]
+        given_up = [(r.start, r.end) for r in _keymap.subtract(before, after)]
+        if self._handing_over_undecided():
+            given_up += self._handing_over.ranges
+        return tuple(given_up)
+
     def _request_reads(self, before, after):
         """Ask the VMs that got keys to read the topic at once."""
         for vm in {
@@ -402,6 +446,25 @@
                 await self._follower.changed.wait()
 
 
+class _HandingOver(NamedTuple):
+    """Ranges (start, end) that an append gives to others, and the end it expects."""
+
+    ranges: tuple
+    expected_end: int
+
+
+def _uncovered(start, end, ranges):
+    """Return the parts (start, end) of a range outside of ``ranges``."""
+    pieces = []
+    for low, high, _ in sorted(ranges):
+        if low > start and start <= end:
+            pieces.append((start, min(end, low - 1)))
+        start = max(start, high + 1)
+    if start <= end:
+        pieces.append((start, end))
+    return pieces
+
+
 def _overlaps(start, end, ranges):
     """Return whether one of ``ranges`` (start, end, handover) overlaps start to end."""
     return any(s <= end and start <= e for s, e, _ in ranges)
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -374,6 +374,19 @@
     run(events)
 
 
+@pytest.mark.parametrize("delay", [0.1, 0.35, 0.6, 0.85])
+@pytest.mark.parametrize("moves", [("b",), ("c", "b"), ("b", "b"), ("c", "c", "b")])
+def test_restart_between_release_and_handover(moves, delay):
+    """Guards against keys granted again by a new process that also hands them over.
+
+    The previous process of the node planned the move and ended before the handover.
+    """
+    vm = moves[-1]
+    planned = [("move keys", other, 1) for other in moves[:-1]]
+    restart = [("kill node", vm, 0), ("start node", vm, 2)]
+    run([*planned, ("move keys", vm, delay), *restart])
+
+
 def confirm_any_read(follower, end, at):
     """Accept another node's read even if it showed records not read here."""
     follower.read_at = max(follower.read_at or 0.0, at)
