Let one VM write the releases of all others to the key map

Cause: each VM that moves keys appended a key map of its own, on the condition that nothing had been appended since it read. One of all succeeded in about 0.16 s (a poll, an append, a read), so the changes of a service were limited to 6 a second, however many VMs moved keys. Class of the fault: optimistic concurrency on one record, whose cost grows with the writers.

Change: a VM reports releases to the first VM of the service, which writes all of them in one change. If they are not written in 0.6 s, the VM reports them to the next one, then writes them itself; a VM that did not write gets no reports for 5 s. A report names the fence of the range and the process that sent it, and holds while the newest entry of the VM names that process; a new process grants keys only after it has read its own entry, so a late report of its predecessor has taken effect before or never will. After a restart the entry is written without a wait for the first heartbeat. VMs that lose keys are asked to read the change at once, as those that get some.

Measured: simulation of the protocol with reports that are late or lost; two new rules, each detected when disabled.

--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -104,6 +104,20 @@
     progress: ReadProgress = ReadProgress()
 
 
+class ReleaseReport(msgspec.Struct, array_like=True, tag="h"):
+    """Ranges that the target of a VM released, for the VM that writes the key map.
+
+    ``ranges`` lists (start, end, fence, handover, receiver): ``fence`` is that of the
+    key range in the key map, ``receiver`` the VM that is to get the keys. The report
+    holds only for the process ``node_incarnation`` of the VM, which grants none of
+    these ranges again.
+    """
+
+    vm: str
+    node_incarnation: str
+    ranges: list[tuple[int, int, int, str, str]]
+
+
 class StoreCall(msgspec.Struct, array_like=True, tag="s"):
     """A store call to make on behalf of a node whose own calls the store refuses."""
 
@@ -125,6 +139,7 @@
     | CancelForward
     | Ping
     | Pong
+    | ReleaseReport
     | StoreCall
     | StoreCallResult
 )
--- a/packages/router/src/jujuberudder_router/_keymap.py
+++ b/packages/router/src/jujuberudder_router/_keymap.py
@@ -79,7 +79,7 @@
     )
 
 
-def hand_over(keymap, vm, released, owners):
+def hand_over(keymap, vm, released, owners, fence=None):
     """Assign ranges that the target of ``vm`` released to other owners.
 
     Parameters
@@ -90,13 +90,15 @@
     released : list of (start, end, handover)
         The handover token is empty if the grant of the range expired instead.
     owners : list of Owner
+    fence : int, default=None
+        Only key ranges with this fence are assigned, if it is given.
 
     Returns
     -------
     keymap : KeyMap
         Unchanged if there are no owners or no range to assign.
     """
-    pieces = _intersect(keymap, vm, released)
+    pieces = _intersect(keymap, vm, released, fence)
     if not owners or not pieces:
         return keymap
     kept = _subtract(keymap.ranges, pieces)
@@ -161,11 +163,11 @@
     return distributed
 
 
-def _intersect(keymap, vm, released):
-    """Return the parts of released ranges that ``vm`` owns."""
+def _intersect(keymap, vm, released, fence=None):
+    """Return the parts of released ranges that ``vm`` owns, with ``fence`` if given."""
     pieces = []
     for key_range in keymap.ranges:
-        if key_range.vm != vm:
+        if key_range.vm != vm or fence not in (None, key_range.fence):
             continue
         for start, end, token in released:
             low, high = max(start, key_range.start), min(end, key_range.end)
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -14,6 +14,7 @@
 ANNOUNCE_RETRY_S = 0.5
 # Maximum wait for the first heartbeat before the first entry is written, in seconds:
 # heartbeats come every 0.87 s, and an entry without a target is rewritten at once.
+# After a restart the entry names the target of the previous one without a wait.
 FIRST_HEARTBEAT_WAIT_S = 1.0
 
 _vm_encoder = msgspec.msgpack.Encoder()
@@ -33,7 +34,10 @@
     def __init__(self, node, store):
         self._node = node
         self._store = store
-        self._node_incarnation = secrets.token_hex(4)
+        self.node_incarnation = secrets.token_hex(4)
+        # Entry of an earlier process of this node, and offset of the first entry of
+        # this one.
+        self._previous_entry, self._entry_offset = None, None
         self._written_entry = None
         self._entry_changed = trio.Event()
         self._nursery = None
@@ -43,13 +47,23 @@
     def entry(self):
         """Return this VM's current entry."""
         node, settings = self._node, self._node.settings
-        target = node.target
+        target, previous = node.target, self._previous_entry
+        incarnation, slots = target.incarnation, target.slots
+        if not incarnation and previous is not None:
+            incarnation, slots = previous.target_incarnation, previous.slots
         return VM(
-            settings.vm, self._node_incarnation, settings.peer_address, settings.zone,
-            settings.service, target.incarnation, target.slots,
-            node.draining or target.leaving,
+            settings.vm, self.node_incarnation, settings.peer_address, settings.zone,
+            settings.service, incarnation, slots, node.draining or target.leaving,
         )  # fmt: skip
 
+    def entry_confirmed(self, end):
+        """Whether this process has read all records up to ``end`` and its own entry."""
+        return (
+            self._entry_offset is not None
+            and end is not None
+            and end > self._entry_offset
+        )
+
     def announce(self):
         """Schedule a write of the entry if it changed."""
         if self.entry() != self._written_entry:
@@ -60,7 +74,7 @@
         kind, _, name = record.key.partition("/")
         try:
             if kind == "vm":
-                self._apply_vm(name, record.value)
+                self._apply_vm(name, record)
             elif kind == "keys" and record.value:
                 self._apply_keymap(name, record)
         except msgspec.MsgspecError as error:
@@ -78,8 +92,8 @@
         )  # fmt: skip
         self._node.admission.dispatch()
 
-    def _apply_vm(self, name, value):
-        vms = self._node.vms
+    def _apply_vm(self, name, record):
+        vms, value = self._node.vms, record.value
         if not value:
             vms.pop(name, None)
             self._drop_link(name)
@@ -88,6 +102,10 @@
         previous = vms.get(name)
         vms[name] = vm
         if name == self._node.settings.vm:
+            if vm.node_incarnation != self.node_incarnation:
+                self._previous_entry = vm
+            elif self._entry_offset is None:
+                self._entry_offset = record.offset
             return
         if previous is None or previous.address != vm.address:
             self._drop_link(name)
@@ -125,7 +143,7 @@
             if link.vm.name not in self._scopes:
                 self._start(link)
         with trio.move_on_after(FIRST_HEARTBEAT_WAIT_S):
-            while not self._node.target.id:
+            while not self._node.target.id and self._previous_entry is None:
                 await trio.sleep(FIRST_HEARTBEAT_WAIT_S / 20)
         self._entry_changed.set()
         while True:
@@ -142,6 +160,7 @@
                 await trio.sleep(ANNOUNCE_RETRY_S)
                 continue
             self._written_entry = entry
+            self._node.membership_follower.read_now()
             self._node.log(
                 "announced", target=entry.target_incarnation, leaving=entry.leaving,
                 slots=entry.slots,
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -249,6 +249,20 @@
     def _batch_delay_s(self):
         return min(BATCH_DELAY_MAX_S, BATCH_DELAY_PER_VM_S * len(self.vms))
 
+    @property
+    def node_incarnation(self):
+        """Name of this process in the membership topic."""
+        return self.membership.node_incarnation
+
+    def incarnation_of(self, vm):
+        """Return the name of a VM's process in the newest entry read, or None."""
+        entry = self.vms.get(vm)
+        return entry.node_incarnation if entry else None
+
+    def entry_confirmed(self):
+        """Whether the entry of this process was read, with all records before it."""
+        return self.membership.entry_confirmed(self.membership_follower.end)
+
     def read_progress(self):
         """Return the ``ReadProgress`` of this node."""
         read_at = self.membership_follower.read_at
@@ -481,7 +495,8 @@
             nursery.start_soon(server.serve, parse_address(address))
         nursery.start_soon(
             serve_links, parse_address(settings.peer_address), node.serve,
-            make_relay_handler(node), node.admission.load, node.on_ping, log,
+            make_relay_handler(node), node.admission.load, node.on_ping,
+            node.ownership.on_releases, log,
         )  # fmt: skip
         nursery.start_soon(node.configuration_follower.run)
         nursery.start_soon(node.membership_follower.run)
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -18,6 +18,7 @@
 from result import Err, Ok
 
 from . import _keymap
+from ._frames import ReleaseReport
 from ._keymap import Owner
 from ._placement import VMLoad, plan_move
 from ._store import MEMBERSHIP_TOPIC, Appended, Conflict
@@ -49,6 +50,40 @@
 RANK_DELAY_S = 0.5
 # Seconds between two checks whether the key map has to change.
 POLL_INTERVAL_S = 0.1
+# Seconds after a report of a release until it is reported to another writer: a check of
+# the writer, an append and a read of the change, with a margin.
+REPORT_TIMEOUT_S = 0.6
+# Number of writers to which a release is reported before the VM writes it itself.
+MAX_REPORTS = 2
+# Seconds for which a VM that did not write a release in time gets no further reports: a
+# link to a VM that is cut off counts as up for 3 s.
+WRITER_FAILURE_S = 5.0
+# Seconds for which a report is kept that does not match the membership or key map read
+# so far.
+REPORT_TTL_S = 5.0
+
+
+class Release(NamedTuple):
+    """A range of keys [start, end] that the target of a VM released.
+
+    Parameters
+    ----------
+    vm : str
+    start, end : int
+    handover : str
+        Token of the previous holder; empty if its grant expired.
+    receiver : str
+        VM that is to get the keys; empty if it is not decided.
+    fence : int or None
+        Fence of the key range; None if the state of this VM itself is the source.
+    """
+
+    vm: str
+    start: int
+    end: int
+    handover: str
+    receiver: str = ""
+    fence: int | None = None
 
 
 class OwnershipView(NamedTuple):
@@ -67,10 +102,8 @@
         All VMs of the service that may get keys, in the order of names.
     unreachable_vms : dict of str to float
         Seconds for which each other VM that owns keys has been unreachable.
-    released : list of (start, end, handover)
-        Ranges that the target released or no longer has a grant for.
-    planned_moves : list of (start, end, str)
-        Ranges that this VM moves away, and the VM that receives each.
+    released : list of Release
+        Ranges that targets released or no longer have a grant for.
     suspicions : dict of str to float
         Ids of the suspicions in the key map, and when this node first read each.
     caught_up_s : float
@@ -85,7 +118,6 @@
     owners: list
     unreachable_vms: dict
     released: list
-    planned_moves: list
     suspicions: dict
     caught_up_s: float
 
@@ -116,15 +148,9 @@
             _keymap.clear_suspicion(keymap, vm),
             "this VM refutes the suspicion against it",
         )
-    others = [o for o in view.owners if o.vm != vm]
-    for start, end, handover in view.released:
-        receiver_names = [
-            vm for s, e, vm in view.planned_moves if s <= end and start <= e
-        ]
-        receivers = [o for o in others if o.vm in receiver_names] or others
-        handed_over = _keymap.hand_over(keymap, vm, [(start, end, handover)], receivers)
-        if handed_over != keymap:
-            return KeyMapChange(handed_over, "a key range was released")
+    handed_over = _hand_over_all(view)
+    if handed_over != keymap:
+        return KeyMapChange(handed_over, "key ranges were released")
     if view.owner and any(
         r.vm == vm and r.target_incarnation != view.owner.target_incarnation
         for r in keymap.ranges
@@ -145,6 +171,22 @@
     return _change_for_unreachable_vm(view, rank, new_id)
 
 
+def _hand_over_all(view):
+    """Return the key map after all releases, as one change."""
+    keymap = view.keymap
+    for release in view.released:
+        others = [o for o in view.owners if o.vm != release.vm]
+        receivers = [o for o in others if o.vm == release.receiver] or others
+        keymap = _keymap.hand_over(
+            keymap,
+            release.vm,
+            [(release.start, release.end, release.handover)],
+            receivers,
+            release.fence,
+        )
+    return keymap
+
+
 def _rank(view):
     """Return how many VMs act before this one, None if it may not own keys."""
     names = [owner.vm for owner in view.owners]
@@ -191,6 +233,12 @@
         self._pending_moves = {}
         # Own ranges that the last append gives to others, and the end that it expects.
         self._handing_over = _HandingOver((), -1)
+        # (VM, start, end, fence) to (release, node incarnation, time of the report).
+        self._reports = {}
+        # (start, end) of a release to its _SentReport.
+        self._sent_reports = {}
+        # VM to the time until which it gets no reports.
+        self._failed_writers = {}
         # Id to the time at which this node first read the suspicion.
         self._suspicions = {}
         self._last_keymap, self._key_counts, self._grown_at = None, {}, {}
@@ -227,10 +275,14 @@
             self._released[(start, end)] = handover
         if not self._node.is_keyed(self._service) or not self._follower.started:
             return None
-        if not self.lease_valid(now):
+        # Releases that an earlier process of this node reported may be written until
+        # the entry of this process is in the topic, and are read with the entry.
+        confirmed = self._node.entry_confirmed() or not any(self._own_ranges())
+        if not self.lease_valid(now) or not confirmed:
             self._node.metrics.count("grants_withheld")
             self._node.log(
                 "grant_withheld", read_at=self._follower.read_at, now=now,
+                confirmed=confirmed,
                 suspected=_keymap.suspicion_of(
                     self._keymap(), self._node.settings.vm
                 ),
@@ -326,13 +378,42 @@
             return VMLoad(vm, 0.0, count, 0.0, settled)
         return VMLoad(vm, load.usage, count, load.service_s, settled)
 
-    def _released_ranges(self, now):
-        """Return the ranges that the target released or has no valid grant for."""
+    def _split_by_key_range(self, pieces, receiver=""):
+        """Return a release for each part of (start, end, token) that this VM owns."""
+        vm = self._node.settings.vm
+        return [
+            Release(
+                vm, max(start, key_range.start), min(end, key_range.end), token,
+                receiver, key_range.fence,
+            )
+            for start, end, token in pieces
+            for key_range in self._keymap().ranges
+            if key_range.vm == vm and key_range.start <= end and start <= key_range.end
+        ]  # fmt: skip
+
+    def _moved_ranges(self, now):
+        """Return the releases of ranges that this VM moves away."""
+        releases = []
+        for (start, end), (until, receiver) in self._pending_moves.items():
+            pieces = [
+                (max(low, start), min(high, end), token)
+                for (low, high), token in self._released.items()
+                if low <= end and start <= high
+            ]
+            if not pieces and now > until:
+                pieces = [(start, end, "")]
+            releases += self._split_by_key_range(pieces, receiver)
+        return releases
+
+    def _other_releases(self, now, moved):
+        """Return the other releases of the target, and ranges whose grant expired."""
         target, vm = self._node.target, self._node.settings.vm
-        released = [(s, e, token) for (s, e), token in self._released.items()]
-        for (start, end), (until, _) in self._pending_moves.items():
-            if now > until and not _overlaps(start, end, released):
-                released.append((start, end, ""))
+        moved = [(release.start, release.end, "") for release in moved]
+        released = [
+            (start, end, token)
+            for (start, end), token in self._released.items()
+            if not _overlaps(start, end, moved)
+        ]
         target_gone = target.leaving or target.heartbeat_overdue(now)
         grant_expired = (
             now
@@ -340,15 +421,96 @@
             + SAFETY_MARGIN_S
         )
         if target_gone and grant_expired:
-            key_ranges = [
-                key_range for key_range in self._keymap().ranges if key_range.vm == vm
-            ]
             released += [
                 (key_range.start, key_range.end, "")
-                for key_range in key_ranges
-                if not _overlaps(key_range.start, key_range.end, released)
+                for key_range in self._keymap().ranges
+                if key_range.vm == vm
+                and not _overlaps(key_range.start, key_range.end, moved + released)
             ]
-        return released
+        return self._split_by_key_range(released)
+
+    def on_releases(self, report):
+        """Keep the releases that another VM reported, a ``ReleaseReport``."""
+        now = trio.current_time()
+        for start, end, fence, handover, receiver in report.ranges:
+            release = Release(report.vm, start, end, handover, receiver, fence)
+            key = (report.vm, start, end, fence)
+            self._reports[key] = (release, report.node_incarnation, now)
+
+    def _reported_releases(self, now):
+        """Return the reported releases that are valid, and drop those that are done.
+
+        A report is valid while the membership entry of its VM names the process that
+        sent it: a later process may grant the ranges again, after it has read that its
+        own entry is in the topic.
+        """
+        keymap, valid = self._keymap(), []
+        for key, (release, node_incarnation, at) in list(self._reports.items()):
+            owned = any(
+                key_range.vm == release.vm
+                and key_range.fence == release.fence
+                and key_range.start <= release.end
+                and release.start <= key_range.end
+                for key_range in keymap.ranges
+            )
+            if now - at > REPORT_TTL_S or (
+                not owned and release.fence < keymap.next_fence
+            ):
+                del self._reports[key]
+            elif owned and node_incarnation == self._node.incarnation_of(release.vm):
+                valid.append(release)
+        return valid
+
+    def _leave_to_writer(self, moved, owners, now):
+        """Report releases to the VM that writes the key map.
+
+        The first VM of the service writes the changes of all others at once. If each
+        VM appended its own change, only one of them would succeed at a time, and the
+        released keys of all others would wait.
+
+        Returns
+        -------
+        list of Release
+            Releases that this VM writes itself: because it is the first VM, or others
+            have not written them in time.
+        """
+        present = {(release.start, release.end) for release in moved}
+        self._sent_reports = {
+            key: sent for key, sent in self._sent_reports.items() if key in present
+        }
+        own, to_report = [], {}
+        for release in moved:
+            key = (release.start, release.end)
+            sent = self._sent_reports.get(key, _SentReport("", -1.0, 0))
+            if sent.count and now - sent.at <= REPORT_TIMEOUT_S:
+                continue
+            if sent.count:
+                self._failed_writers[sent.writer] = now + WRITER_FAILURE_S
+            writer = self._writer(owners, now)
+            if writer is None or sent.count >= MAX_REPORTS:
+                own.append(release)
+                continue
+            self._sent_reports[key] = _SentReport(writer, now, sent.count + 1)
+            to_report.setdefault(writer, []).append(release)
+        for writer, releases in to_report.items():
+            ranges = [
+                (r.start, r.end, r.fence, r.handover, r.receiver) for r in releases
+            ]
+            self._node.links[writer].report_releases(
+                ReleaseReport(
+                    self._node.settings.vm, self._node.node_incarnation, ranges
+                )
+            )
+        return own
+
+    def _writer(self, owners, now):
+        """Return the VM that writes releases, or None if it is this one."""
+        for owner in owners:
+            if owner.vm == self._node.settings.vm:
+                return None
+            if now >= self._failed_writers.get(owner.vm, 0.0):
+                return owner.vm if owner.vm in self._node.links else None
+        return None
 
     def view(self, now):
         """Return the state from which the next change is decided."""
@@ -359,13 +521,19 @@
         present = {suspicion for _, suspicion in keymap.suspicions}
         known = {s: t for s, t in self._suspicions.items() if s in present}
         self._suspicions = {s: known.get(s, now) for s in present}
+        moved = self._moved_ranges(now)
+        released = self._other_releases(now, moved)
+        if node.target.leaving:
+            # None of these ranges is granted again either.
+            moved, released = moved + released, []
+        released += self._leave_to_writer(moved, owners, now)
+        released += self._reported_releases(now)
         return OwnershipView(
             now, node.settings.vm, keymap,
             next((o for o in owners if o.vm == node.settings.vm), None),
             owners, {vm: node.unreachable_s(vm) for vm in names},
-            self._released_ranges(now),
-            [(*pair, receiver) for pair, (_, receiver) in self._pending_moves.items()],
-            self._suspicions, now - self._started - self._follower.batch_delay_s,
+            released, self._suspicions,
+            now - self._started - self._follower.batch_delay_s,
         )  # fmt: skip
 
     async def run(self):
@@ -417,9 +585,9 @@
         return tuple(given_up)
 
     def _request_reads(self, before, after):
-        """Ask the VMs that got keys to read the topic at once."""
+        """Ask the VMs that got keys or lost some to read the topic at once."""
         for vm in {
-            key_range.vm for key_range in set(after.ranges) - set(before.ranges)
+            key_range.vm for key_range in set(after.ranges) ^ set(before.ranges)
         }:
             if vm in self._node.links:
                 self._node.links[vm].request_read()
@@ -446,6 +614,14 @@
                 await self._follower.changed.wait()
 
 
+class _SentReport(NamedTuple):
+    """Writer to which a release was reported last, when, and how often in all."""
+
+    writer: str
+    at: float
+    count: int
+
+
 class _HandingOver(NamedTuple):
     """Ranges (start, end) that an append gives to others, and the end it expects."""
 
--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_links.py
@@ -15,6 +15,7 @@
     FrameError,
     Ping,
     Pong,
+    ReleaseReport,
     StoreCall,
     StoreCallResult,
     encode_frame,
@@ -202,6 +203,11 @@
         if self._writer is not None:
             self._writer.send(Ping(trio.current_time(), self._read_progress(), True))
 
+    def report_releases(self, report):
+        """Send a ``ReleaseReport``, unless the link is down."""
+        if self._writer is not None:
+            self._writer.send(report)
+
     async def forward(self, request):
         """Send a ``ForwardRequest`` and return the ``ForwardReply``.
 
@@ -253,7 +259,7 @@
 
 
 async def serve_links(
-    address, handle_request, handle_store_call, get_load, on_ping, log
+    address, handle_request, handle_store_call, get_load, on_ping, on_releases, log
 ):
     """Accept connections of other nodes until cancelled.
 
@@ -271,6 +277,8 @@
         ``on_ping(progress, read_now)`` applies the ``ReadProgress`` of a peer and reads
         the membership topic at once if ``read_now`` is true; it returns the
         ``ReadProgress`` of this node.
+    on_releases : callable
+        ``on_releases(report)`` applies a ``ReleaseReport``.
     log : callable
     """
     host, port = address
@@ -320,6 +328,8 @@
                                 on_ping(frame.progress, frame.read_now),
                             )
                         )
+                    elif isinstance(frame, ReleaseReport):
+                        on_releases(frame)
                     elif isinstance(frame, StoreCall):
                         nursery.start_soon(run_store_call, frame)
 
--- a/tests/router/test_keymap.py
+++ b/tests/router/test_keymap.py
@@ -24,6 +24,7 @@
     SUSPECT_AFTER_S,
     TAKEOVER_DELAY_S,
     OwnershipView,
+    Release,
     next_change,
 )
 from jujuberudder_router._types import KEY_COUNT, KeyMap
@@ -114,7 +115,7 @@
     """Return a view of VM ``a`` that requires no change, with some fields replaced."""
     unchanged = OwnershipView(
         now=100.0, vm="a", keymap=ASSIGNED, owner=A, owners=[A, B, C],
-        unreachable_vms={}, released=[], planned_moves=[], suspicions={},
+        unreachable_vms={}, released=[], suspicions={},
         caught_up_s=60.0,
     )  # fmt: skip
     return unchanged._replace(**changes)
@@ -157,10 +158,27 @@
             None,
         ),
         (
-            {"released": [(0, 99, "t")], "planned_moves": [(0, 99, "c")]},
+            {"released": [Release("a", 0, 99, "t", "c")]},
             hand_over(ASSIGNED, "a", [(0, 99, "t")], [C]),
         ),
-        ({"released": [(0, 99, "t")], "owners": [A]}, None),
+        ({"released": [Release("a", 0, 99, "t")], "owners": [A]}, None),
+        (
+            {"released": [Release("b", 30000, 30099, "t", "c", 1)]},
+            hand_over(ASSIGNED, "b", [(30000, 30099, "t")], [C]),
+        ),
+        ({"released": [Release("b", 30000, 30099, "t", "c", 7)]}, None),
+        (
+            {
+                "released": [
+                    Release("a", 0, 99, "t", "c"),
+                    Release("b", 30000, 30099, "u", "c", 1),
+                ]
+            },
+            hand_over(
+                hand_over(ASSIGNED, "a", [(0, 99, "t")], [C]),
+                "b", [(30000, 30099, "u")], [C],
+            ),
+        ),
         (
             {"owner": Owner("a", "a@2"), "owners": [Owner("a", "a@2"), B, C]},
             assign_to_new_incarnation(ASSIGNED, Owner("a", "a@2")),
@@ -171,6 +189,7 @@
         "own target may not own keys", "refute the suspicion", "unreachable briefly",
         "add a suspicion", "suspicion is too recent", "take over",
         "suspected but reachable again", "released", "released without a receiver",
+        "reported", "reported under an earlier fence", "two releases in one change",
         "target restarted",
     ],
 )  # fmt: skip
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -42,7 +42,11 @@
 PAUSE_UNIT_S = 2.0
 PROCESS_EVENTS = ("kill node", "start node", "kill target", "start target", "leave")
 STORE_EVENTS = ("store ok", "store down", "store lost", "store late")
-NETWORK_EVENTS = ("partition", "reconnect", "freeze", "thaw", "move keys")
+NETWORK_EVENTS = (
+    "partition", "reconnect", "freeze", "thaw", "move keys", "delay reports",
+)  # fmt: skip
+# Delay of the reports of released ranges by "delay reports", in seconds.
+REPORT_DELAY_S = 1.5
 
 
 class SimulatedStore:
@@ -149,6 +153,8 @@
         self.unreachable_since = dict.fromkeys(VMS)
         self.frozen = dict.fromkeys(VMS, False)
         self.taken = []
+        self._process_numbers = itertools.count(1)
+        self.reports_delayed = dict.fromkeys(VMS, False)
 
     def check(self, target, now):
         """Check that no other target serves a key that was just granted."""
@@ -179,16 +185,26 @@
         node.ownership = OwnershipManager(node, self.store.store_of(vm), follower)
         self.nodes[vm] = (node, scope)
 
+        async def announce():
+            append, result = self.store.store_of(vm).append, None
+            while not isinstance(result, Ok):
+                result = await append(
+                    MEMBERSHIP_TOPIC, f"vm/{vm}", node.node_incarnation, None
+                )
+
         async def run():
             with scope:
                 async with trio.open_nursery() as nursery:
+                    nursery.start_soon(announce)
                     nursery.start_soon(follower.run)
                     nursery.start_soon(node.ownership.run)
 
         self.nursery.start_soon(run)
 
     def _make_node(self, vm):
+        node_incarnation = f"{vm}#{next(self._process_numbers)}"
         node = SimpleNamespace(
+            node_incarnation=node_incarnation, entries={},
             settings=SimpleNamespace(vm=vm, service=SERVICE, hold_limit_s=10.0),
             target=Target("127.0.0.1:1"), keymaps={}, links={},
             is_keyed=lambda service: True,
@@ -201,18 +217,41 @@
         )  # fmt: skip
 
         def apply(record):
+            if record.key.startswith("vm/"):
+                entry = (record.value, record.offset)
+                node.entries[record.key.removeprefix("vm/")] = entry
+                return
             node.keymaps[SERVICE] = msgspec.msgpack.decode(record.value, type=KeyMap)
 
         node.apply = apply
+        node.entry_confirmed = lambda: self.entry_confirmed(node)
+        node.incarnation_of = lambda other: node.entries.get(other, (None, 0))[0]
         node.owners = lambda service: self._owners(vm)
         node.unreachable_s = lambda other: self._unreachable_s(other)
         node.links = {
-            other: SimpleNamespace(load=None, request_read=int)
+            other: SimpleNamespace(
+                load=None, request_read=int,
+                report_releases=lambda report, other=other: (
+                    self.nursery.start_soon(self._deliver, report, vm, other)
+                ),
+            )
             for other in VMS
             if other != vm
-        }
+        }  # fmt: skip
         return node
 
+    def entry_confirmed(self, node):
+        """Whether a node has read its own entry and all records before it."""
+        incarnation, offset = node.entries.get(node.settings.vm, (None, 0))
+        return incarnation == node.node_incarnation and node.follower.end > offset
+
+    async def _deliver(self, report, vm, other):
+        """Deliver a report of released ranges."""
+        await trio.sleep(REPORT_DELAY_S if self.reports_delayed[vm] else 0.01)
+        reachable = not (self._unreachable_s(vm) or self._unreachable_s(other))
+        if self.nodes[other] is not None and reachable:
+            self.nodes[other][0].ownership.on_releases(report)
+
     def _owners(self, vm):
         owners = []
         for name, target in self.targets.items():
@@ -322,6 +361,8 @@
                 self.unreachable_since[vm] = None
         elif kind in ("freeze", "thaw"):
             self.frozen[vm] = kind == "freeze"
+        elif kind == "delay reports":
+            self.reports_delayed[vm] = True
         elif kind == "move keys" and self.nodes[vm] is not None:
             self._start_move(self.nodes[vm][0], vm)
 
@@ -398,9 +439,15 @@
         follower.read_at = trio.current_time()
 
 
+def accept_reports_of_ended_processes(manager, now):
+    """Return all reported releases, also those of an earlier process of a VM."""
+    return [release for release, _, _ in manager._reports.values()]
+
+
 # Rules of the protocol: the constant or function that implements each, a replacement
 # that disables it, and events that need it. With the replacement two targets must serve
 # a key, or the tests of this file prove nothing.
+# fmt: off
 RULES = {
     "another node's read counts only if it showed no unread records": (
         (Follower, "confirm_read", confirm_any_read),
@@ -418,11 +465,31 @@
         (ownership_module, "TAKEOVER_DELAY_S", ownership_module.LEASE_S - 2.0),
         [("partition", "a", 6)],
     ),
+    "a report holds only for the process that sent it": (
+        (
+            OwnershipManager,
+            "_reported_releases",
+            accept_reports_of_ended_processes,
+        ),
+        [
+            ("delay reports", "b", 0), ("move keys", "b", 0.8),
+            ("kill node", "b", 0), ("start node", "b", 0.4), ("freeze", "b", 1),
+        ],
+    ),
+    "a new process grants only after it has read its own entry": (
+        (Simulation, "entry_confirmed", lambda simulation, node: True),
+        [
+            ("delay reports", "b", 0), ("move keys", "b", 0.8),
+            ("store late", "b", 0), ("kill node", "b", 0), ("start node", "b", 0.4),
+            ("freeze", "b", 1),
+        ],
+    ),
     "no grants after the lease expires": (
         (ownership_module, "LEASE_S", 1e6),
         [("partition", "a", 6), ("move keys", "b", 3)],
     ),
 }
+# fmt: on
 
 
 @pytest.mark.parametrize("rule", RULES, ids=str)
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -131,7 +131,7 @@
 
         address = ("127.0.0.1", int(free_addresses(1)[0].split(":")[1]))
         nursery.start_soon(
-            serve_links, address, handle, None, lambda: None, None, log_nothing
+            serve_links, address, handle, None, lambda: None, None, None, log_nothing
         )
         await trio.sleep(0.05)
         stream = await trio.open_tcp_stream(*address)
