Refuse requests at once that wait at the previous owner of their key

Cause: the queue waits for a grant of the key, which never comes once another VM owns it. Change: a new key map refuses the waiting requests of keys that moved, with the new owner as a hint, so that they are sent there. Measured: the new test of the admission queue passes, and fails without the refusal.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -46,6 +46,8 @@
 WORK_WINDOW_S = 4.0
 # Reason of a refusal while a node drains.
 OUTLASTS_NODE = "the node ends before the request might"
+# Reason of a refusal while a request waits.
+KEY_MOVED = "the key moved to another VM"
 
 
 class Waiter(NamedTuple):
@@ -174,6 +176,8 @@
     def __init__(self, may_serve_key):
         self._may_serve_key = may_serve_key
         self._waiters = {}
+        # Numbers of waiting requests whose key now belongs to another VM.
+        self._moved = set()
         self._last_number = 0
         self._running = 0
         # Mean service time of each route.
@@ -204,6 +208,19 @@
         for waiter in self._waiters.values():
             waiter.event.set()
 
+    def refuse_moved(self, owns_key):
+        """Refuse the waiting requests whose key this VM does not own any more.
+
+        Parameters
+        ----------
+        owns_key : callable
+            ``owns_key(key)`` returns whether this VM owns a key.
+        """
+        for number, waiter in self._waiters.items():
+            if waiter.key is not None and not owns_key(waiter.key):
+                self._moved.add(number)
+                waiter.event.set()
+
     def record_target_load(self, running, waiting, slots, now):
         """Record the load that the target reported with a response."""
         untracked = max(0, running + waiting - self._running)
@@ -326,11 +343,15 @@
             with trio.move_on_at(refuse_at):
                 await waiter.event.wait()
         except trio.Cancelled:
+            self._moved.discard(number)
             if self._waiters.pop(number, None) is None and waiter.event.is_set():
                 self.release()
             raise
         if self._waiters.pop(number, None) is None:
             return
+        if number in self._moved:
+            self._moved.remove(number)
+            raise Refused(KEY_MOVED, 0.0)
         if self.closed_reason:
             raise Refused(self.closed_reason, 0.0)
         if self._may_outlast_node(service_s, trio.current_time()):
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -90,7 +90,9 @@
             "key_map", service=service, offset=record.offset, rows=len(keymap.ranges),
             suspicions=len(keymap.suspicions), next_fence=keymap.next_fence,
         )  # fmt: skip
-        self._node.admission.dispatch()
+        if service == self._node.settings.service:
+            self._node.admission.refuse_moved(self._node.owns_key)
+            self._node.admission.dispatch()
 
     def _apply_vm(self, name, record):
         vms, value = self._node.vms, record.value
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -322,6 +322,12 @@
             return "this VM does not own the key", key_range.vm
         return None
 
+    def owns_key(self, key):
+        """Whether the key map names this VM as the owner of a key of its service."""
+        keymap = self.keymaps.get(self.settings.service)
+        key_range = locate(keymap, key) if keymap else None
+        return key_range is not None and key_range.vm == self.settings.vm
+
     def accepts_requests(self, vm):
         """Whether a VM is this one, or its link is up and it is not known to refuse."""
         return vm == self.settings.vm or self._link_accepts(vm)
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -176,9 +176,11 @@
                 waited_s=trio.current_time() - arrived_at,
                 retry_after_s=refused.retry_after_s,
             )  # fmt: skip
+            # The key may have moved while the request waited.
+            _, owner = serve_refusal(request.service, request.key) or ("", "")
             reply = ForwardReply(
                 request.id, NOT_RUN, reason=refused.reason,
-                retry_after_s=refused.retry_after_s,
+                retry_after_s=refused.retry_after_s, owner=owner,
             )  # fmt: skip
         reply.load = admission.load()
         return reply
--- a/tests/router/test_admission.py
+++ b/tests/router/test_admission.py
@@ -192,3 +192,30 @@
         admission.release(forward_request(), 0.2)
     assert refused and refused[0][0].startswith("the node ends before")
     assert admission.running == 0
+
+
+async def test_request_whose_key_moved_is_refused_at_once(autojump_clock):
+    """Guards against requests that wait at the previous owner of their key."""
+    admission = AdmissionQueue(lambda key, now: key != 7)
+    admission.open(1)
+    refused_at = {}
+
+    async def wait(key):
+        try:
+            await admission.acquire(
+                forward_request(key=key, remaining_s=4.0), trio.current_time()
+            )
+        except Refused as refused:
+            refused_at[key] = (trio.current_time() - started, refused.retry_after_s)
+
+    async with trio.open_nursery() as nursery:
+        started = trio.current_time()
+        await admission.acquire(forward_request(key=1), started)
+        for key in (7, 8):
+            nursery.start_soon(wait, key)
+        await trio.sleep(0.1)
+        admission.refuse_moved(lambda key: key != 7)
+        await trio.sleep(0.1)
+        admission.release(forward_request(key=1), 0.1)
+    assert refused_at == {7: (pytest.approx(0.1), 0.0)}
+    assert admission.running == 1 and admission.load().queued == 0
