--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -16,7 +16,7 @@
 from ._keymap import Owner, locate
 from ._membership import Membership
 from ._metrics import Metrics
-from ._ownership import OwnershipManager
+from ._ownership import SUSPECT_AFTER_S, OwnershipManager
 from ._peer_links import serve_links
 from ._relay import make_relay_handler, with_relays
 from ._routes import RetryBudget, TrafficSplitter
@@ -293,7 +293,11 @@
         self.membership_follower.observe_end(progress.membership_end)
 
     def owner_may_change(self, service, key):
-        """Whether a key without a reachable owner may soon have one."""
+        """Whether a key without a reachable owner may soon have one.
+
+        An owner that is suspected, or unreachable for longer than a restart takes,
+        keeps the key until a takeover, which takes longer than requests wait.
+        """
         keymap = self.keymaps.get(service)
         if keymap is None:
             return True
@@ -301,7 +305,10 @@
         key_range = locate(keymap, key)
         if key_range is None:
             return True
-        return key_range.vm not in suspected and key_range.vm in self.vms
+        owner = key_range.vm
+        if owner in suspected or owner not in self.vms:
+            return False
+        return owner == self.settings.vm or self.unreachable_s(owner) < SUSPECT_AFTER_S
 
     def _serve_refusal(self, service, key):
         """Return the reason to refuse a request and the VM that may serve it, or None.
