Stop sending requests to a link 1 s after an unanswered ping

Cause: a link counted as up until no frame had arrived for 2.4 ping intervals, which is 3.1 s among 88 VMs. Change: a link gets no new requests when a ping is unanswered for 1 s. When a VM counts as unreachable for a suspicion is unchanged. Measured: the new test fails before (the link is up after 3 s).

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -344,7 +344,7 @@
         link = self.links.get(vm)
         if link is None:
             return trio.current_time() - self.membership.started
-        return 0.0 if link.up else link.idle_s
+        return link.idle_s if link.lost else 0.0
 
     def owners(self, service):
         """Return the VMs of a keyed service that may own keys, sorted by name."""
--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_links.py
@@ -33,6 +33,9 @@
 # Ping intervals without any frame after which a link gets no new requests: one
 # interval, a round trip and a late timer.
 UP_INTERVALS = 2.4
+# Time after a ping without any frame after which a link gets no new requests: a round
+# trip takes 10 ms, and a link of 10 Mbit/s that is filled by a body 0.5 s more.
+PONG_TIMEOUT_S = 1.0
 # Time, and minimum number of ping intervals, without any frame after which a link is
 # closed and reconnected. Requests on it may then have run, so the time is longer than a
 # busy VM freezes or queues frames.
@@ -108,6 +111,8 @@
         self._pending = {}
         self._call_ids = itertools.count(1)
         self._received_at = -1.0
+        # Time of the first ping since the last frame, or None.
+        self._unanswered_ping_at = None
         self._created_at = trio.current_time()
 
     @property
@@ -116,11 +121,19 @@
         return trio.current_time() - max(self._received_at, self._created_at)
 
     @property
-    def up(self):
-        """Whether the connection is open and a frame arrived recently."""
+    def lost(self):
+        """Whether the connection is closed or no frame arrived for long."""
         if self._writer is None:
+            return True
+        return self.idle_s >= UP_INTERVALS * ping_interval(self._count_links())
+
+    @property
+    def up(self):
+        """Whether new requests may be sent: the link answers its pings."""
+        ping_at = self._unanswered_ping_at
+        if ping_at is not None and trio.current_time() - ping_at > PONG_TIMEOUT_S:
             return False
-        return self.idle_s < UP_INTERVALS * ping_interval(self._count_links())
+        return not self.lost
 
     async def run(self):
         """Connect, and reconnect after each failure, until cancelled."""
@@ -141,7 +154,7 @@
 
     async def _run_connection(self, stream):
         self._writer = writer = FrameWriter(stream)
-        self._received_at = trio.current_time()
+        self._record_receipt()
         self._log("peer_link_up", peer=self.vm.name, address=self.vm.address)
         reason = "closed by the peer"
         try:
@@ -178,7 +191,7 @@
                 raise TimeoutError(f"silent for {timeout_s} s")
             if not data:
                 return
-            self._received_at = trio.current_time()
+            self._record_receipt()
             for frame in frames.feed(data):
                 self._handle_frame(frame)
 
@@ -193,8 +206,14 @@
             if pending_reply is not None:
                 pending_reply.set(frame)
 
+    def _record_receipt(self):
+        self._received_at = trio.current_time()
+        self._unanswered_ping_at = None
+
     async def _ping(self, writer):
         while True:
+            if self._unanswered_ping_at is None:
+                self._unanswered_ping_at = trio.current_time()
             writer.send(Ping(trio.current_time(), self._read_progress()))
             await trio.sleep(ping_interval(self._count_links()))
 
