Split the keys of an overloaded VM among several VMs at once

Cause: a VM moved keys to one other VM every 2.5 s, by the work that it had served. The demand for 200 keys that need the slots of 16 VMs takes four moves to spread, longer than it lasts, and refused requests did not count as demand. Change: a VM whose requests need 1.3 times its slots or more, refused ones included, cuts its keys into pieces that fit into the room of up to 16 VMs and moves them at once. A key that needs a VM alone stays, and the others leave it.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -44,6 +44,9 @@
 SHED_TTL_S = 0.3
 # Seconds for which service times of keys are retained for decisions on moves.
 WORK_WINDOW_S = 4.0
+# Seconds for which requests with a key are counted in the demand for it: about as long
+# as the usage is averaged.
+DEMAND_WINDOW_S = 2.0
 # Reason of a refusal while a node drains.
 OUTLASTS_NODE = "the node ends before the request might"
 # Reason of a refusal while a request waits.
@@ -185,6 +188,8 @@
         self._mean_service_s = INITIAL_SERVICE_S
         # (time of the end, key, service time) of recent requests with a key.
         self._work = deque()
+        # (time of the arrival, key, expected service time) of recent requests.
+        self._arrivals = deque()
         self._untracked, self._untracked_until = 0, 0.0
         self.usage = 0.0
         self.slots = 0
@@ -245,11 +250,28 @@
         self.usage += USAGE_WEIGHT * (used - self.usage)
         while self._work and self._work[0][0] < now - WORK_WINDOW_S:
             self._work.popleft()
+        while self._arrivals and self._arrivals[0][0] < now - DEMAND_WINDOW_S:
+            self._arrivals.popleft()
 
     def recent_work(self):
         """Return (key, service time in s) of requests of the last ``WORK_WINDOW_S``."""
         return [(key, seconds) for _, key, seconds in self._work]
 
+    def demand(self):
+        """Return the share of the slots that the recent requests of each key need.
+
+        Requests that were refused are included.
+
+        Returns
+        -------
+        dict of int to float
+        """
+        demand = {}
+        for _, key, service_s in self._arrivals:
+            demand[key] = demand.get(key, 0.0) + service_s
+        capacity_s = max(1, self.slots) * DEMAND_WINDOW_S
+        return {key: seconds / capacity_s for key, seconds in demand.items()}
+
     def _queued_work_s(self):
         """Return the sum of the expected service times of all waiting requests."""
         return sum(waiter.service_s for waiter in self._waiters.values())
@@ -286,6 +308,8 @@
         service_s = self._service_s.get(request.route, self._mean_service_s)
         if self._may_outlast_node(service_s, now):
             raise Refused(OUTLASTS_NODE, 0.0)
+        if request.key is not None:
+            self._arrivals.append((now, request.key, service_s))
         granted = self._may_serve_key(request.key, now)
         if granted and self._running < self._capacity(now) and not self._waiters:
             self._running += 1
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -20,7 +20,7 @@
 from . import _keymap
 from ._frames import ReleaseReport
 from ._keymap import Owner
-from ._placement import VMLoad, plan_move
+from ._placement import VMLoad, plan_move, plan_split
 from ._store import MEMBERSHIP_TOPIC, Appended, Conflict
 from ._types import Grant, KeyMap
 
@@ -332,7 +332,7 @@
                 yield key_range
 
     def _plan_move(self, now):
-        """Start to move a range to another VM if that evens out the load."""
+        """Start to move ranges to other VMs if that evens out the load."""
         node = self._node
         if self._pending_moves or now < self._next_move_at:
             return
@@ -345,17 +345,22 @@
             (key_range.start, key_range.end) for key_range in self._own_ranges()
         ]
         others = [load for load in loads if load.vm != vm]
-        move = plan_move(own, others, key_ranges, node.admission.recent_work())
-        if move is None:
-            return
+        demand = node.admission.demand()
+        moves = plan_split(own, others, key_ranges, demand)
+        if not moves:
+            move = plan_move(own, others, key_ranges, node.admission.recent_work())
+            moves = [move] if move else []
         until = node.target.grant_expiry + SAFETY_MARGIN_S
-        self._pending_moves[(move.start, move.end)] = (until, move.vm)
-        self._next_move_at = now + MOVE_INTERVAL_S
-        node.metrics.count("keys_given_up")
-        node.log(
-            "keys_given_up", start=move.start, end=move.end, to=move.vm,
-            usage=own.usage, usages=",".join(f"{s.vm}:{s.usage:.2f}" for s in others),
-        )  # fmt: skip
+        usages = {load.vm: load.usage for load in others}
+        for move in moves:
+            self._pending_moves[(move.start, move.end)] = (until, move.vm)
+            self._next_move_at = now + MOVE_INTERVAL_S
+            node.metrics.count("keys_given_up")
+            node.log(
+                "keys_given_up", start=move.start, end=move.end, to=move.vm,
+                usage=own.usage, demand=sum(demand.values()),
+                receiver_usage=usages[move.vm],
+            )  # fmt: skip
 
     def _record_growth(self, now):
         """Record when VMs last got more keys than in the previous key map."""
--- a/packages/router/src/jujuberudder_router/_placement.py
+++ b/packages/router/src/jujuberudder_router/_placement.py
@@ -3,7 +3,8 @@
 The moved keys are unserved until the next heartbeat of the receiving target, so a VM
 moves keys only for a clear gain. Each VM takes part in one move at a time: the VM with
 the highest usage moves keys to the one with the lowest, the second highest to the
-second lowest, and so on.
+second lowest, and so on. Only a VM whose requests need far more than its slots moves
+keys to several VMs at once.
 """
 
 from typing import NamedTuple
@@ -19,6 +20,16 @@
 MIN_WORK_SHARE, MAX_WORK_SHARE = 0.25, 1.3
 # Share of the largest range that a VM without keys gets if usages hardly differ.
 IDLE_MOVE_SHARE = 0.5
+# Demand of a VM, as a multiple of what its slots can run, from which it moves keys to
+# several VMs at once: with one receiver at a time, the demand for 200 keys that need
+# the slots of 16 VMs would be spread only after four moves.
+MIN_DEMAND_TO_SPLIT = 1.3
+# Demand that each VM has after a split; a key that has more alone stays where it is.
+SPLIT_DEMAND = 0.95
+# Usage up to which a VM receives keys of a split.
+MAX_USAGE_TO_RECEIVE = 0.7
+# Most receivers of one split.
+MAX_SPLIT_RECEIVERS = 16
 
 
 class VMLoad(NamedTuple):
@@ -80,6 +91,72 @@
     return Move(*piece, receiver.vm) if piece else None
 
 
+def plan_split(own, others, key_ranges, demand):
+    """Return the moves of a VM whose requests need far more than its slots.
+
+    Parameters
+    ----------
+    own : VMLoad
+    others : list of VMLoad
+    key_ranges : list of (start, end)
+        Key ranges that this VM owns.
+    demand : dict of int to float
+        For each key, the share of this VM's slots that its requests need, whether or
+        not they were admitted.
+
+    Returns
+    -------
+    list of Move
+        Empty if the demand is lower, or no VM can receive keys.
+    """
+    if sum(demand.values()) < MIN_DEMAND_TO_SPLIT:
+        return []
+    givers = sorted(
+        load.vm for load in [own, *others] if load.vm == own.vm or load.usage >= 1
+    )
+    receivers = [
+        load for load in others if load.settled and load.usage <= MAX_USAGE_TO_RECEIVE
+    ]
+    receivers.sort(key=lambda load: (load.usage, load.vm))
+    # Each giver has receivers of its own.
+    receivers = receivers[givers.index(own.vm) :: len(givers)][:MAX_SPLIT_RECEIVERS]
+    room = [SPLIT_DEMAND - load.usage for load in receivers]
+    return [
+        Move(start, end, receivers[index].vm)
+        for index, (start, end) in enumerate(_split(key_ranges, demand, room))
+    ]
+
+
+def _split(key_ranges, demand, room):
+    """Return pieces (start, end) that leave a VM, one for each entry of ``room``.
+
+    ``room`` is the demand that each receiver can take. Keys of more than
+    ``SPLIT_DEMAND`` stay, and of the others the first ones up to it.
+    """
+    stays = SPLIT_DEMAND - sum(d for d in demand.values() if d >= SPLIT_DEMAND)
+    pieces = []
+    for start, end in sorted(key_ranges):
+        low, moved = start, 0.0
+        for key in sorted(key for key in demand if start <= key <= end):
+            if len(pieces) == len(room):
+                return pieces
+            if demand[key] >= SPLIT_DEMAND or stays > 0:
+                if moved:
+                    pieces.append((low, key - 1))
+                    moved = 0.0
+                if demand[key] < SPLIT_DEMAND:
+                    stays -= demand[key]
+                low = key + 1
+                continue
+            if moved and moved + demand[key] > room[len(pieces)]:
+                pieces.append((low, key - 1))
+                low, moved = key, 0.0
+            moved += demand[key]
+        if moved and len(pieces) < len(room):
+            pieces.append((low, end))
+    return pieces
+
+
 def find_receiver(own, others):
     """Return the load of the VM that this one may move keys to, or None.
 
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -212,7 +212,8 @@
             log=lambda event, **fields: None,
             metrics=SimpleNamespace(count=lambda event: None),
             admission=SimpleNamespace(
-                load=lambda: None, recent_work=lambda: [], sample_usage=lambda now: None
+                load=lambda: None, recent_work=lambda: [], demand=dict,
+                sample_usage=lambda now: None,
             ),
         )  # fmt: skip
 
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from jujuberudder_router._placement import Move, VMLoad, plan_move
+from jujuberudder_router._placement import Move, VMLoad, plan_move, plan_split
 
 KEY_RANGES = [(0, 999)]
 # Ten keys, each with a tenth of the work.
@@ -67,3 +67,79 @@
 def test_plan_move(own, others, work, expected):
     """Guards against moves without gain and hot keys that keep one VM overloaded."""
     assert plan_move(own, others, KEY_RANGES, work) == expected
+
+
+@pytest.mark.parametrize(
+    "demand, others, expected",
+    [
+        ({0: 1.0, 9: 0.2}, [load("b", 0.1)], []),
+        ({0: 1.0, 9: 0.5}, [load("b", 0.8)], []),
+        ({0: 1.0, 9: 0.5}, [load("b", 0.1)], [Move(1, 999, "b")]),
+        (
+            {0: 1.0, 10: 0.5, 20: 0.5, 30: 0.5},
+            [load("b", 0.1), load("c", 0.0), load("d", 0.9)],
+            [Move(1, 19, "c"), Move(20, 29, "b")],
+        ),
+        (
+            {10: 0.5, 20: 2.0, 30: 0.5}, [load("b", 0.0), load("c", 0.0)],
+            [Move(0, 19, "b"), Move(21, 999, "c")],
+        ),
+        ({20: 5.0}, [load("b", 0.0)], []),
+        (
+            {0: 1.0, 9: 0.5, 99: 0.5}, [load("0", 1.5), load("b", 0.0), load("c", 0.0)],
+            [Move(1, 98, "c")],
+        ),
+        ({0: 1.0, 9: 0.5}, [load("b", 0.1)._replace(settled=False)], []),
+    ],
+    ids=[
+        "low demand", "no room elsewhere", "to one VM", "to two VMs",
+        "around a hot key", "only a hot key", "another VM splits as well",
+        "receiver just got keys",
+    ],
+)  # fmt: skip
+def test_plan_split(demand, others, expected):
+    """Guards against hot keys of one VM that are spread one receiver at a time."""
+    assert plan_split(load("a", 1.5), others, KEY_RANGES, demand) == expected
+
+
+def test_hot_keys_are_spread_within_two_moves():
+    """Guards against slots that stay idle while 200 busy keys lie on one VM.
+
+    Of the requests of 36 VMs, 36 % are for 200 adjacent keys; all together they need
+    0.9 of the slots.
+    """
+    vms = [f"vm-{number:02}" for number in range(36)]
+    total = 0.9 * len(vms)
+    demand = {key: 0.64 * total / 3600 for key in range(0, 3600)}
+    for key in range(1000, 1200):
+        demand[key] += 0.36 * total / 200
+    ranges = {vm: [(100 * n, 100 * n + 99)] for n, vm in enumerate(vms)}
+
+    def needed(vm):
+        return {
+            key: demand[key]
+            for start, end in ranges[vm]
+            for key in range(start, end + 1)
+        }
+
+    for _ in range(2):
+        loads = [VMLoad(vm, min(1.8, sum(needed(vm).values())), 100, 0.1) for vm in vms]
+        moves = []
+        for own in loads:
+            others = [load for load in loads if load is not own]
+            work = sorted(needed(own.vm).items())
+            planned = plan_split(own, others, ranges[own.vm], needed(own.vm))
+            if not planned:
+                move = plan_move(own, others, ranges[own.vm], work)
+                planned = [move] if move else []
+            moves += [(own.vm, move) for move in planned]
+        for vm, (start, end, receiver) in moves:
+            ranges[vm] = [
+                piece
+                for low, high in ranges[vm]
+                for piece in ((low, min(high, start - 1)), (max(low, end + 1), high))
+                if piece[0] <= piece[1]
+            ]
+            ranges[receiver].append((start, end))
+    served = sum(min(1.0, sum(needed(vm).values())) for vm in vms)
+    assert served >= 0.9 * total
