--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -44,8 +44,13 @@
 SHED_TTL_S = 0.3
 # Seconds for which service times of keys are retained for decisions on moves.
 WORK_WINDOW_S = 4.0
+# Seconds for which requests with a key are counted in the demand for it: about as long
+# as the usage is averaged.
+DEMAND_WINDOW_S = 2.0
 # Reason of a refusal while a node drains.
 OUTLASTS_NODE = "the node ends before the request might"
+# Reason of a refusal while a request waits.
+KEY_MOVED = "the key moved to another VM"
 
 
 class Waiter(NamedTuple):
@@ -174,6 +179,8 @@
     def __init__(self, may_serve_key):
         self._may_serve_key = may_serve_key
         self._waiters = {}
+        # Numbers of waiting requests whose key now belongs to another VM.
+        self._moved = set()
         self._last_number = 0
         self._running = 0
         # Mean service time of each route.
@@ -181,6 +188,8 @@
         self._mean_service_s = INITIAL_SERVICE_S
         # (time of the end, key, service time) of recent requests with a key.
         self._work = deque()
+        # (time of the arrival, key, expected service time) of recent requests.
+        self._arrivals = deque()
         self._untracked, self._untracked_until = 0, 0.0
         self.usage = 0.0
         self.slots = 0
@@ -204,6 +213,19 @@
         for waiter in self._waiters.values():
             waiter.event.set()
 
+    def refuse_moved(self, owns_key):
+        """Refuse the waiting requests whose key this VM does not own any more.
+
+        Parameters
+        ----------
+        owns_key : callable
+            ``owns_key(key)`` returns whether this VM owns a key.
+        """
+        for number, waiter in self._waiters.items():
+            if waiter.key is not None and not owns_key(waiter.key):
+                self._moved.add(number)
+                waiter.event.set()
+
     def record_target_load(self, running, waiting, slots, now):
         """Record the load that the target reported with a response."""
         untracked = max(0, running + waiting - self._running)
@@ -228,11 +250,28 @@
         self.usage += USAGE_WEIGHT * (used - self.usage)
         while self._work and self._work[0][0] < now - WORK_WINDOW_S:
             self._work.popleft()
+        while self._arrivals and self._arrivals[0][0] < now - DEMAND_WINDOW_S:
+            self._arrivals.popleft()
 
     def recent_work(self):
         """Return (key, service time in s) of requests of the last ``WORK_WINDOW_S``."""
         return [(key, seconds) for _, key, seconds in self._work]
 
+    def demand(self):
+        """Return the share of the slots that the recent requests of each key need.
+
+        Requests that were refused are included.
+
+        Returns
+        -------
+        dict of int to float
+        """
+        demand = {}
+        for _, key, service_s in self._arrivals:
+            demand[key] = demand.get(key, 0.0) + service_s
+        capacity_s = max(1, self.slots) * DEMAND_WINDOW_S
+        return {key: seconds / capacity_s for key, seconds in demand.items()}
+
     def _queued_work_s(self):
         """Return the sum of the expected service times of all waiting requests."""
         return sum(waiter.service_s for waiter in self._waiters.values())
@@ -269,6 +308,8 @@
         service_s = self._service_s.get(request.route, self._mean_service_s)
         if self._may_outlast_node(service_s, now):
             raise Refused(OUTLASTS_NODE, 0.0)
+        if request.key is not None:
+            self._arrivals.append((now, request.key, service_s))
         granted = self._may_serve_key(request.key, now)
         if granted and self._running < self._capacity(now) and not self._waiters:
             self._running += 1
@@ -326,11 +367,15 @@
             with trio.move_on_at(refuse_at):
                 await waiter.event.wait()
         except trio.Cancelled:
+            self._moved.discard(number)
             if self._waiters.pop(number, None) is None and waiter.event.is_set():
                 self.release()
             raise
         if self._waiters.pop(number, None) is None:
             return
+        if number in self._moved:
+            self._moved.remove(number)
+            raise Refused(KEY_MOVED, 0.0)
         if self.closed_reason:
             raise Refused(self.closed_reason, 0.0)
         if self._may_outlast_node(service_s, trio.current_time()):
--- a/packages/router/src/jujuberudder_router/_follower.py
+++ b/packages/router/src/jujuberudder_router/_follower.py
@@ -1,4 +1,8 @@
-"""Follower of a topic: reads the newest record of each key, then every new record."""
+"""Follower of a topic: reads the newest record of each key, then new records.
+
+A follower that is far behind reads the newest record of each key again, so that the
+bytes to read are bounded however many records were written.
+"""
 
 import trio
 from result import Err, Ok
@@ -12,14 +16,25 @@
 # its response comes within the store's delay unless it was lost. The time doubles with
 # each further attempt, as the store may be slow.
 BEHIND_READ_LIMIT_S = 0.4
+# Seconds for which a read that is behind may continue after its response has begun: the
+# longest response takes 0.5 s on the users' slowest links of 5 Mbit/s, if no other
+# traffic is on them.
+RESPONSE_LIMIT_S = 2.0
 # Number of consecutive reads that are cancelled before reads run without this limit: a
 # slow node or store needs more time, and a wrong end must not cancel all reads.
 MAX_CANCELLED_READS = 3
 
 
+# Number of unread records up to which all of them are read: the newest record of each
+# key takes a third more bytes in the response of the store.
+MIN_UNREAD_RECORDS = 2
+
+
 class Follower:
     """Reads a topic in order and applies its records.
 
+    Records that were replaced before they were read may be skipped.
+
     Parameters
     ----------
     store : Store
@@ -58,6 +73,7 @@
         self._batch_pause = trio.CancelScope()
         self._offsets = {}
         self._known_end, self._cancelled_reads = 0, 0
+        self._received_bytes, self._behind_since = 0, None
         self._read_scope = trio.CancelScope()
         self.end = None
         self.read_at = None
@@ -78,11 +94,25 @@
         """Whether the topic has been read at least once."""
         return self.end is not None
 
+    @property
+    def behind_s(self):
+        """Seconds since another node reported records that this node has not read.
+
+        0 if none did.
+        """
+        if self._behind_since is None:
+            return 0.0
+        return trio.current_time() - self._behind_since
+
     def observe_end(self, end):
         """Record a known end of the topic and limit the time of a read behind it."""
         if self.end is None or end <= max(self.end, self._known_end):
             return
         self._known_end = end
+        if self._behind_since is None:
+            self._behind_since = trio.current_time()
+        if self._received_bytes:
+            return
         deadline = self._read_deadline(trio.current_time())
         self._read_scope.deadline = min(self._read_scope.deadline, deadline)
 
@@ -109,13 +139,17 @@
     async def _step(self):
         sent_at = trio.current_time()
         result = None
+        self._received_bytes = 0
+        newest = self._reads_newest()
         with trio.CancelScope(
             deadline=self._read_deadline(sent_at)
         ) as self._read_scope:
-            if self.end is None:
-                result = await self._store.newest(self._topic)
+            if newest:
+                result = await self._store.newest(self._topic, self._on_data)
             else:
-                result = await self._store.read(self._topic, self.end, self._wait_s())
+                result = await self._store.read(
+                    self._topic, self.end, self._wait_s(), self._on_data
+                )
         match result:
             case None:
                 self._cancelled_reads += 1
@@ -124,6 +158,8 @@
                     topic=self._topic,
                     end=self.end,
                     known_end=self._known_end,
+                    after_s=trio.current_time() - sent_at,
+                    received_bytes=self._received_bytes,
                 )
                 return True
             case Ok(Truncated(first)):
@@ -131,7 +167,7 @@
                 self.end = None
                 return False
             case Ok(page):
-                self._apply_page(page, sent_at)
+                self._apply_page(page, newest, sent_at)
                 if page.records:
                     with trio.CancelScope() as self._batch_pause:
                         await trio.sleep(self.batch_delay_s)
@@ -140,6 +176,23 @@
                 self._record_failure(failure)
                 return False
 
+    def _on_data(self, size):
+        """Count received bytes, and let a response that has begun arrive."""
+        if self._received_bytes == 0:
+            deadline = trio.current_time() + RESPONSE_LIMIT_S
+            self._read_scope.deadline = max(self._read_scope.deadline, deadline)
+        self._received_bytes += size
+
+    def _reads_newest(self):
+        """Whether to read the newest record of each key in place of all records.
+
+        The newest ones are fewer if there are more unread records than keys. How many
+        there are is not known after a failed call.
+        """
+        if self.end is None or self.failing_since is not None:
+            return True
+        return self._known_end - self.end > max(MIN_UNREAD_RECORDS, len(self._offsets))
+
     def _read_deadline(self, now):
         """Return the time at which a read that is in progress now is cancelled."""
         if (
@@ -150,7 +203,7 @@
             return float("inf")
         return now + BEHIND_READ_LIMIT_S * 2**self._cancelled_reads
 
-    def _apply_page(self, page, sent_at):
+    def _apply_page(self, page, newest, sent_at):
         if self.failing_since is not None:
             self._log(
                 "store_regained", topic=self._topic,
@@ -163,12 +216,16 @@
             if record.offset > self._offsets.get(record.key, -1):
                 self._offsets[record.key] = record.offset
                 self._apply(record)
-        if self.end is None:
-            self.end = page.end
+        if newest:
+            self.end = max(self.end or 0, page.end)
         elif page.records:
             self.end = max(self.end, page.records[-1].offset + 1)
+        # The end that the store stated is right; one that a node reported may not be.
+        self._known_end = page.end
         if self.end >= page.end:
             self.read_at = sent_at
+        if self.end >= self._known_end:
+            self._behind_since = None
         self.changed.set()
         self.changed = trio.Event()
 
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -3,6 +3,10 @@
 import msgspec
 
 LENGTH_BYTES = 4
+# Maximum length of a frame: a body of 64 MiB, the most that the users' limits allow,
+# with its header. A peer that sends something else than frames exceeds it at once: the
+# four bytes "HTTP" are a length of 1.2 GB.
+MAX_FRAME_BYTES = 69206016
 
 ANSWERED, NOT_RUN, UNKNOWN = 0, 1, 2
 
@@ -100,6 +104,20 @@
     progress: ReadProgress = ReadProgress()
 
 
+class ReleaseReport(msgspec.Struct, array_like=True, tag="h"):
+    """Ranges that the target of a VM released, for the VM that writes the key map.
+
+    ``ranges`` lists (start, end, fence, handover, receiver): ``fence`` is that of the
+    key range in the key map, ``receiver`` the VM that is to get the keys. The report
+    holds only for the process ``node_incarnation`` of the VM, which grants none of
+    these ranges again.
+    """
+
+    vm: str
+    node_incarnation: str
+    ranges: list[tuple[int, int, int, str, str]]
+
+
 class StoreCall(msgspec.Struct, array_like=True, tag="s"):
     """A store call to make on behalf of a node whose own calls the store refuses."""
 
@@ -121,6 +139,7 @@
     | CancelForward
     | Ping
     | Pong
+    | ReleaseReport
     | StoreCall
     | StoreCallResult
 )
@@ -137,6 +156,10 @@
     return buffer
 
 
+class FrameError(Exception):
+    """Received bytes that are not frames."""
+
+
 class FrameBuffer:
     """Splits received bytes into frames."""
 
@@ -144,12 +167,22 @@
         self._buffer = bytearray()
 
     def feed(self, data):
-        """Append received bytes and return the frames that are now complete."""
+        """Append received bytes and return the frames that are now complete.
+
+        Raises
+        ------
+        FrameError
+            A frame is longer than ``MAX_FRAME_BYTES``.
+        msgspec.MsgspecError
+            A frame is malformed.
+        """
         buffer = self._buffer
         buffer += data
         frames, start = [], 0
         while len(buffer) - start >= LENGTH_BYTES:
             frame_bytes = int.from_bytes(buffer[start : start + LENGTH_BYTES], "big")
+            if frame_bytes > MAX_FRAME_BYTES:
+                raise FrameError(f"frame over {MAX_FRAME_BYTES} bytes")
             end = start + LENGTH_BYTES + frame_bytes
             if len(buffer) < end:
                 break
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -12,11 +12,11 @@
 from ._client_requests import make_client_handler
 from ._follower import Follower
 from ._frames import ReadProgress
-from ._http import parse_address
+from ._http import BodyBudget, parse_address
 from ._keymap import Owner, locate
 from ._membership import Membership
 from ._metrics import Metrics
-from ._ownership import OwnershipManager
+from ._ownership import SUSPECT_AFTER_S, OwnershipManager
 from ._peer_links import serve_links
 from ._relay import make_relay_handler, with_relays
 from ._routes import RetryBudget, TrafficSplitter
@@ -42,6 +42,10 @@
 BATCH_DELAY_PER_VM_S = 0.02
 # Upper limit of this delay.
 BATCH_DELAY_MAX_S = 2.0
+# Delay between two reads of the configuration topic while versions arrive, which bounds
+# the load on the store: a version of 26 KB is read by every node. The users' bound for
+# a version to be in force is 2 s.
+CONFIG_BATCH_DELAY_S = 0.3
 # Time after SIGTERM during which the node accepts requests as before: clients detect
 # the failing readiness check after two probes, one per second.
 STOP_ACCEPTING_S = 2.4
@@ -56,6 +60,15 @@
 # Consecutive failures after which a VM counts as failing, and the time since the last
 # one for which it does.
 EJECTION_FAILURES, EJECTION_S = 3, 2.0
+# Share of a VM's memory for long response bodies that are not complete. A complete one
+# is copied up to three times on its way to the client.
+BODY_MEMORY_SHARE = 0.2
+# Limits on requests of the target's heartbeats and of readiness probes. A heartbeat
+# lists at most a few key ranges of 30 bytes each.
+CONTROL_LIMITS = Limits(body_bytes=1048576)
+# Interval of the log lines with the times of each route, in seconds, and the maximum
+# number of routes in them: the busiest ones.
+ROUTE_TIMES_INTERVAL_S, MAX_LOGGED_ROUTES = 5.0, 10
 
 _keymap_encoder = msgspec.msgpack.Encoder()
 
@@ -142,7 +155,10 @@
         )
         self._random = random.Random(settings.vm)
         self.jitter = self._random.random
-        self.target = Target(settings.target_address)
+        self.target = Target(
+            settings.target_address,
+            BodyBudget(int(BODY_MEMORY_SHARE * settings.memory_bytes)),
+        )
         self.admission = AdmissionQueue(self.target.grant_covers)
         self.stopping = False
         self.store = with_relays(store, self)
@@ -161,6 +177,7 @@
             self._configuration_wait_s,
             self._apply_configuration,
             log,
+            lambda: CONFIG_BATCH_DELAY_S,
         )
         self.ownership = OwnershipManager(self, self.store, self.membership_follower)
         self.direct_store = store
@@ -216,6 +233,7 @@
         self.log(
             "configuration", version=configuration.version, offset=record.offset,
             routes=routes, services=len(configuration.services),
+            behind_s=self.configuration_follower.behind_s,
         )  # fmt: skip
 
     def _configuration_wait_s(self):
@@ -231,6 +249,20 @@
     def _batch_delay_s(self):
         return min(BATCH_DELAY_MAX_S, BATCH_DELAY_PER_VM_S * len(self.vms))
 
+    @property
+    def node_incarnation(self):
+        """Name of this process in the membership topic."""
+        return self.membership.node_incarnation
+
+    def incarnation_of(self, vm):
+        """Return the name of a VM's process in the newest entry read, or None."""
+        entry = self.vms.get(vm)
+        return entry.node_incarnation if entry else None
+
+    def entry_confirmed(self):
+        """Whether the entry of this process was read, with all records before it."""
+        return self.membership.entry_confirmed(self.membership_follower.end)
+
     def read_progress(self):
         """Return the ``ReadProgress`` of this node."""
         read_at = self.membership_follower.read_at
@@ -261,7 +293,11 @@
         self.membership_follower.observe_end(progress.membership_end)
 
     def owner_may_change(self, service, key):
-        """Whether a key without a reachable owner may soon have one."""
+        """Whether a key without a reachable owner may soon have one.
+
+        An owner that is suspected, or unreachable for longer than a restart takes,
+        keeps the key until a takeover, which takes longer than requests wait.
+        """
         keymap = self.keymaps.get(service)
         if keymap is None:
             return True
@@ -269,7 +305,10 @@
         key_range = locate(keymap, key)
         if key_range is None:
             return True
-        return key_range.vm not in suspected and key_range.vm in self.vms
+        owner = key_range.vm
+        if owner in suspected or owner not in self.vms:
+            return False
+        return owner == self.settings.vm or self.unreachable_s(owner) < SUSPECT_AFTER_S
 
     def _serve_refusal(self, service, key):
         """Return the reason to refuse a request and the VM that may serve it, or None.
@@ -290,6 +329,12 @@
             return "this VM does not own the key", key_range.vm
         return None
 
+    def owns_key(self, key):
+        """Whether the key map names this VM as the owner of a key of its service."""
+        keymap = self.keymaps.get(self.settings.service)
+        key_range = locate(keymap, key) if keymap else None
+        return key_range is not None and key_range.vm == self.settings.vm
+
     def accepts_requests(self, vm):
         """Whether a VM is this one, or its link is up and it is not known to refuse."""
         return vm == self.settings.vm or self._link_accepts(vm)
@@ -299,7 +344,7 @@
         link = self.links.get(vm)
         if link is None:
             return trio.current_time() - self.membership.started
-        return 0.0 if link.up else link.idle_s
+        return link.idle_s if link.lost else 0.0
 
     def owners(self, service):
         """Return the VMs of a keyed service that may own keys, sorted by name."""
@@ -451,8 +496,8 @@
     node = Node(settings, adapter, store, log)
     log("start", service=settings.service, zone=settings.zone)
     client_server = Server(make_client_handler(node), node.limits, log)
-    heartbeat_server = Server(adapter.make_heartbeat_handler(node), Limits, log)
-    readiness_server = Server(make_ready_handler(node), Limits, log)
+    heartbeat_server = Server(adapter.make_heartbeat_handler(node), control_limits, log)
+    readiness_server = Server(make_ready_handler(node), control_limits, log)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(log.run)
         for server, address in (
@@ -463,12 +508,14 @@
             nursery.start_soon(server.serve, parse_address(address))
         nursery.start_soon(
             serve_links, parse_address(settings.peer_address), node.serve,
-            make_relay_handler(node), node.admission.load, node.on_ping, log,
+            make_relay_handler(node), node.admission.load, node.on_ping,
+            node.ownership.on_releases, log,
         )  # fmt: skip
         nursery.start_soon(node.configuration_follower.run)
         nursery.start_soon(node.membership_follower.run)
         nursery.start_soon(node.ownership.run)
         nursery.start_soon(node.watch_target)
+        nursery.start_soon(log_route_times, node)
         nursery.start_soon(node.membership.run, nursery)
         await stopping.wait()
         await _stop(node, client_server)
@@ -524,6 +571,19 @@
         await trio.sleep(STOP_POLL_S)
 
 
+async def log_route_times(node):
+    """Log the times of each route periodically, until cancelled."""
+    while True:
+        await trio.sleep(ROUTE_TIMES_INTERVAL_S)
+        for route, times in node.metrics.take_route_times(MAX_LOGGED_ROUTES):
+            node.log("route_times", route=route, **times)
+
+
+def control_limits():
+    """Return the limits for heartbeats, readiness probes and metrics."""
+    return CONTROL_LIMITS
+
+
 def make_ready_handler(node):
     """Return the handler of the ready address, which serves readiness and metrics."""
 
--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_links.py
@@ -12,8 +12,10 @@
     ForwardReply,
     ForwardRequest,
     FrameBuffer,
+    FrameError,
     Ping,
     Pong,
+    ReleaseReport,
     StoreCall,
     StoreCallResult,
     encode_frame,
@@ -31,6 +33,9 @@
 # Ping intervals without any frame after which a link gets no new requests: one
 # interval, a round trip and a late timer.
 UP_INTERVALS = 2.4
+# Time after a ping without any frame after which a link gets no new requests: a round
+# trip takes 10 ms, and a link of 10 Mbit/s that is filled by a body 0.5 s more.
+PONG_TIMEOUT_S = 1.0
 # Time, and minimum number of ping intervals, without any frame after which a link is
 # closed and reconnected. Requests on it may then have run, so the time is longer than a
 # busy VM freezes or queues frames.
@@ -106,6 +111,8 @@
         self._pending = {}
         self._call_ids = itertools.count(1)
         self._received_at = -1.0
+        # Time of the first ping since the last frame, or None.
+        self._unanswered_ping_at = None
         self._created_at = trio.current_time()
 
     @property
@@ -114,11 +121,19 @@
         return trio.current_time() - max(self._received_at, self._created_at)
 
     @property
-    def up(self):
-        """Whether the connection is open and a frame arrived recently."""
+    def lost(self):
+        """Whether the connection is closed or no frame arrived for long."""
         if self._writer is None:
+            return True
+        return self.idle_s >= UP_INTERVALS * ping_interval(self._count_links())
+
+    @property
+    def up(self):
+        """Whether new requests may be sent: the link answers its pings."""
+        ping_at = self._unanswered_ping_at
+        if ping_at is not None and trio.current_time() - ping_at > PONG_TIMEOUT_S:
             return False
-        return self.idle_s < UP_INTERVALS * ping_interval(self._count_links())
+        return not self.lost
 
     async def run(self):
         """Connect, and reconnect after each failure, until cancelled."""
@@ -139,7 +154,7 @@
 
     async def _run_connection(self, stream):
         self._writer = writer = FrameWriter(stream)
-        self._received_at = trio.current_time()
+        self._record_receipt()
         self._log("peer_link_up", peer=self.vm.name, address=self.vm.address)
         reason = "closed by the peer"
         try:
@@ -150,7 +165,7 @@
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError) as group:
             reason = str(group.exceptions[0])
-        except* (TimeoutError, msgspec.MsgspecError) as group:
+        except* (TimeoutError, FrameError, msgspec.MsgspecError) as group:
             reason = str(group.exceptions[0])
         finally:
             stream.socket.close()
@@ -176,7 +191,7 @@
                 raise TimeoutError(f"silent for {timeout_s} s")
             if not data:
                 return
-            self._received_at = trio.current_time()
+            self._record_receipt()
             for frame in frames.feed(data):
                 self._handle_frame(frame)
 
@@ -191,8 +206,14 @@
             if pending_reply is not None:
                 pending_reply.set(frame)
 
+    def _record_receipt(self):
+        self._received_at = trio.current_time()
+        self._unanswered_ping_at = None
+
     async def _ping(self, writer):
         while True:
+            if self._unanswered_ping_at is None:
+                self._unanswered_ping_at = trio.current_time()
             writer.send(Ping(trio.current_time(), self._read_progress()))
             await trio.sleep(ping_interval(self._count_links()))
 
@@ -201,6 +222,11 @@
         if self._writer is not None:
             self._writer.send(Ping(trio.current_time(), self._read_progress(), True))
 
+    def report_releases(self, report):
+        """Send a ``ReleaseReport``, unless the link is down."""
+        if self._writer is not None:
+            self._writer.send(report)
+
     async def forward(self, request):
         """Send a ``ForwardRequest`` and return the ``ForwardReply``.
 
@@ -252,7 +278,7 @@
 
 
 async def serve_links(
-    address, handle_request, handle_store_call, get_load, on_ping, log
+    address, handle_request, handle_store_call, get_load, on_ping, on_releases, log
 ):
     """Accept connections of other nodes until cancelled.
 
@@ -270,6 +296,8 @@
         ``on_ping(progress, read_now)`` applies the ``ReadProgress`` of a peer and reads
         the membership topic at once if ``read_now`` is true; it returns the
         ``ReadProgress`` of this node.
+    on_releases : callable
+        ``on_releases(report)`` applies a ``ReleaseReport``.
     log : callable
     """
     host, port = address
@@ -319,6 +347,8 @@
                                 on_ping(frame.progress, frame.read_now),
                             )
                         )
+                    elif isinstance(frame, ReleaseReport):
+                        on_releases(frame)
                     elif isinstance(frame, StoreCall):
                         nursery.start_soon(run_store_call, frame)
 
@@ -330,6 +360,7 @@
         except* (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
+            FrameError,
             msgspec.MsgspecError,
         ) as group:
             log("peer_connection_lost", reason=str(group.exceptions[0]))
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -7,7 +7,7 @@
 from ._admission import Refused
 from ._connection_pool import ConnectionPool
 from ._frames import ANSWERED, NOT_RUN, UNKNOWN, ForwardReply
-from ._http import ExchangeError, request_bytes
+from ._http import MAX_RESPONSE_BODY_BYTES, ExchangeError, request_bytes
 
 # Time-out of a connection attempt to the target on the same VM. A target whose accept
 # queue is full accepts the connection after 1 s at the earliest.
@@ -17,6 +17,9 @@
 # Time without a heartbeat after which a target counts as failed: about the validity of
 # a grant, and three heartbeats.
 HEARTBEAT_TIMEOUT_S = 2.6
+# Time after a request's deadline at which its exchange with the target ends. The node
+# that sent the request cancels it at the deadline, unless that node was lost.
+DEADLINE_MARGIN_S = 0.3
 
 
 class ResponseCheck(NamedTuple):
@@ -38,6 +41,8 @@
     Parameters
     ----------
     address : str
+    body_budget : BodyBudget, default=None
+        Limits the bodies of the responses in progress.
 
     Attributes
     ----------
@@ -51,8 +56,11 @@
         Whether the target announced that it is about to stop.
     """
 
-    def __init__(self, address):
-        self.pool = ConnectionPool(address, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
+    def __init__(self, address, body_budget=None):
+        self.pool = ConnectionPool(
+            address, CONNECT_TIMEOUT_S, USER_TIMEOUT_S, MAX_RESPONSE_BODY_BYTES,
+            body_budget,
+        )  # fmt: skip
         self.id = ""
         self.started_ms = -1
         self.sequence = -1
@@ -168,9 +176,11 @@
                 waited_s=trio.current_time() - arrived_at,
                 retry_after_s=refused.retry_after_s,
             )  # fmt: skip
+            # The key may have moved while the request waited.
+            _, owner = serve_refusal(request.service, request.key) or ("", "")
             reply = ForwardReply(
                 request.id, NOT_RUN, reason=refused.reason,
-                retry_after_s=refused.retry_after_s,
+                retry_after_s=refused.retry_after_s, owner=owner,
             )  # fmt: skip
         reply.load = admission.load()
         return reply
@@ -183,13 +193,15 @@
         arrived_at = trio.current_time()
         await admission.acquire(request, arrived_at)
         started_at = trio.current_time()
-        metrics.observe("gate_wait", started_at - arrived_at)
+        metrics.observe("gate_wait", started_at - arrived_at, request.route)
         took_s = None
+        reply = ForwardReply(request.id, UNKNOWN, reason="no answer by the deadline")
         try:
-            reply = await send_to_target(request, deadline - started_at)
+            with trio.move_on_at(deadline + DEADLINE_MARGIN_S):
+                reply = await send_to_target(request, deadline - started_at)
             if reply.outcome == ANSWERED:
                 took_s = trio.current_time() - started_at
-                metrics.observe("target", took_s)
+                metrics.observe("target", took_s, request.route)
         finally:
             admission.release(request, took_s)
         return reply
