Refuse a request after three VMs had no room for it

The client may not repeat such a request, and was held for 1.6 s. Change: after three such refusals the client gets the 503, with the Retry-After of the last. Each of the three VMs is the least loaded of a sample of three. Measured: the new case of the test fails before (eight VMs are asked) and passes.

--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -22,6 +22,10 @@
 # VM that has just handed over a key knows the next owner; more hints than this come
 # from two stale key maps that name each other.
 MAX_OWNER_HINTS = 4
+# Number of VMs of a service without keys that may refuse a request because of their
+# queues before the client gets the refusal: each is the least loaded of three, so after
+# three the service has no room.
+MAX_QUEUE_REFUSALS = 3
 # Maximum share of the remaining time spent waiting for an owner, so that a refusal
 # reaches the client in time.
 OWNER_WAIT_SHARE = 0.5
@@ -38,7 +42,7 @@
     ``targets_reached`` counts the sends that may have reached a target. ``in_doubt`` is
     true while a send has no reply. ``refused`` contains the VMs to which a request of a
     service without keys is not sent again, ``owner_hint`` the owner named by the last
-    refusal.
+    refusal. ``queue_refusals`` counts the refusals because of a queue.
     ``fallback_response`` belongs to an earlier send that ran or may have run; it is
     returned if no further target serves the request.
     """
@@ -52,6 +56,7 @@
         self.owner_hint = ""
         self.reason = "no target is known"
         self.retry_after_s = RETRY_AFTER_S
+        self.queue_refusals = 0
         self.response = None
 
 
@@ -213,8 +218,10 @@
         state.owner_hint = reply.owner
         if reply.reached_target and not try_count_retry(route, service, state):
             state.response = router_response(request, state, NOT_SERVED)
-        elif reply.retry_after_s and node.is_keyed(service):
-            state.response = router_response(request, state, NOT_SERVED)
+        elif reply.retry_after_s:
+            state.queue_refusals += 1
+            if node.is_keyed(service) or state.queue_refusals >= MAX_QUEUE_REFUSALS:
+                state.response = router_response(request, state, NOT_SERVED)
 
     def may_retry(route, service, state, vm):
         """Whether a request that may have run may be sent to another target.
--- a/tests/router/test_client_requests.py
+++ b/tests/router/test_client_requests.py
@@ -81,6 +81,8 @@
         ({"a": [OK]}, {}, 200, "a"),
         ({"a": [BUSY], "b": [OK]}, {}, 200, "ab"),
         ({"a": [BUSY], "b": [BUSY]}, {}, 503, "ab"),
+        ({vm: [BUSY] for vm in "abcdefgh"}, {}, 503, "abc"),
+        ({"a": [BUSY], "b": [CLOSED], "c": [BUSY], "d": [OK]}, {}, 200, "abcd"),
         ({"a": [SHED], "b": [OK]}, {}, 200, "ab"),
         ({"a": [SHED], "b": [OK]}, {"slack": 0}, 503, "a"),
         ({"a": [IN_DOUBT], "b": [OK]}, {}, 200, "ab"),
@@ -98,6 +100,7 @@
     ],
     ids=[
         "answered", "busy, then served by another VM", "all VMs busy",
+        "many VMs busy", "busy twice, then served",
         "shed, then served by another VM", "shed without retry budget",
         "in doubt, retried", "in doubt, not retryable", "in doubt, then busy",
         "error, retried", "error, then busy", "error, not retryable",
