Count only the demand for keys that a VM still owns

Requests for keys that had just moved counted in the demand of their previous owner, which could split its other keys without need. Test: a case of test_plan_split fails before.

--- a/packages/router/src/jujuberudder_router/_placement.py
+++ b/packages/router/src/jujuberudder_router/_placement.py
@@ -109,6 +109,12 @@
     list of Move
         Empty if the demand is lower, or no VM can receive keys.
     """
+    # Requests for keys that have just moved may still arrive.
+    demand = {
+        key: share
+        for key, share in demand.items()
+        if any(start <= key <= end for start, end in key_ranges)
+    }
     if sum(demand.values()) < MIN_DEMAND_TO_SPLIT:
         return []
     givers = sorted(
--- a/tests/router/test_admission.py
+++ b/tests/router/test_admission.py
@@ -219,3 +219,32 @@
         admission.release(forward_request(key=1), 0.1)
     assert refused_at == {7: (pytest.approx(0.1), 0.0)}
     assert admission.running == 1 and admission.load().queued == 0
+
+
+async def test_demand_includes_refused_requests(autojump_clock):
+    """Guards against an overloaded VM whose demand looks like its capacity."""
+    admission = AdmissionQueue(lambda key, now: True)
+    admission.open(1)
+    refused = 0
+    async with trio.open_nursery() as nursery:
+
+        async def run():
+            nonlocal refused
+            request = forward_request(key=7)
+            try:
+                await admission.acquire(request, trio.current_time())
+            except Refused:
+                refused += 1
+                return
+            await trio.sleep(0.15)
+            admission.release(request, 0.15)
+
+        for _ in range(100):
+            nursery.start_soon(run)
+            await trio.sleep(0.02)
+        # 100 requests of 0.15 s in 2 s for one slot.
+        assert admission.demand() == {7: pytest.approx(7.5, rel=0.1)}
+        await trio.sleep(3.0)
+        admission.sample_usage(trio.current_time())
+        assert admission.demand() == {}
+    assert refused > 50
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -85,6 +85,7 @@
             [Move(0, 19, "b"), Move(21, 999, "c")],
         ),
         ({20: 5.0}, [load("b", 0.0)], []),
+        ({5000: 5.0, 9: 0.5}, [load("b", 0.0)], []),
         (
             {0: 1.0, 9: 0.5, 99: 0.5}, [load("0", 1.5), load("b", 0.0), load("c", 0.0)],
             [Move(1, 98, "c")],
@@ -93,7 +94,8 @@
     ],
     ids=[
         "low demand", "no room elsewhere", "to one VM", "to two VMs",
-        "around a hot key", "only a hot key", "another VM splits as well",
+        "around a hot key", "only a hot key",
+        "key of another VM", "another VM splits as well",
         "receiver just got keys",
     ],
 )  # fmt: skip
