Announce the target of an earlier entry only for the same service

A VM's name may be used again for another service; its first entry would have named the target of the earlier one until the first heartbeat. Also names the step that reports releases, which view() did in passing. By reading; no failure was seen.

--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -105,7 +105,8 @@
         vms[name] = vm
         if name == self._node.settings.vm:
             if vm.node_incarnation != self.node_incarnation:
-                self._previous_entry = vm
+                if vm.service == self._node.settings.service:
+                    self._previous_entry = vm
             elif self._entry_offset is None:
                 self._entry_offset = record.offset
             return
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -517,8 +517,21 @@
                 return owner.vm if owner.vm in self._node.links else None
         return None
 
+    def _releases_to_write(self, owners, now):
+        """Return the releases that this VM writes, and report the others."""
+        moved = self._moved_ranges(now)
+        others = self._other_releases(now, moved)
+        if self._node.target.leaving:
+            # None of these ranges is granted again either.
+            moved, others = moved + others, []
+        written_here = self._leave_to_writer(moved, owners, now)
+        return others + written_here + self._reported_releases(now)
+
     def view(self, now):
-        """Return the state from which the next change is decided."""
+        """Return the state from which the next change is decided.
+
+        Releases that another VM is to write are reported to it.
+        """
         node = self._node
         owners = node.owners(self._service)
         keymap = self._keymap()
@@ -526,18 +539,11 @@
         present = {suspicion for _, suspicion in keymap.suspicions}
         known = {s: t for s, t in self._suspicions.items() if s in present}
         self._suspicions = {s: known.get(s, now) for s in present}
-        moved = self._moved_ranges(now)
-        released = self._other_releases(now, moved)
-        if node.target.leaving:
-            # None of these ranges is granted again either.
-            moved, released = moved + released, []
-        released += self._leave_to_writer(moved, owners, now)
-        released += self._reported_releases(now)
         return OwnershipView(
             now, node.settings.vm, keymap,
             next((o for o in owners if o.vm == node.settings.vm), None),
             owners, {vm: node.unreachable_s(vm) for vm in names},
-            released, self._suspicions,
+            self._releases_to_write(owners, now), self._suspicions,
             now - self._started - self._follower.batch_delay_s,
         )  # fmt: skip
 
