Do not count the start line and white space in the limit of a head

Cause: the limit on received bytes, added for heads without end, counted the start line as well, so a request whose headers were just within the operator's limit was refused. Change: 4 KiB more are accepted for bytes of a head that do not count as header.

--- a/packages/router/src/jujuberudder_router/_http.py
+++ b/packages/router/src/jujuberudder_router/_http.py
@@ -15,6 +15,9 @@
 MAX_RESPONSE_HEADER_BYTES = 65536
 # Maximum bytes of a response body: 500 times the longest in the users' data sheets.
 MAX_RESPONSE_BODY_BYTES = 16777216
+# Bytes of a head that do not count as header: the start line without the target, and
+# white space and line ends.
+START_LINE_BYTES = 4096
 # Bytes of chunk framing that are accepted for each byte of a body, beside the limit of
 # the head: a chunk of one byte has five (RFC 9112, section 7.1).
 CHUNK_FRAMING_BYTES = 5
@@ -119,13 +122,13 @@
         The parser reads lines without an end, empty lines, chunk extensions and
         leading zeros of chunk sizes without a callback.
         """
-        limit, kind = self._max_header_bytes, "header"
-        if self.headers_done:
-            limit += CHUNK_FRAMING_BYTES * len(self._body)
-            kind = "body framing"
-        if self._received_bytes - len(self._body) > limit:
-            status = 400 if self.headers_done else 431
-            raise HttpError(status, f"{kind} over {limit} bytes")
+        framing_bytes = self._received_bytes - len(self._body)
+        limit = self._max_header_bytes + START_LINE_BYTES
+        if not self.headers_done and framing_bytes > limit:
+            raise HttpError(431, f"header over {self._max_header_bytes} bytes")
+        limit += CHUNK_FRAMING_BYTES * len(self._body)
+        if framing_bytes > limit:
+            raise HttpError(400, f"header and body framing over {limit} bytes")
 
     def on_message_begin(self):
         self.message_begun = True
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -75,7 +75,8 @@
     receiver : str
         VM that is to get the keys; empty if it is not decided.
     fence : int or None
-        Fence of the key range; None if the state of this VM itself is the source.
+        Fence of the key range; ranges with another fence are not handed over. None
+        for any.
     """
 
     vm: str
