Forget the number of a moved request that got a slot

A request that got a slot between the refusal and its wake-up left its number in a set for ever. Test: fails before (the set holds the number) and passes.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -371,10 +371,11 @@
             if self._waiters.pop(number, None) is None and waiter.event.is_set():
                 self.release()
             raise
+        moved = number in self._moved
+        self._moved.discard(number)
         if self._waiters.pop(number, None) is None:
             return
-        if number in self._moved:
-            self._moved.remove(number)
+        if moved:
             raise Refused(KEY_MOVED, 0.0)
         if self.closed_reason:
             raise Refused(self.closed_reason, 0.0)
--- a/tests/router/test_admission.py
+++ b/tests/router/test_admission.py
@@ -221,6 +221,22 @@
     assert admission.running == 1 and admission.load().queued == 0
 
 
+async def test_moved_request_that_got_a_slot_leaves_no_trace(autojump_clock):
+    """Guards against numbers of requests that are kept for ever."""
+    admission = AdmissionQueue(lambda key, now: True)
+    admission.open(1)
+    await admission.acquire(forward_request(key=1), trio.current_time())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            admission.acquire, forward_request(key=7), trio.current_time()
+        )
+        await trio.sleep(0.1)
+        admission.refuse_moved(lambda key: False)
+        admission.release(forward_request(key=1), 0.1)
+    assert admission.running == 1
+    assert admission._moved == set()
+
+
 async def test_demand_includes_refused_requests(autojump_clock):
     """Guards against an overloaded VM whose demand looks like its capacity."""
     admission = AdmissionQueue(lambda key, now: True)
