--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -9,6 +9,10 @@
 after the suspicion has been in the key map for ``TAKEOVER_DELAY_S``. A read that did
 not show the suspicion was sent before the suspicion was written, so by then the lease
 from that read and the last grant issued under it have expired.
+
+A VM that moves keys releases them first: its target is granted them no more. The VM
+reports the released ranges to the first VM of the service, the writer, which hands over
+those of all VMs by one change of the key map.
 """
 
 import secrets
@@ -238,7 +242,7 @@
         self._reports = {}
         # (start, end) of a release to its _SentReport.
         self._sent_reports = {}
-        # VM to the time until which it gets no reports.
+        # Writer that failed to the time until which it gets no reports.
         self._failed_writers = {}
         # Id to the time at which this node first read the suspicion.
         self._suspicions = {}
@@ -467,12 +471,11 @@
                 valid.append(release)
         return valid
 
-    def _leave_to_writer(self, moved, owners, now):
-        """Report releases to the VM that writes the key map.
+    def _report_to_writer(self, moved, owners, now):
+        """Report releases to the writer.
 
-        The first VM of the service writes the changes of all others at once. If each
-        VM appended its own change, only one of them would succeed at a time, and the
-        released keys of all others would wait.
+        If each VM appended its own change, only one of them would succeed at a time,
+        and the released keys of all others would wait.
 
         Returns
         -------
@@ -510,7 +513,7 @@
         return own
 
     def _writer(self, owners, now):
-        """Return the VM that writes releases, or None if it is this one."""
+        """Return the VM that hands over releases, or None if this one has to."""
         for owner in owners:
             if owner.vm == self._node.settings.vm:
                 return None
@@ -525,7 +528,7 @@
         if self._node.target.leaving:
             # None of these ranges is granted again either.
             moved, others = moved + others, []
-        written_here = self._leave_to_writer(moved, owners, now)
+        written_here = self._report_to_writer(moved, owners, now)
         return others + written_here + self._reported_releases(now)
 
     def view(self, now):
--- a/packages/router/src/jujuberudder_router/_placement.py
+++ b/packages/router/src/jujuberudder_router/_placement.py
@@ -129,29 +129,30 @@
     room = [SPLIT_DEMAND - load.usage for load in receivers]
     return [
         Move(start, end, receivers[index].vm)
-        for index, (start, end) in enumerate(_split(key_ranges, demand, room))
+        for index, (start, end) in enumerate(_cut_pieces(key_ranges, demand, room))
     ]
 
 
-def _split(key_ranges, demand, room):
+def _cut_pieces(key_ranges, demand, room):
     """Return pieces (start, end) that leave a VM, one for each entry of ``room``.
 
     ``room`` is the demand that each receiver can take. Keys of more than
     ``SPLIT_DEMAND`` stay, and of the others the first ones up to it.
     """
-    stays = SPLIT_DEMAND - sum(d for d in demand.values() if d >= SPLIT_DEMAND)
+    # Demand that this VM may still keep beside the keys that stay in any case.
+    room_here = SPLIT_DEMAND - sum(d for d in demand.values() if d >= SPLIT_DEMAND)
     pieces = []
     for start, end in sorted(key_ranges):
         low, moved = start, 0.0
         for key in sorted(key for key in demand if start <= key <= end):
             if len(pieces) == len(room):
                 return pieces
-            if demand[key] >= SPLIT_DEMAND or stays > 0:
+            if demand[key] >= SPLIT_DEMAND or room_here > 0:
                 if moved:
                     pieces.append((low, key - 1))
                     moved = 0.0
                 if demand[key] < SPLIT_DEMAND:
-                    stays -= demand[key]
+                    room_here -= demand[key]
                 low = key + 1
                 continue
             if moved and moved + demand[key] > room[len(pieces)]:
