--- a/tests/router/test_endless_messages.py
+++ b/tests/router/test_endless_messages.py
@@ -68,6 +68,15 @@
     """Ignore a log event."""
 
 
+async def connect_to_server(nursery, handle, limits):
+    """Start a server and return an open connection to it."""
+    server = Server(handle, lambda: limits, log_nothing)
+    port = int(free_addresses(1)[0].split(":")[1])
+    nursery.start_soon(server.serve, ("127.0.0.1", port))
+    await trio.sleep(0.1)
+    return await trio.open_tcp_stream("127.0.0.1", port)
+
+
 def parametrize_shapes(shapes):
     """Return a decorator that runs a test with each (first, repeated) of a table."""
     return pytest.mark.parametrize("first, repeated", shapes.values(), ids=shapes)
@@ -152,15 +161,7 @@
     async def handle(message):
         raise AssertionError("an incomplete request was handled")
 
-    def limits():
-        return Limits(body_bytes=MAX_BODY_BYTES)
-
-    server = Server(handle, limits, log_nothing)
-    address = free_addresses(1)[0]
-    port = int(address.split(":")[1])
-    nursery.start_soon(server.serve, ("127.0.0.1", port))
-    await trio.sleep(0.1)
-    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    stream = await connect_to_server(nursery, handle, Limits(body_bytes=MAX_BODY_BYTES))
     with trio.fail_after(5), pytest.raises(trio.BrokenResourceError):
         await stream.send_all(first)
         while True:
@@ -201,15 +202,7 @@
 async def test_empty_lines_do_not_keep_an_idle_connection_open(nursery):
     """Guards against a connection kept open beyond its time-out by empty lines."""
 
-    def limits():
-        return Limits(idle_timeout_s=1.0)
-
-    server = Server(None, limits, log_nothing)
-    address = free_addresses(1)[0]
-    port = int(address.split(":")[1])
-    nursery.start_soon(server.serve, ("127.0.0.1", port))
-    await trio.sleep(0.1)
-    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    stream = await connect_to_server(nursery, None, Limits(idle_timeout_s=1.0))
     with trio.fail_after(10), pytest.raises(trio.BrokenResourceError):
         while True:
             await stream.send_all(b"\r\n")
