Stop watching a connection that is closed between two polls

Cause: while a request is sent, a task waits for an early response. If `100 Continue` has arrived, the socket stays readable, so the task polls every 20 ms. A body that exceeds its limit ends the sending and closes the connection. If the poll falls between the close and the end of the task, it waits for a closed socket, and trio raises ValueError, not ClosedResourceError. The nursery wraps it in a group, which replaces BodyTooLarge.

It is the only place that waits for a socket by hand.

Why it holds: the check of the descriptor and the registration run without a checkpoint between them; a close after that raises ClosedResourceError, which ends the task as before.

--- a/packages/targets/src/jujuberudder_targets/_network.py
+++ b/packages/targets/src/jujuberudder_targets/_network.py
@@ -72,12 +72,13 @@
             await self._started.wait()
             sock = self._stream.get_extra_info("socket")
             try:
-                while not self._response_arrived:
+                # The connection is closed if sending failed; the sending task raises
+                # that error. Waiting for a closed socket is a ValueError, not an error
+                # of trio's.
+                while not self._response_arrived and sock.fileno() >= 0:
                     await trio.lowlevel.wait_readable(sock)
                     await self._peek(sock)
             except trio.ClosedResourceError:
-                # The connection was closed because sending failed; the sending task
-                # raises that error.
                 return
 
     async def _peek(self, sock):
