Relay store calls after a call that was cancelled without an answer

Cause, found in the code and reproduced: calls go through other nodes only after a failed call. A follower that knows of further records cancels its read after 0.4, 0.8 and 1.6 s; such a call was not counted as failed, so all three attempts and the long poll after them went to the store that did not answer. A relay that failed could also go to the same VM again.

Now a call that is cancelled counts as failed for the choice of the way, and the VM of the last failed relay is left out. Each failed call and each failed relay has a log line with its duration; before, only the first failure of a follower was logged, and a failed relay not at all.

--- a/packages/router/src/jujuberudder_router/_relay.py
+++ b/packages/router/src/jujuberudder_router/_relay.py
@@ -60,40 +60,65 @@
 def with_relays(store, node):
     """Return a ``Store`` that relays calls through another node after a failure.
 
-    After a failed call, calls are relayed first for ``PREFER_RELAY_S``; the failed call
-    itself is not retried. An append that was relayed is not sent to the store as well,
-    even if the relay failed, because it may have taken effect.
+    After a call that failed or was cancelled before its response, calls are relayed
+    first for ``PREFER_RELAY_S``; the call itself is not retried. An append that was
+    relayed is not sent to the store as well, even if the relay failed, because it may
+    have taken effect.
     """
     prefer_relay_until = 0.0
+    last_failed_vm = None
 
     async def relay(name, arguments, wait_s):
+        nonlocal last_failed_vm
         vms = [vm for vm, link in node.links.items() if link.up]
+        if len(vms) > 1 and last_failed_vm in vms:
+            vms.remove(last_failed_vm)
         if not vms:
             return None
         vm = vms[int(node.jitter() * len(vms))]
-        with trio.move_on_after(RELAY_TIMEOUT_S + wait_s):
-            frame = await node.links[vm].call_store(_encoder.encode([name, *arguments]))
-            if isinstance(frame, StoreCallResult) and frame.result:
-                return Ok(decode_result(frame.result))
-            reason = getattr(frame, "reason", "")
-            return Err(Failure(f"relay {name}", vm, reason, may_have_run=True))
-        return Err(Failure(f"relay {name}", vm, "no answer in time", may_have_run=True))
+        sent_at = trio.current_time()
+        # Also the outcome if the caller cancels, as a follower that is behind does.
+        reason, last_failed_vm = "no answer in time", vm
+        try:
+            with trio.move_on_after(RELAY_TIMEOUT_S + wait_s):
+                payload = _encoder.encode([name, *arguments])
+                frame = await node.links[vm].call_store(payload)
+                if isinstance(frame, StoreCallResult) and frame.result:
+                    reason = last_failed_vm = None
+                    return Ok(decode_result(frame.result))
+                reason = frame.reason
+        finally:
+            if reason is not None:
+                _log_failure("relay_failed", sent_at, call=name, peer=vm, reason=reason)
+        return Err(Failure(f"relay {name}", vm, reason, may_have_run=True))
+
+    async def call_directly(name, arguments, callbacks):
+        nonlocal prefer_relay_until
+        sent_at = trio.current_time()
+        reason = "cancelled"
+        try:
+            result = await getattr(store, name)(*arguments, **callbacks)
+            reason = str(result.err_value) if isinstance(result, Err) else None
+        finally:
+            if reason is not None:
+                node.metrics.count("store_failures")
+                _log_failure("store_call_failed", sent_at, call=name, reason=reason)
+                prefer_relay_until = trio.current_time() + PREFER_RELAY_S
+        return result
+
+    def _log_failure(event, sent_at, **fields):
+        node.log(event, after_s=trio.current_time() - sent_at, **fields)
 
     async def call_store(name, *arguments, wait_s=0.0, **callbacks):
         nonlocal prefer_relay_until
-        now = trio.current_time()
-        if now < prefer_relay_until:
+        if trio.current_time() < prefer_relay_until:
             result = await relay(name, arguments, wait_s)
             if isinstance(result, Ok):
                 return result
             prefer_relay_until = 0.0
             if result is not None and name == "append":
                 return result
-        result = await getattr(store, name)(*arguments, **callbacks)
-        if isinstance(result, Err):
-            node.metrics.count("store_failures")
-            prefer_relay_until = trio.current_time() + PREFER_RELAY_S
-        return result
+        return await call_directly(name, arguments, callbacks)
 
     async def append(topic, key, value, expected_end):
         return await call_store("append", topic, key, value, expected_end)
