Ping all links from one task and write frames at once

Each ping took a timer and a task of its link, a second task to write, and a cancel scope per read at both ends: 235 us for a ping and its pong in a process with 60 links over loopback.

Now one task pings the links that are due every 0.1 s and closes silent ones, and a frame is written to the socket directly if nothing is queued; only the rest of a frame that fills the socket's buffer takes the writer task. 105 us in the same measurement.

--- /dev/null
+++ b/packages/router/src/jujuberudder_router/_frame_stream.py
@@ -0,0 +1,111 @@
+"""Frames on a TCP connection between two nodes."""
+
+import socket
+
+import trio
+
+from ._frames import FrameBuffer, encode_frame
+from ._http import READ_BYTES
+
+# Maximum number of bytes that are passed to the system at once.
+WRITE_BYTES = 262144
+
+
+class FrameStream:
+    """Sends and receives frames.
+
+    The socket is used directly: a small frame usually fits in its buffer, so that
+    sending it takes neither a wait nor another task. At 88 VMs a node sends and
+    receives 270 pings and pongs a second.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+        Its socket is taken over.
+    """
+
+    def __init__(self, stream):
+        self._socket = socket.socket(fileno=stream.socket.detach())
+        self._socket.setblocking(False)
+        self._frames = FrameBuffer()
+        self._unsent = bytearray()
+        self._has_unsent = trio.Event()
+        self._send_error = None
+
+    def send(self, frame):
+        """Send or queue a frame; never waits.
+
+        If the connection is broken, `receive` and `run_writer` raise.
+        """
+        data = encode_frame(frame)
+        sent_bytes = 0 if self._unsent else self._send_some(data)
+        if sent_bytes < len(data):
+            self._unsent += data[sent_bytes:]
+            self._has_unsent.set()
+
+    def _send_some(self, data):
+        """Send without waiting and return the number of bytes sent."""
+        try:
+            return self._socket.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            self._send_error = error
+            return 0
+
+    async def run_writer(self):
+        """Send queued frames until cancelled.
+
+        Raises
+        ------
+        trio.BrokenResourceError
+        """
+        while True:
+            await self._has_unsent.wait()
+            self._has_unsent = trio.Event()
+            while self._unsent:
+                self._raise_send_error()
+                await trio.lowlevel.wait_writable(self._socket)
+                with memoryview(self._unsent)[:WRITE_BYTES] as data:
+                    sent_bytes = self._send_some(data)
+                del self._unsent[:sent_bytes]
+
+    async def receive(self):
+        """Wait for bytes and return the frames that are then complete.
+
+        Returns
+        -------
+        list of Frame, or None if the peer closed the connection
+
+        Raises
+        ------
+        trio.BrokenResourceError
+        FrameError, msgspec.MsgspecError
+            As by ``FrameBuffer.feed``.
+        """
+        await trio.lowlevel.wait_readable(self._socket)
+        try:
+            data = self._socket.recv(READ_BYTES)
+        except BlockingIOError:
+            return []
+        except OSError as error:
+            raise _broken(error) from error
+        if data:
+            return self._frames.feed(data)
+        # The system reports an error once, so that a read after a failed send sees an
+        # end of the stream.
+        self._raise_send_error()
+        return None
+
+    def _raise_send_error(self):
+        if self._send_error is not None:
+            raise _broken(self._send_error) from self._send_error
+
+    def close(self):
+        """Close the connection without waiting for queued frames."""
+        trio.lowlevel.notify_closing(self._socket)
+        self._socket.close()
+
+
+def _broken(error):
+    return trio.BrokenResourceError(f"socket connection broken: {error}")
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -17,7 +17,7 @@
 from ._membership import Membership
 from ._metrics import Metrics
 from ._ownership import SUSPECT_AFTER_S, OwnershipManager
-from ._peer_links import serve_links
+from ._peer_links import ping_links, serve_links
 from ._relay import make_relay_handler, with_relays
 from ._routes import RetryBudget, TrafficSplitter
 from ._server import Server
@@ -511,6 +511,7 @@
             make_relay_handler(node), node.admission.load, node.on_ping,
             node.ownership.on_releases, log,
         )  # fmt: skip
+        nursery.start_soon(ping_links, node.links)
         nursery.start_soon(node.configuration_follower.run)
         nursery.start_soon(node.membership_follower.run)
         nursery.start_soon(node.ownership.run)
--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_links.py
@@ -1,26 +1,26 @@
 """Peer links: each node connects to every other node and sends its calls there."""
 
 import itertools
+import math
 
 import msgspec
 import trio
 
+from ._frame_stream import FrameStream
 from ._frames import (
     NOT_RUN,
     UNKNOWN,
     CancelForward,
     ForwardReply,
     ForwardRequest,
-    FrameBuffer,
     FrameError,
     Ping,
     Pong,
     ReleaseReport,
     StoreCall,
     StoreCallResult,
-    encode_frame,
 )
-from ._http import READ_BYTES, dial
+from ._http import dial
 from ._server import error_location
 
 # Minimum ping interval: on an idle link it is the age of the load by which requests
@@ -30,6 +30,12 @@
 # so that all pings together take a fixed share of a processor: each takes about 0.1 ms
 # at both ends.
 PING_S_PER_LINK, MAX_PING_S = 0.015, 1.5
+# Interval at which the links that are due for a ping get one, and the maximum number of
+# links that get one at a time, as a multiple of the mean: together the pings of 87
+# links would delay requests by 10 ms.
+PING_TICK_S, MAX_TICK_SHARE = 0.1, 1.5
+# Time between two such checks above which the process was paused.
+MAX_TICK_S = 0.5
 # Ping intervals without any frame after which a link gets no new requests: one
 # interval, a round trip and a late timer.
 UP_INTERVALS = 2.4
@@ -51,28 +57,6 @@
     return min(MAX_PING_S, max(MIN_PING_S, PING_S_PER_LINK * links))
 
 
-class FrameWriter:
-    """Sends frames on a stream; queued frames are sent in one write."""
-
-    def __init__(self, stream):
-        self._stream = stream
-        self._frames = []
-        self._wake = trio.Event()
-
-    def send(self, frame):
-        """Queue a frame; never waits."""
-        self._frames.append(encode_frame(frame))
-        self._wake.set()
-
-    async def run(self):
-        """Write until the stream breaks."""
-        while True:
-            await self._wake.wait()
-            self._wake = trio.Event()
-            frames, self._frames = self._frames, []
-            await self._stream.send_all(b"".join(frames))
-
-
 class PeerLink:
     """Connection to one other node, with the load last received on it.
 
@@ -96,6 +80,8 @@
         When ``load`` was received, on this node's clock in seconds.
     in_flight : int
         Number of calls without a reply.
+    pinged_at : float
+        When the last ping was sent, on this node's clock in seconds.
     """
 
     def __init__(self, vm, log, count_links, read_progress, on_pong):
@@ -106,8 +92,10 @@
         self.load = None
         self.load_at = -1.0
         self.in_flight = 0
+        self.pinged_at = -1.0
         self._log = log
-        self._writer = None
+        self._stream = None
+        self._connection_scope = None
         self._pending = {}
         self._call_ids = itertools.count(1)
         self._received_at = -1.0
@@ -123,7 +111,7 @@
     @property
     def lost(self):
         """Whether the connection is closed or no frame arrived for long."""
-        if self._writer is None:
+        if self._stream is None:
             return True
         return self.idle_s >= UP_INTERVALS * ping_interval(self._count_links())
 
@@ -153,23 +141,27 @@
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
     async def _run_connection(self, stream):
-        self._writer = writer = FrameWriter(stream)
+        self._stream = FrameStream(stream)
+        self._silent_s = None
         self._record_receipt()
         self._log("peer_link_up", peer=self.vm.name, address=self.vm.address)
         reason = "closed by the peer"
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(writer.run)
-                nursery.start_soon(self._ping, writer)
-                await self._read(stream)
+                self._connection_scope = nursery.cancel_scope
+                nursery.start_soon(self._stream.run_writer)
+                self.ping()
+                await self._receive()
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError) as group:
             reason = str(group.exceptions[0])
-        except* (TimeoutError, FrameError, msgspec.MsgspecError) as group:
+        except* (FrameError, msgspec.MsgspecError) as group:
             reason = str(group.exceptions[0])
         finally:
-            stream.socket.close()
-            self._writer = None
+            if self._silent_s is not None:
+                reason = f"silent for {self._silent_s:.1f} s"
+            self._stream.close()
+            self._stream = None
             self._fail_pending(reason)
         return reason
 
@@ -180,19 +172,10 @@
                 ForwardReply(0, UNKNOWN, reason=f"link to {self.vm.name}: {reason}")
             )
 
-    async def _read(self, stream):
-        frames = FrameBuffer()
-        while True:
-            interval_s = ping_interval(self._count_links())
-            timeout_s = max(RECEIVE_TIMEOUT_S, RECEIVE_TIMEOUT_INTERVALS * interval_s)
-            with trio.move_on_after(timeout_s) as scope:
-                data = await stream.receive_some(READ_BYTES)
-            if scope.cancelled_caught:
-                raise TimeoutError(f"silent for {timeout_s} s")
-            if not data:
-                return
+    async def _receive(self):
+        while (frames := await self._stream.receive()) is not None:
             self._record_receipt()
-            for frame in frames.feed(data):
+            for frame in frames:
                 self._handle_frame(frame)
 
     def _handle_frame(self, frame):
@@ -210,22 +193,39 @@
         self._received_at = trio.current_time()
         self._unanswered_ping_at = None
 
-    async def _ping(self, writer):
-        while True:
-            if self._unanswered_ping_at is None:
-                self._unanswered_ping_at = trio.current_time()
-            writer.send(Ping(trio.current_time(), self._read_progress()))
-            await trio.sleep(ping_interval(self._count_links()))
+    def ping_due(self, interval_s):
+        """Whether the last ping was sent at least ``interval_s`` ago."""
+        return (
+            self._stream is not None
+            and trio.current_time() - self.pinged_at >= interval_s
+        )
+
+    def close_if_silent(self, interval_s):
+        """Close the connection if no frame has arrived for too long."""
+        if self._stream is None:
+            return
+        idle_s = trio.current_time() - self._received_at
+        if idle_s >= max(RECEIVE_TIMEOUT_S, RECEIVE_TIMEOUT_INTERVALS * interval_s):
+            self._silent_s = idle_s
+            self._connection_scope.cancel()
+
+    def ping(self, read_now=False):
+        """Send a ``Ping`` with the read progress, if there is a connection."""
+        if self._stream is None:
+            return
+        self.pinged_at = now = trio.current_time()
+        if self._unanswered_ping_at is None:
+            self._unanswered_ping_at = now
+        self._stream.send(Ping(now, self._read_progress(), read_now))
 
     def request_read(self):
         """Ask the peer to read the membership topic now, for a record about it."""
-        if self._writer is not None:
-            self._writer.send(Ping(trio.current_time(), self._read_progress(), True))
+        self.ping(read_now=True)
 
     def report_releases(self, report):
         """Send a ``ReleaseReport``, unless the link is down."""
-        if self._writer is not None:
-            self._writer.send(report)
+        if self._stream is not None:
+            self._stream.send(report)
 
     async def forward(self, request):
         """Send a ``ForwardRequest`` and return the ``ForwardReply``.
@@ -245,20 +245,20 @@
         return await self._call(StoreCall(0, payload), cancel=False)
 
     async def _call(self, frame, cancel):
-        writer = self._writer
-        if writer is None:
+        stream = self._stream
+        if stream is None:
             return ForwardReply(0, NOT_RUN, reason=f"link to {self.vm.name} is down")
         frame.id = call_id = next(self._call_ids)
         pending_reply = _PendingReply()
         self._pending[call_id] = pending_reply
         self.in_flight += 1
         try:
-            writer.send(frame)
+            stream.send(frame)
             return await pending_reply.wait()
         finally:
             self.in_flight -= 1
             if self._pending.pop(call_id, None) is not None and cancel:
-                writer.send(CancelForward(call_id))
+                stream.send(CancelForward(call_id))
 
 
 class _PendingReply:
@@ -277,6 +277,28 @@
         return self._frame
 
 
+async def ping_links(links):
+    """Ping each link once per interval and close silent ones, until cancelled.
+
+    Parameters
+    ----------
+    links : dict of str to PeerLink
+    """
+    while True:
+        slept_at = trio.current_time()
+        await trio.sleep(PING_TICK_S)
+        interval_s = ping_interval(len(links))
+        # After a pause of the process, frames that arrived meanwhile are read first.
+        if trio.current_time() - slept_at < MAX_TICK_S:
+            for link in links.values():
+                link.close_if_silent(interval_s)
+        due = [link for link in links.values() if link.ping_due(interval_s)]
+        due.sort(key=lambda link: link.pinged_at)
+        mean_due = len(links) * PING_TICK_S / interval_s
+        for link in due[: math.ceil(MAX_TICK_SHARE * mean_due)]:
+            link.ping()
+
+
 async def serve_links(
     address, handle_request, handle_store_call, get_load, on_ping, on_releases, log
 ):
@@ -302,8 +324,8 @@
     """
     host, port = address
 
-    async def serve(stream):
-        writer = FrameWriter(stream)
+    async def serve(tcp_stream):
+        stream = FrameStream(tcp_stream)
         scopes = {}
 
         async def answer(request, scope):
@@ -317,20 +339,16 @@
                     )  # fmt: skip
                     reply = ForwardReply(request.id, UNKNOWN, reason="internal fault")
                 reply.id = request.id
-                writer.send(reply)
+                stream.send(reply)
             scopes.pop(request.id, None)
 
         async def run_store_call(frame):
             result, reason = await handle_store_call(frame.payload)
-            writer.send(StoreCallResult(frame.id, result, reason))
+            stream.send(StoreCallResult(frame.id, result, reason))
 
         async def read(nursery):
-            frames = FrameBuffer()
-            while True:
-                data = await stream.receive_some(READ_BYTES)
-                if not data:
-                    return
-                for frame in frames.feed(data):
+            while (frames := await stream.receive()) is not None:
+                for frame in frames:
                     if isinstance(frame, ForwardRequest):
                         # Created before the task starts, so that a CancelForward that
                         # arrives in the same read finds the scope.
@@ -340,7 +358,7 @@
                         if frame.id in scopes:
                             scopes[frame.id].cancel()
                     elif isinstance(frame, Ping):
-                        writer.send(
+                        stream.send(
                             Pong(
                                 frame.sent_at,
                                 get_load(),
@@ -354,7 +372,7 @@
 
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(writer.run)
+                nursery.start_soon(stream.run_writer)
                 await read(nursery)
                 nursery.cancel_scope.cancel()
         except* (
@@ -365,6 +383,6 @@
         ) as group:
             log("peer_connection_lost", reason=str(group.exceptions[0]))
         finally:
-            stream.socket.close()
+            stream.close()
 
     await trio.serve_tcp(serve, port, host=host)
