Count the round trip of a VM's link in the choice of a VM

The VM knows an upload only when its body has arrived, so its reported load stays low and it is chosen on.

Now the time from a ping to its pong, above 0.02 s, adds to the expected time of a request, as the request would wait behind the same bytes.

--- a/packages/router/src/jujuberudder_router/_choice.py
+++ b/packages/router/src/jujuberudder_router/_choice.py
@@ -18,6 +18,9 @@
 # request. If all VMs were compared, all nodes would send to the same few VMs until the
 # next reports; with a small random sample each VM gets a part (power of two choices).
 SAME_ZONE_SAMPLE_SIZE, OTHER_ZONE_SAMPLE_SIZE = 2, 1
+# Round trip of a ping, in seconds, on links without a queue: twice the delay between
+# availability zones, and late timers.
+UNLOADED_ROUND_TRIP_S = 0.02
 # Age of a report, in seconds, beyond which this node's own requests replace the
 # reported ones if they exceed them. ``cost`` counts the greater of both at any age, so
 # the limit does not change its result.
@@ -29,8 +32,8 @@
 
     ``service_s`` is the mean service time in seconds, or 0 if no request has run there
     yet, ``own_requests`` the number of this node's requests there, ``report_age_s`` the
-    age of the load report in seconds, and ``failure_share`` the share of requests that
-    fail, in [0, 1].
+    age of the load report in seconds, ``failure_share`` the share of requests that
+    fail, in [0, 1], and ``round_trip_s`` the time of a ping and its pong in seconds.
     """
 
     vm: str
@@ -42,6 +45,7 @@
     own_requests: int
     report_age_s: float
     failure_share: float = 0.0
+    round_trip_s: float = 0.0
 
 
 def cost(candidate, body_bytes):
@@ -60,7 +64,10 @@
     zone_cost = (
         0.0 if c.same_zone else ZONE_CROSSING_S + ZONE_CROSSING_BYTE_S * body_bytes
     )
-    return (wait + c.service_s + load_cost + zone_cost) / max(0.05, 1 - c.failure_share)
+    # The request and its response wait behind what fills the links, as a ping did.
+    link_wait = max(0.0, c.round_trip_s - UNLOADED_ROUND_TRIP_S)
+    time = wait + link_wait + c.service_s + load_cost + zone_cost
+    return time / max(0.05, 1 - c.failure_share)
 
 
 def sample(same_zone_vms, other_zone_vms, draw):
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -416,13 +416,15 @@
     def _candidate(self, vm, now):
         if vm.name == self.settings.vm:
             load, in_flight, age_s = self.admission.load(), 0, 0.0
+            round_trip_s = 0.0
         else:
             link = self.links[vm.name]
             load, in_flight, age_s = link.load, link.in_flight, now - link.load_at
+            round_trip_s = link.round_trip_s
         return Candidate(
             vm.name, vm.zone == self.settings.zone, load.running, load.queued,
             load.slots, load.service_s, in_flight, age_s,
-            self._failure_share(vm.name, now),
+            self._failure_share(vm.name, now), round_trip_s,
         )  # fmt: skip
 
     def handle_heartbeat(self, heartbeat):
--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_links.py
@@ -101,6 +101,7 @@
         self._received_at = -1.0
         # Time of the first ping since the last frame, or None.
         self._unanswered_ping_at = None
+        self._last_round_trip_s = 0.0
         self._created_at = trio.current_time()
 
     @property
@@ -108,6 +109,17 @@
         """Seconds since a frame arrived or the link opened, or since its creation."""
         return trio.current_time() - max(self._received_at, self._created_at)
 
+    @property
+    def round_trip_s(self):
+        """Seconds from a ping to its pong: of the last one, or of one under way so far.
+
+        It grows to seconds while bodies fill the network link of either VM.
+        """
+        if self._unanswered_ping_at is None:
+            return self._last_round_trip_s
+        waited_s = trio.current_time() - self._unanswered_ping_at
+        return max(self._last_round_trip_s, waited_s)
+
     @property
     def lost(self):
         """Whether the connection is closed or no frame arrived for long."""
@@ -183,6 +195,7 @@
             self.load = frame.load
             self.load_at = trio.current_time()
         if isinstance(frame, Pong):
+            self._last_round_trip_s = trio.current_time() - frame.sent_at
             self._on_pong(frame.progress, frame.sent_at)
         if isinstance(frame, (ForwardReply, StoreCallResult)):
             pending_reply = self._pending.pop(frame.id, None)
--- a/tests/router/test_choice_of_vm.py
+++ b/tests/router/test_choice_of_vm.py
@@ -38,11 +38,13 @@
             0,
             "b",
         ),
+        ([candidate("a", round_trip_s=0.6), candidate("b", running=5)], 60000, "b"),
+        ([candidate("a", round_trip_s=0.02), candidate("b", running=1)], 0, "a"),
     ],
     ids=[
         "none", "same zone", "free slots", "other zone instead of a queue",
         "large body stays in its zone", "faster", "new VM without service time",
-        "failing", "old report, many own requests",
+        "failing", "old report, many own requests", "full link", "distant",
     ],
 )  # fmt: skip
 def test_choose(candidates, body_bytes, expected):
@@ -113,3 +115,50 @@
     With 72 VMs one target got 7.5 times the mean load while the others were idle.
     """
     assert share_at_full_vms(vms=24, nodes=72, slots=5) < 0.2
+
+
+def late_uploads(pings, vms=24, nodes=72, seconds=40.0, step_s=0.02, ping_s=1.08):
+    """Return the share of uploads whose transfer takes more than 0.9 s.
+
+    160 uploads of 60 KB per second fill 70 % of the links, which are 30 % slower at
+    every fourth VM. ``pings`` states whether nodes know the round trips.
+    """
+    rng = random.Random(3)
+    bytes_per_s = {vm: 420_000 if vm % 4 == 0 else 600_000 for vm in range(vms)}
+    free_at = dict.fromkeys(range(vms), 0.0)
+    ends = {vm: [] for vm in range(vms)}
+    round_trip_s, queued = dict.fromkeys(range(vms), 0.0), dict.fromkeys(range(vms), 0)
+    late_count = sent_count = 0
+    for tick in range(int(seconds / step_s)):
+        now = tick * step_s
+        for vm in range(vms):
+            if (tick + vm) % int(ping_s / step_s) == 0:
+                round_trip_s[vm] = max(0.0, free_at[vm] - now) + 0.009
+                ends[vm] = [end for end in ends[vm] if end > now]
+                # A VM knows a request only when its body has arrived.
+                queued[vm] = sum(end <= now + 0.31 for end in ends[vm])
+        for node in range(nodes):
+            if rng.random() >= 160 / nodes * step_s:
+                continue
+            same_zone_vms = [vm for vm in range(vms) if vm % 3 == node % 3]
+            other_zone_vms = [vm for vm in range(vms) if vm % 3 != node % 3]
+            body_bytes = rng.lognormvariate(10.82, 0.6)
+            compared = [
+                Candidate(
+                    vm, vm % 3 == node % 3, queued[vm], 0, 9, 0.31, 0, ping_s / 2,
+                    0.0, round_trip_s[vm] if pings else 0.0,
+                )
+                for vm in sample(same_zone_vms, other_zone_vms, rng.sample)
+            ]  # fmt: skip
+            vm = choose(compared, body_bytes, rng.random).vm
+            arrived_at = max(now, free_at[vm]) + body_bytes / bytes_per_s[vm]
+            free_at[vm] = arrived_at
+            ends[vm].append(arrived_at + 0.31)
+            sent_count += 1
+            late_count += arrived_at - now > 0.9
+    return late_count / sent_count
+
+
+def test_uploads_avoid_full_links():
+    """Guards against uploads that queue at a full link while others have room."""
+    assert late_uploads(pings=True) <= late_uploads(pings=False) / 2
