Close connections in use only after a response while a node stops

A node ended 11 and 18 ms after its last response and reset a connection on which a client's next request was on its way.

Cause: while it stops, a node closed every connection without a request within 0.03 s and ended as soon as no request was open. A client that keeps a connection open sends its next request at any moment.

Now a connection closes after the response to its next request, which says "Connection: close", or when it has been unused for 1 s and no byte has arrived on it; the listener closes first. A stop takes up to 1 s longer if clients go on using their connections. What remains is a request that arrives between the last look and the close on a connection unused for 1 s.

The tests failed before with a closed connection in place of the response; the one for a request that has arrived but is not read yet also fails without that look.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -20,7 +20,7 @@
 from ._peer_links import ping_links, serve_links
 from ._relay import make_relay_handler, with_relays
 from ._routes import RetryBudget, TrafficSplitter
-from ._server import Server
+from ._server import STOP_POLL_S, Server
 from ._store import MEMBERSHIP_TOPIC, OPERATOR_TOPIC
 from ._target import Target, make_target_handler
 from ._types import Limits, Settings
@@ -55,8 +55,6 @@
 # Time before the final responses at which the target stops accepting requests from
 # other nodes: most requests take less.
 STOP_TARGET_MARGIN_S = 0.8
-# Polling interval for unfinished requests while the node stops.
-STOP_POLL_S = 0.03
 # Consecutive failures after which a VM counts as failing, and the time since the last
 # one for which it does.
 EJECTION_FAILURES, EJECTION_S = 3, 2.0
@@ -557,9 +555,8 @@
         lambda: not (client_server.busy or node.admission.running),
         client_server.close_idle,
     )
+    await client_server.drain(deadline)
     log("stop_answers", busy=client_server.busy, running=node.admission.running)
-    client_server.stop_accepting()
-    client_server.close_idle()
     for scope in list(node.active_scopes):
         scope.cancel()
     with trio.move_on_after(STOP_FINAL_RESPONSE_S / 2):
--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server: one task reads each client connection."""
 
 import errno
+import select
 import traceback
 
 import trio
@@ -17,6 +18,12 @@
 PIPELINE_LIMIT = 16
 # Time within which a client must receive a response.
 WRITE_TIMEOUT_S = 30.0
+# Time without a request after which a connection is closed while the server stops. A
+# connection in use gets its next request sooner, which is answered with
+# "Connection: close"; if it were closed, that request might be on its way.
+STOP_IDLE_S = 1.0
+# Polling interval for open connections and unfinished requests during a stop.
+STOP_POLL_S = 0.03
 
 
 def error_location(error):
@@ -86,13 +93,26 @@
                 if connection.expired(now, limits):
                     connection.cancel()
 
+    async def drain(self, deadline):
+        """Stop accepting connections and close the open ones, up to ``deadline``.
+
+        A connection closes after the response to its next request, or when none has
+        arrived for ``STOP_IDLE_S``. ``deadline`` is a time on trio's clock in seconds.
+        """
+        self.closing = True
+        self.stop_accepting()
+        while self._connections and trio.current_time() < deadline:
+            self.close_idle()
+            await trio.sleep(STOP_POLL_S)
+
     def close_idle(self):
-        """Close each connection without a request.
+        """Close each connection that has had no request for ``STOP_IDLE_S``.
 
-        A request that was read just before is still answered.
+        A request that has arrived is still answered.
         """
+        now = trio.current_time()
         for connection in list(self._connections):
-            if not connection.busy and not connection.reading:
+            if connection.idle_s(now) >= STOP_IDLE_S and not connection.has_data():
                 connection.stop_reading()
 
     async def _serve_connection(self, stream):
@@ -142,6 +162,16 @@
         if self._nursery is not None:
             self._nursery.cancel_scope.cancel()
 
+    def idle_s(self, now):
+        """Seconds since the last request, 0 while one is read or answered."""
+        return 0.0 if self.busy or self.reading else now - self._last_used
+
+    def has_data(self):
+        """Whether bytes have arrived that are not read yet."""
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def expired(self, now, limits):
         """Whether the idle or the header time-out has passed."""
         if self.busy:
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -1,5 +1,7 @@
 """Client connections and peer links: closing, cancelling and malformed requests."""
 
+import os
+
 import pytest
 import trio
 
@@ -13,7 +15,7 @@
     encode_frame,
 )
 from jujuberudder_router._peer_links import serve_links
-from jujuberudder_router._server import Server
+from jujuberudder_router._server import STOP_IDLE_S, Server
 
 TWO_LENGTHS = (
     b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -63,6 +65,60 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("interval_s", [0.02, 0.3, 0.7])
+async def test_connection_in_use_closes_after_a_response(interval_s):
+    """Guards against requests lost on an open connection while a node stops."""
+
+    async def handle(message):
+        return 200, [], b"done"
+
+    async with trio.open_nursery() as nursery:
+        server, stream = await start_server(nursery, handle)
+        for number in range(6):
+            await stream.send_all(REQUEST)
+            response = await stream.receive_some(1000)
+            assert response.startswith(b"HTTP/1.1 200")
+            if number == 3:
+                nursery.start_soon(server.drain, trio.current_time() + 30.0)
+            if b"connection: close" in response:
+                break
+            await trio.sleep(interval_s)
+        assert number == 4
+        with trio.fail_after(5):
+            while server._connections:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+
+
+async def test_unused_connection_closes_during_a_stop():
+    """Guards against a stop that waits for clients until the end of its grace."""
+    async with trio.open_nursery() as nursery:
+        server, stream = await start_server(nursery, None)
+        with trio.fail_after(STOP_IDLE_S + 4.0):
+            await server.drain(trio.current_time() + 30.0)
+            assert await stream.receive_some(1000) == b""
+        nursery.cancel_scope.cancel()
+
+
+async def test_connection_with_an_unread_request_is_not_closed():
+    """Guards against a reset of a request that arrived just before a stop."""
+
+    async def handle(message):
+        return 200, [], b"done"
+
+    async with trio.open_nursery() as nursery:
+        server, stream = await start_server(nursery, handle)
+        await trio.sleep(STOP_IDLE_S + 0.1)
+        server.closing = True
+        # Sent without a checkpoint, so that the server has not read it yet.
+        os.write(stream.socket.fileno(), REQUEST)
+        server.close_idle()
+        with trio.fail_after(5):
+            response = await stream.receive_some(1000)
+        assert response.startswith(b"HTTP/1.1 200") and b"connection: close" in response
+        nursery.cancel_scope.cancel()
+
+
 async def test_request_is_cancelled_when_its_client_disconnects():
     """Guards against targets that work for clients that have disconnected."""
     cancelled = trio.Event()
