Accept the connections that are open before a listener closes

Cause: a node that stops closes its listeners, which resets the connections that the system has opened but the node has not accepted. A client may have sent its request on such a connection. The router's server did the same.

Both now accept what waits before they close the listener. A test for each opens 20 connections without letting the server run and then stops it; both failed before.

--- a/packages/clients/src/jujuberudder_clients/_listener.py
+++ b/packages/clients/src/jujuberudder_clients/_listener.py
@@ -1,5 +1,6 @@
 """HTTP listener for clients or nodes, with a limit on connections per address."""
 
+import select
 from collections import Counter
 
 import trio
@@ -14,6 +15,8 @@
 
 GRACEFUL_TIMEOUT_S = 60.0
 BACKLOG = 1024
+# Maximum time for accepting connections that are open already when the node stops.
+ACCEPT_PENDING_S = 1.0
 # Body messages, of at most READ_BYTES each, that are queued for the application.
 MAX_QUEUED_CHUNKS = 2
 TOO_MANY_CONNECTIONS_RESPONSE = (
@@ -73,6 +76,7 @@
             accepting.start_soon(_accept, serve, listeners, handlers)
             task_status.started(f"{bound[0]}:{bound[1]}")
             await stopping.wait()
+            await _accept_pending(listeners)
             accepting.cancel_scope.cancel()
         await context.terminated.set()
         for connection in connections:
@@ -91,6 +95,19 @@
     await trio.serve_listeners(guarded, listeners, handler_nursery=handlers)
 
 
+async def _accept_pending(listeners):
+    """Wait until the listeners have accepted all connections that are open.
+
+    Closing a listener resets those that it has not accepted.
+    """
+    poll = select.poll()
+    for listener in listeners:
+        poll.register(listener.socket.fileno(), select.POLLIN)
+    with trio.move_on_after(ACCEPT_PENDING_S):
+        while poll.poll(0):
+            await trio.sleep(0)
+
+
 async def _refuse_connection(stream):
     try:
         with trio.move_on_after(1):
--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -32,6 +32,13 @@
     return f"{frame.filename.rpartition('/')[2]}:{frame.lineno}"
 
 
+def is_readable(sock):
+    """Return whether a socket has bytes to read or a connection to accept."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Server:
     """HTTP/1.1 server for the connections of clients.
 
@@ -83,6 +90,9 @@
                     await trio.sleep(SWEEP_INTERVAL_S / 10)
                     continue
                 nursery.start_soon(self._serve_connection, stream)
+        # Closing the listener resets the connections that it has not accepted.
+        while is_readable(listener.socket):
+            nursery.start_soon(self._serve_connection, await listener.accept())
         listener.socket.close()
 
     async def _close_expired_periodically(self):
@@ -168,9 +178,7 @@
 
     def has_data(self):
         """Whether bytes have arrived that are not read yet."""
-        poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return is_readable(self._stream.socket)
 
     def expired(self, now, limits):
         """Whether the idle or the header time-out has passed."""
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -1,6 +1,8 @@
 """Client connections and peer links: closing, cancelling and malformed requests."""
 
 import os
+import socket
+from contextlib import ExitStack
 
 import pytest
 import trio
@@ -90,6 +92,33 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_connections_not_yet_accepted_are_served():
+    """Guards against requests reset because their connection waited to be accepted."""
+
+    async def handle(message):
+        return 200, [], b"done"
+
+    async with trio.open_nursery() as nursery:
+        server, stream = await start_server(nursery, handle)
+        address = stream.socket.getpeername()
+        # Opened without a checkpoint, so that the server cannot accept them before.
+        with ExitStack() as stack:
+            clients = [
+                stack.enter_context(socket.create_connection(address))
+                for _ in range(20)
+            ]
+            for client in clients:
+                client.sendall(REQUEST)
+            server.stop_accepting()
+            for client in clients:
+                client.settimeout(5.0)
+                response = await trio.to_thread.run_sync(client.recv, 1000)
+                assert response.startswith(b"HTTP/1.1 200")
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection(address)
+        nursery.cancel_scope.cancel()
+
+
 async def test_unused_connection_closes_during_a_stop():
     """Guards against a stop that waits for clients until the end of its grace."""
     async with trio.open_nursery() as nursery:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,5 +1,7 @@
 """Limits of the client listener, and requests that must not reach a target."""
 
+import socket
+
 import pytest
 import trio
 from raw_http import (
@@ -192,6 +194,30 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_connections_not_yet_accepted_are_served():
+    """Guards against requests reset because their connection waited to be accepted."""
+
+    async def app(scope, receive, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"ok"})
+
+    async with trio.open_nursery() as nursery:
+        stopping = trio.Event()
+        address = await nursery.start(serve_http, app, "127.0.0.1:0", stopping)
+        host, port = address.split(":")
+        # Opened without a checkpoint, so that the listener cannot accept them before.
+        clients = [socket.create_connection((host, int(port))) for _ in range(20)]
+        for client in clients:
+            client.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        stopping.set()
+        for client in clients:
+            with client:
+                client.settimeout(5.0)
+                response = await trio.to_thread.run_sync(client.recv, 1000)
+                assert response.startswith(b"HTTP/1.1 200")
+        nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("forwarded", [0, 1], ids=["owner", "forwarded"])
 @pytest.mark.parametrize("when", ["waiting", "within the answer", "within the body"])
 async def test_disconnect_of_the_client_cancels_the_request(when, forwarded):
