Let calls to the store take as long as a full link delays them

Cause: on a link that bodies fill, a round trip takes over 1 s. Every failure asked for the newest record of each key, which is longer.

If no link answers its pings in time, relays use those that are not lost.

--- a/packages/router/src/jujuberudder_router/_connection_pool.py
+++ b/packages/router/src/jujuberudder_router/_connection_pool.py
@@ -37,6 +37,9 @@
         Maximum length of a response body.
     body_budget : BodyBudget, default=None
         Limits the response bodies of all connections together.
+    max_connect_timeout_s : float, default=None
+        If given, the wait for a connection doubles after each failure, up to this many
+        seconds, until one succeeds.
     """
 
     def __init__(
@@ -46,11 +49,13 @@
         user_timeout_s,
         max_body_bytes=MAX_RESPONSE_BODY_BYTES,
         body_budget=None,
+        max_connect_timeout_s=None,
     ):
         self.address = address
         self._max_body_bytes = max_body_bytes
         self._body_budget = body_budget
-        self._connect_timeout_s = connect_timeout_s
+        self._min_connect_timeout_s = self._connect_timeout_s = connect_timeout_s
+        self._max_connect_timeout_s = max_connect_timeout_s or connect_timeout_s
         self._user_timeout_s = user_timeout_s
         self._idle = []
         self._reset_limit_s, self._reset_limit_until = 0.0, -1.0
@@ -98,9 +103,13 @@
                 self.address, self._connect_timeout_s, self._user_timeout_s
             )
         except OSError as error:
+            self._connect_timeout_s = min(
+                2 * self._connect_timeout_s, self._max_connect_timeout_s
+            )
             raise ExchangeError(
                 step, self.address, f"connect: {error}", may_have_run=False
             ) from error
+        self._connect_timeout_s = self._min_connect_timeout_s
         self.opened += 1
         return Connection(stream, self.address, self._max_body_bytes, self._body_budget)
 
--- a/packages/router/src/jujuberudder_router/_relay.py
+++ b/packages/router/src/jujuberudder_router/_relay.py
@@ -13,8 +13,11 @@
 from ._frames import StoreCallResult
 from ._store import Appended, Conflict, Page, Record, Store, Truncated
 
-# Time-out of a relayed call, in addition to the wait that a read requests.
-RELAY_TIMEOUT_S = 1.0
+# Time-out of a relayed call, in addition to the wait that a read requests, and a number
+# of round trips that is added: those of a link that bodies fill take seconds.
+RELAY_TIMEOUT_S, RELAY_ROUND_TRIPS = 1.0, 2.0
+# Number of links of which the one with the shortest round trip is used.
+RELAY_SAMPLE_SIZE = 2
 # Time after a failed store call during which calls go to other nodes first.
 PREFER_RELAY_S = 2.0
 
@@ -57,6 +60,26 @@
     return handle
 
 
+def choose_relay(links, last_failed_vm, jitter):
+    """Return the VM to relay a call through, or None if no link can be used.
+
+    Parameters
+    ----------
+    links : dict of str to PeerLink
+    last_failed_vm : str or None
+        VM of the last failed relay, used only if there is no other.
+    jitter : callable
+        Returns random numbers in [0, 1).
+    """
+    # On a full link no peer answers its pings in time, but calls still get through.
+    vms = [vm for vm, link in links.items() if link.up]
+    vms = vms or [vm for vm, link in links.items() if not link.lost]
+    if len(vms) > 1 and last_failed_vm in vms:
+        vms.remove(last_failed_vm)
+    drawn = [vms[int(jitter() * len(vms))] for _ in range(RELAY_SAMPLE_SIZE) if vms]
+    return min(drawn, key=lambda vm: links[vm].round_trip_s, default=None)
+
+
 def with_relays(store, node):
     """Return a ``Store`` that relays calls through another node after a failure.
 
@@ -70,17 +93,15 @@
 
     async def relay(name, arguments, wait_s):
         nonlocal last_failed_vm
-        vms = [vm for vm, link in node.links.items() if link.up]
-        if len(vms) > 1 and last_failed_vm in vms:
-            vms.remove(last_failed_vm)
-        if not vms:
+        vm = choose_relay(node.links, last_failed_vm, node.jitter)
+        if vm is None:
             return None
-        vm = vms[int(node.jitter() * len(vms))]
+        timeout_s = RELAY_TIMEOUT_S + RELAY_ROUND_TRIPS * node.links[vm].round_trip_s
         sent_at = trio.current_time()
         # Also the outcome if the caller cancels, as a follower that is behind does.
         reason, last_failed_vm = "no answer in time", vm
         try:
-            with trio.move_on_after(RELAY_TIMEOUT_S + wait_s):
+            with trio.move_on_after(timeout_s + wait_s):
                 payload = _encoder.encode([name, *arguments])
                 frame = await node.links[vm].call_store(payload)
                 if isinstance(frame, StoreCallResult) and frame.result:
