--- a/packages/router/src/jujuberudder_router/_choice.py
+++ b/packages/router/src/jujuberudder_router/_choice.py
@@ -33,7 +33,9 @@
     ``service_s`` is the mean service time in seconds, or 0 if no request has run there
     yet, ``own_requests`` the number of this node's requests there, ``report_age_s`` the
     age of the load report in seconds, ``failure_share`` the share of requests that
-    fail, in [0, 1], and ``round_trip_s`` the time of a ping and its pong in seconds.
+    fail, in [0, 1], ``round_trip_s`` the time of a ping and its pong in seconds, and
+    ``byte_s`` the time that a byte takes on the link of this node, or 0 if the VM is
+    this node's own.
     """
 
     vm: str
@@ -46,6 +48,7 @@
     report_age_s: float
     failure_share: float = 0.0
     round_trip_s: float = 0.0
+    byte_s: float = 0.0
 
 
 def cost(candidate, body_bytes):
@@ -66,6 +69,7 @@
     )
     # The request and its response wait behind what fills the links, as a ping did.
     link_wait = max(0.0, c.round_trip_s - UNLOADED_ROUND_TRIP_S)
+    link_wait += c.byte_s * body_bytes
     time = wait + link_wait + c.service_s + load_cost + zone_cost
     return time / max(0.05, 1 - c.failure_share)
 
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -386,23 +386,29 @@
     def candidates(self, service, refused=()):
         """Return a sample of the VMs of a service without keys for one request.
 
+        This VM is always in it, because its load is known and no link is needed.
+
         Parameters
         ----------
         service : str
         refused : set of str
             VMs that refused the request.
         """
-        local, remote = [], []
+        own, same_zone, other_zones = [], [], []
         for vm in self.vms.values():
             if vm.service != service or vm.leaving or not vm.target_incarnation:
                 continue
-            if vm.name not in refused and self._known_to_accept(vm.name):
-                (local if vm.zone == self.settings.zone else remote).append(vm)
+            if vm.name in refused or not self._known_to_accept(vm.name):
+                continue
+            if vm.name == self.settings.vm:
+                own.append(vm)
+            elif vm.zone == self.settings.zone:
+                same_zone.append(vm)
+            else:
+                other_zones.append(vm)
         now = trio.current_time()
-        return [
-            self._candidate(vm, now)
-            for vm in sample(local, remote, self._random.sample)
-        ]
+        drawn = sample(same_zone, other_zones, self._random.sample)
+        return [self._candidate(vm, now) for vm in own + drawn]
 
     def _known_to_accept(self, vm):
         """Whether a VM is known to accept requests at present."""
@@ -414,15 +420,16 @@
     def _candidate(self, vm, now):
         if vm.name == self.settings.vm:
             load, in_flight, age_s = self.admission.load(), 0, 0.0
-            round_trip_s = 0.0
+            round_trip_s = byte_s = 0.0
         else:
             link = self.links[vm.name]
             load, in_flight, age_s = link.load, link.in_flight, now - link.load_at
             round_trip_s = link.round_trip_s
+            byte_s = 1 / self.settings.link_bytes_per_s
         return Candidate(
             vm.name, vm.zone == self.settings.zone, load.running, load.queued,
             load.slots, load.service_s, in_flight, age_s,
-            self._failure_share(vm.name, now), round_trip_s,
+            self._failure_share(vm.name, now), round_trip_s, byte_s,
         )  # fmt: skip
 
     def handle_heartbeat(self, heartbeat):
--- a/packages/router/src/jujuberudder_router/_types.py
+++ b/packages/router/src/jujuberudder_router/_types.py
@@ -196,7 +196,8 @@
     ``beat_address`` for heartbeats of the target, and ``ready_address`` for readiness
     and metrics. ``grace_s`` is the time from SIGTERM to the end of the node,
     ``hold_limit_s`` the longest validity of a grant. ``memory_bytes`` is the memory
-    that the process may use.
+    that the process may use, ``link_bytes_per_s`` the capacity of the VM's network link
+    in bytes per second.
     """
 
     vm: str
@@ -215,3 +216,4 @@
     retry_window_s: float
     retry_slack: float
     memory_bytes: int
+    link_bytes_per_s: float
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -35,6 +35,9 @@
 outbound = "10.1.0.8:8304"
 ready = "10.1.0.8:8302"
 control = "10.1.0.8:8306"
+[limits]
+memoryMb = 300
+linkMbps = 5.0
 [platform]
 address = "10.200.1.7:8309"
 """
@@ -55,6 +58,7 @@
         184.0,
     )
     assert parsed.retry_ratio == 0.2
+    assert (parsed.memory_bytes, parsed.link_bytes_per_s) == (300000000, 625000.0)
 
 
 @pytest.mark.parametrize(
--- a/tests/router/test_choice_of_vm.py
+++ b/tests/router/test_choice_of_vm.py
@@ -40,11 +40,14 @@
         ),
         ([candidate("a", round_trip_s=0.6), candidate("b", running=5)], 60000, "b"),
         ([candidate("a", round_trip_s=0.02), candidate("b", running=1)], 0, "a"),
+        ([candidate("a", byte_s=2e-6), candidate("b", running=4)], 60000, "b"),
+        ([candidate("a", byte_s=2e-6), candidate("b", running=9)], 60000, "a"),
     ],
     ids=[
         "none", "same zone", "free slots", "other zone instead of a queue",
         "large body stays in its zone", "faster", "new VM without service time",
         "failing", "old report, many own requests", "full link", "distant",
+        "no link needed", "queue longer than the transfer",
     ],
 )  # fmt: skip
 def test_choose(candidates, body_bytes, expected):
