Check links and VMs less often than they are used

Now one pass over the links takes the clock once, and a request checks only the VMs that were drawn; all are checked if one of these does not accept. The sample of accepting VMs has the same distribution as before.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -398,16 +398,24 @@
         for vm in self.vms.values():
             if vm.service != service or vm.leaving or not vm.target_incarnation:
                 continue
-            if vm.name in refused or not self._known_to_accept(vm.name):
+            if vm.name in refused:
                 continue
             if vm.name == self.settings.vm:
-                own.append(vm)
+                if self._known_to_accept(vm.name):
+                    own.append(vm)
             elif vm.zone == self.settings.zone:
                 same_zone.append(vm)
             else:
                 other_zones.append(vm)
-        now = trio.current_time()
         drawn = sample(same_zone, other_zones, self._random.sample)
+        # All VMs are checked only if one of the drawn ones is not known to accept.
+        if not all(self._known_to_accept(vm.name) for vm in drawn):
+            drawn = sample(
+                [vm for vm in same_zone if self._known_to_accept(vm.name)],
+                [vm for vm in other_zones if self._known_to_accept(vm.name)],
+                self._random.sample,
+            )
+        now = trio.current_time()
         return [self._candidate(vm, now) for vm in own + drawn]
 
     def _known_to_accept(self, vm):
--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_links.py
@@ -80,8 +80,9 @@
         When ``load`` was received, on this node's clock in seconds.
     in_flight : int
         Number of calls without a reply.
-    pinged_at : float
-        When the last ping was sent, on this node's clock in seconds.
+    pinged_at, received_at : float
+        When the last ping was sent and the last frame received or the connection
+        opened, on this node's clock in seconds.
     """
 
     def __init__(self, vm, log, count_links, read_progress, on_pong):
@@ -92,13 +93,12 @@
         self.load = None
         self.load_at = -1.0
         self.in_flight = 0
-        self.pinged_at = -1.0
+        self.pinged_at = self.received_at = -1.0
         self._log = log
         self._stream = None
         self._connection_scope = None
         self._pending = {}
         self._call_ids = itertools.count(1)
-        self._received_at = -1.0
         # Time of the first ping since the last frame, or None.
         self._unanswered_ping_at = None
         self._last_round_trip_s = 0.0
@@ -107,7 +107,12 @@
     @property
     def idle_s(self):
         """Seconds since a frame arrived or the link opened, or since its creation."""
-        return trio.current_time() - max(self._received_at, self._created_at)
+        return trio.current_time() - max(self.received_at, self._created_at)
+
+    @property
+    def connected(self):
+        """Whether there is a connection, which may be silent."""
+        return self._stream is not None
 
     @property
     def round_trip_s(self):
@@ -203,24 +208,13 @@
                 pending_reply.set(frame)
 
     def _record_receipt(self):
-        self._received_at = trio.current_time()
+        self.received_at = trio.current_time()
         self._unanswered_ping_at = None
 
-    def ping_due(self, interval_s):
-        """Whether the last ping was sent at least ``interval_s`` ago."""
-        return (
-            self._stream is not None
-            and trio.current_time() - self.pinged_at >= interval_s
-        )
-
-    def close_if_silent(self, interval_s):
-        """Close the connection if no frame has arrived for too long."""
-        if self._stream is None:
-            return
-        idle_s = trio.current_time() - self._received_at
-        if idle_s >= max(RECEIVE_TIMEOUT_S, RECEIVE_TIMEOUT_INTERVALS * interval_s):
-            self._silent_s = idle_s
-            self._connection_scope.cancel()
+    def close_silent(self):
+        """Close the connection because no frame has arrived for too long."""
+        self._silent_s = trio.current_time() - self.received_at
+        self._connection_scope.cancel()
 
     def ping(self, read_now=False):
         """Send a ``Ping`` with the read progress, if there is a connection."""
@@ -300,12 +294,19 @@
     while True:
         slept_at = trio.current_time()
         await trio.sleep(PING_TICK_S)
+        now = trio.current_time()
         interval_s = ping_interval(len(links))
+        silence_s = max(RECEIVE_TIMEOUT_S, RECEIVE_TIMEOUT_INTERVALS * interval_s)
         # After a pause of the process, frames that arrived meanwhile are read first.
-        if trio.current_time() - slept_at < MAX_TICK_S:
-            for link in links.values():
-                link.close_if_silent(interval_s)
-        due = [link for link in links.values() if link.ping_due(interval_s)]
+        paused = now - slept_at >= MAX_TICK_S
+        due = []
+        for link in links.values():
+            if not link.connected:
+                continue
+            if now - link.received_at >= silence_s and not paused:
+                link.close_silent()
+            elif now - link.pinged_at >= interval_s:
+                due.append(link)
         due.sort(key=lambda link: link.pinged_at)
         mean_due = len(links) * PING_TICK_S / interval_s
         for link in due[: math.ceil(MAX_TICK_SHARE * mean_due)]:
