Wait for the queue in the test of freed slots

Cause: the test frees the slots 0.1 s after it sends that request, which another node forwards; on a busy machine it is not in the queue by then. With 0.001 s in place of 0.1 s all three cases fail with the same assertion.

The test now waits until the owner's metric says that all requests are queued. The checks are unchanged.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,7 @@
 """Admission to the target under contention, through real sockets."""
 
 import math
+import re
 from typing import NamedTuple
 
 import pytest
@@ -58,6 +59,17 @@
         responses.append((path, await read_response(stream)))
 
 
+async def wait_until_queued(member, count):
+    """Wait until a number of requests wait for the target of a member."""
+    waiting = rf"jujuberudder_queue_waiting\{{.*\}} {count}\.0\n".encode()
+    with trio.fail_after(5):
+        while True:
+            metrics = await send_request(member.addresses.operator, "GET", "/metrics")
+            if re.search(waiting, metrics.body):
+                return
+            await trio.sleep(0.02)
+
+
 class Contention(NamedTuple):
     """Requests sent first and later, and those that must get the first free slots."""
 
@@ -93,7 +105,9 @@
     blocking, responses = BlockingScript(), []
     section = JOBS + "slots: 2\ncall_slots: 0\nslow_start_ms: 0\n"
     async with trio.open_nursery() as nursery:
-        _, addresses, _ = await start_scripted(nursery, blocking.script, section)
+        _, addresses, deployment = await start_scripted(
+            nursery, blocking.script, section
+        )
         await trio.sleep(0.1)
         async with trio.open_nursery() as requests:
             for path, source, deadline in case.first:
@@ -105,7 +119,8 @@
                 requests.start_soon(
                     post_from, addresses[1], path, responses, source, deadline
                 )
-            await trio.sleep(0.1)
+            owner = deployment.members["jobs-dar-a"]
+            await wait_until_queued(owner, len(case.first) + len(case.later) - 2)
             assert blocking.max_running == 2
             blocking.released.set()
         assert [response.status for _, response in responses] == [200] * len(responses)
