Stop a node that has no descriptors left without an error

Found in review: the connections that wait when a listener closes are accepted without the handler for EMFILE that the loop before has, so that a node at its limit of descriptors would end with an error and cut the requests under way. Such an error is logged now, and the listener closes.

--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -91,8 +91,11 @@
                     continue
                 nursery.start_soon(self._serve_connection, stream)
         # Closing the listener resets the connections that it has not accepted.
-        while is_readable(listener.socket):
-            nursery.start_soon(self._serve_connection, await listener.accept())
+        try:
+            while is_readable(listener.socket):
+                nursery.start_soon(self._serve_connection, await listener.accept())
+        except OSError as error:
+            self._log("accept_failed", reason=str(error))
         listener.socket.close()
 
     async def _close_expired_periodically(self):
