Ask in one place whether a socket is readable

The server's drain, the older listener's drain and the pool's check of an idle connection each asked the system in their own way whether bytes, a connection or an end wait on a socket; the pool built a second socket object for it. All call is_readable of the base package now. A broken connection counts as readable, as it did for the pool.

--- a/packages/base/src/jujuberudder_base/__init__.py
+++ b/packages/base/src/jujuberudder_base/__init__.py
@@ -3,6 +3,7 @@
 from ._clock import BoottimeClock
 from ._errors import Failure, UserError
 from ._lines import LineLog, format_pairs, format_value
+from ._sockets import is_readable
 
 __all__ = [
     "BoottimeClock",
@@ -11,4 +12,5 @@
     "UserError",
     "format_pairs",
     "format_value",
+    "is_readable",
 ]
--- a/packages/clients/src/jujuberudder_clients/_listener.py
+++ b/packages/clients/src/jujuberudder_clients/_listener.py
@@ -1,6 +1,5 @@
 """HTTP listener for clients or nodes, with a limit on connections per address."""
 
-import select
 from collections import Counter
 
 import trio
@@ -8,7 +7,7 @@
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.utils import wrap_app
 
-from jujuberudder_core import new_id
+from jujuberudder_core import is_readable, new_id
 
 from ._connection import Connection
 from ._request import HEAD_MAX_BYTES
@@ -100,11 +99,8 @@
 
     Closing a listener resets those that it has not accepted.
     """
-    poll = select.poll()
-    for listener in listeners:
-        poll.register(listener.socket.fileno(), select.POLLIN)
     with trio.move_on_after(ACCEPT_PENDING_S):
-        while poll.poll(0):
+        while any(is_readable(listener.socket) for listener in listeners):
             await trio.sleep(0)
 
 
--- a/packages/core/src/jujuberudder_core/__init__.py
+++ b/packages/core/src/jujuberudder_core/__init__.py
@@ -1,6 +1,6 @@
 """Records, their folds, settings and shared types of jujuberudder."""
 
-from jujuberudder_base import BoottimeClock, Failure, UserError
+from jujuberudder_base import BoottimeClock, Failure, UserError, is_readable
 
 from . import _records as records
 from ._documents import Document, Problem, convert_document, read_document
@@ -49,6 +49,7 @@
     "convert_document",
     "split_snapshot",
     "is_exact_cover",
+    "is_readable",
     "decode_record",
     "encode_record",
     "explain_view",
--- a/packages/router/src/jujuberudder_router/_http.py
+++ b/packages/router/src/jujuberudder_router/_http.py
@@ -7,7 +7,7 @@
 import httptools
 import trio
 
-from jujuberudder_base import Failure
+from jujuberudder_base import Failure, is_readable
 
 # Maximum bytes per read: most messages arrive in one read, uploads in a few.
 READ_BYTES = 65536
@@ -326,16 +326,7 @@
 
     def is_stale(self):
         """Whether the peer closed the idle connection or sent unexpected bytes."""
-        sock = socket.socket(fileno=self._stream.socket.fileno())
-        try:
-            sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        finally:
-            sock.detach()
-        return True
+        return is_readable(self._stream.socket)
 
     async def exchange(self, data, step, on_data=None):
         """Send a request and read the complete response.
--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -1,11 +1,12 @@
 """HTTP/1.1 server: one task reads each client connection."""
 
 import errno
-import select
 import traceback
 
 import trio
 
+from jujuberudder_base import is_readable
+
 from ._http import READ_BYTES, HttpError, make_request_parser, parse, response_bytes
 
 # Listen backlog: holds a burst of new connections from the clients of one availability
@@ -32,13 +33,6 @@
     return f"{frame.filename.rpartition('/')[2]}:{frame.lineno}"
 
 
-def is_readable(sock):
-    """Return whether a socket has bytes to read or a connection to accept."""
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 class Server:
     """HTTP/1.1 server for the connections of clients.
 
