Use one function for the parts of key ranges

The ownership module cut ranges by owner and by what they leave uncovered with loops of its own, which the key map module has for hand-overs and for keys without an owner; reported releases had the overlap written out again. `intersect` and `uncovered` of the key map serve all of them. In the follower, two conditions that are always equal are one.

Result: no change of behaviour but the order in which released ranges are kept after one was granted again; without a named receiver, it may decide which VM gets which range. The protocol simulation and the tests of key maps and followers pass.

--- a/packages/router/src/jujuberudder_router/_follower.py
+++ b/packages/router/src/jujuberudder_router/_follower.py
@@ -23,8 +23,6 @@
 # Number of consecutive reads that are cancelled before reads run without this limit: a
 # slow node or store needs more time, and a wrong end must not cancel all reads.
 MAX_CANCELLED_READS = 3
-
-
 # Number of unread records up to which all of them are read: the newest record of each
 # key takes a third more bytes in the response of the store.
 MIN_UNREAD_RECORDS = 2
@@ -224,7 +222,6 @@
         self._known_end = page.end
         if self.end >= page.end:
             self.read_at = sent_at
-        if self.end >= self._known_end:
             self._behind_since = None
         self.changed.set()
         self.changed = trio.Event()
--- a/packages/router/src/jujuberudder_router/_keymap.py
+++ b/packages/router/src/jujuberudder_router/_keymap.py
@@ -32,14 +32,20 @@
 
 def unowned_ranges(keymap):
     """Return the ranges (start, end) that have no owner, in the order of keys."""
-    unowned, start = [], 0
-    for key_range in keymap.ranges:
-        if key_range.start > start:
-            unowned.append((start, key_range.start - 1))
-        start = key_range.end + 1
-    if start < KEY_COUNT:
-        unowned.append((start, KEY_COUNT - 1))
-    return unowned
+    owned = [(key_range.start, key_range.end) for key_range in keymap.ranges]
+    return uncovered(0, KEY_COUNT - 1, owned)
+
+
+def uncovered(start, end, ranges):
+    """Return the parts (start, end) of a range outside of ``ranges`` (start, end)."""
+    parts = []
+    for low, high in sorted(ranges):
+        if start > end:
+            return parts
+        if low > start:
+            parts.append((start, min(end, low - 1)))
+        start = max(start, high + 1)
+    return [*parts, (start, end)] if start <= end else parts
 
 
 def key_count(keymap, vm):
@@ -98,7 +104,11 @@
     keymap : KeyMap
         Unchanged if there are no owners or no range to assign.
     """
-    pieces = _intersect(keymap, vm, released, fence)
+    pieces = [
+        (low, high, token)
+        for key_range, low, high, token in intersect(keymap, vm, released)
+        if fence in (None, key_range.fence)
+    ]
     if not owners or not pieces:
         return keymap
     kept = _subtract(keymap.ranges, pieces)
@@ -116,6 +126,29 @@
     return tuple(_subtract(key_ranges, [(start, end, "") for start, end in removed]))
 
 
+def intersect(keymap, vm, released):
+    """Return the parts of released ranges that a VM owns, by key range.
+
+    Parameters
+    ----------
+    keymap : KeyMap
+    vm : str
+    released : list of (start, end, handover)
+
+    Returns
+    -------
+    list of (KeyRange, int, int, str)
+        Key range that contains the part, its start and end, and the handover token.
+    """
+    own = [key_range for key_range in keymap.ranges if key_range.vm == vm]
+    return [
+        (key_range, max(start, key_range.start), min(end, key_range.end), token)
+        for start, end, token in released
+        for key_range in own
+        if key_range.start <= end and start <= key_range.end
+    ]
+
+
 def add_suspicion(keymap, vm, suspicion):
     """Add a suspicion that a VM failed; the VM refutes it by ``clear_suspicion``."""
     others = tuple(s for s in keymap.suspicions if s[0] != vm)
@@ -163,19 +196,6 @@
     return distributed
 
 
-def _intersect(keymap, vm, released, fence=None):
-    """Return the parts of released ranges that ``vm`` owns, with ``fence`` if given."""
-    pieces = []
-    for key_range in keymap.ranges:
-        if key_range.vm != vm or fence not in (None, key_range.fence):
-            continue
-        for start, end, token in released:
-            low, high = max(start, key_range.start), min(end, key_range.end)
-            if low <= high:
-                pieces.append((low, high, token))
-    return pieces
-
-
 def _subtract(key_ranges, pieces):
     """Return the key ranges without the keys of the pieces."""
     kept = list(key_ranges)
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -319,13 +319,12 @@
 
         A previous process of this node may have planned to move them.
         """
-        granted = [(r.start, r.end, "") for r in key_ranges]
-        for start, end in list(self._released):
-            if not _overlaps(start, end, granted):
-                continue
-            token = self._released.pop((start, end))
-            for piece in _uncovered(start, end, granted):
-                self._released[piece] = token
+        granted = [(r.start, r.end) for r in key_ranges]
+        self._released = {
+            part: token
+            for (start, end), token in self._released.items()
+            for part in _keymap.uncovered(start, end, granted)
+        }
 
     def _own_ranges(self):
         target, vm = self._node.target, self._node.settings.vm
@@ -392,14 +391,11 @@
         """Return a release for each part of (start, end, token) that this VM owns."""
         vm = self._node.settings.vm
         return [
-            Release(
-                vm, max(start, key_range.start), min(end, key_range.end), token,
-                receiver, key_range.fence,
+            Release(vm, low, high, token, receiver, key_range.fence)
+            for key_range, low, high, token in _keymap.intersect(
+                self._keymap(), vm, pieces
             )
-            for start, end, token in pieces
-            for key_range in self._keymap().ranges
-            if key_range.vm == vm and key_range.start <= end and start <= key_range.end
-        ]  # fmt: skip
+        ]
 
     def _moved_ranges(self, now):
         """Return the releases of ranges that this VM moves away."""
@@ -456,12 +452,10 @@
         """
         keymap, valid = self._keymap(), []
         for key, (release, node_incarnation, at) in list(self._reports.items()):
+            released = [(release.start, release.end, release.handover)]
             owned = any(
-                key_range.vm == release.vm
-                and key_range.fence == release.fence
-                and key_range.start <= release.end
-                and release.start <= key_range.end
-                for key_range in keymap.ranges
+                key_range.fence == release.fence
+                for key_range, *_ in _keymap.intersect(keymap, release.vm, released)
             )
             if now - at > REPORT_TTL_S or (
                 not owned and release.fence < keymap.next_fence
@@ -644,18 +638,6 @@
     expected_end: int
 
 
-def _uncovered(start, end, ranges):
-    """Return the parts (start, end) of a range outside of ``ranges``."""
-    pieces = []
-    for low, high, _ in sorted(ranges):
-        if low > start and start <= end:
-            pieces.append((start, min(end, low - 1)))
-        start = max(start, high + 1)
-    if start <= end:
-        pieces.append((start, end))
-    return pieces
-
-
 def _overlaps(start, end, ranges):
     """Return whether one of ``ranges`` (start, end, handover) overlaps start to end."""
     return any(s <= end and start <= e for s, e, _ in ranges)
