--- a/tests/processes.py
+++ b/tests/processes.py
@@ -10,6 +10,8 @@
 import trio
 import yaml
 
+from jujuberudder._startup_checks import LISTENERS
+
 LISTENING_EVENT = re.compile(
     r"event=listening .*?client=(\S+) request=(\S+) control=(\S+) operator=(\S+)"
 )
@@ -18,7 +20,6 @@
 HOST = "127.{}.{}.{}".format(
     1 + os.getpid() // 65536 % 250, *divmod(os.getpid() % 65536, 256)
 )
-LISTENERS = ("client", "request", "control", "operator")
 
 
 class NodeProcess(NamedTuple):
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -29,6 +29,11 @@
     """Ignore a log event."""
 
 
+async def respond(message):
+    """Respond to any request."""
+    return 200, [], b"done"
+
+
 async def start_server(nursery, handle):
     """Start a server and return it with an open connection to it."""
     server = Server(handle, Limits, log_nothing)
@@ -70,12 +75,8 @@
 @pytest.mark.parametrize("interval_s", [0.02, 0.3, 0.7])
 async def test_connection_in_use_closes_after_a_response(interval_s):
     """Guards against requests lost on an open connection while a node stops."""
-
-    async def handle(message):
-        return 200, [], b"done"
-
     async with trio.open_nursery() as nursery:
-        server, stream = await start_server(nursery, handle)
+        server, stream = await start_server(nursery, respond)
         for number in range(6):
             await stream.send_all(REQUEST)
             response = await stream.receive_some(1000)
@@ -94,12 +95,8 @@
 
 async def test_connections_not_yet_accepted_are_served():
     """Guards against requests reset because their connection waited to be accepted."""
-
-    async def handle(message):
-        return 200, [], b"done"
-
     async with trio.open_nursery() as nursery:
-        server, stream = await start_server(nursery, handle)
+        server, stream = await start_server(nursery, respond)
         address = stream.socket.getpeername()
         # Opened without a checkpoint, so that the server cannot accept them before.
         with ExitStack() as stack:
@@ -131,12 +128,8 @@
 
 async def test_connection_with_an_unread_request_is_not_closed():
     """Guards against a reset of a request that arrived just before a stop."""
-
-    async def handle(message):
-        return 200, [], b"done"
-
     async with trio.open_nursery() as nursery:
-        server, stream = await start_server(nursery, handle)
+        server, stream = await start_server(nursery, respond)
         await trio.sleep(STOP_IDLE_S + 0.1)
         server.closing = True
         # Sent without a checkpoint, so that the server has not read it yet.
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -38,6 +38,12 @@
         return await read_response(stream)
 
 
+async def respond_ok(scope, receive, send):
+    """Respond to any request, as an ASGI application."""
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": b"ok"})
+
+
 def request(line="POST /jobs/1 HTTP/1.1", *lines, body=b""):
     """Return a raw request."""
     return "\r\n".join([line, "Host: test", *lines, "", ""]).encode() + body
@@ -173,14 +179,11 @@
 
 async def test_connections_per_address_are_limited():
     """Guards against one client occupying all connections."""
-
-    async def app(scope, receive, send):
-        await send({"type": "http.response.start", "status": 200, "headers": []})
-        await send({"type": "http.response.body", "body": b"ok"})
-
     async with trio.open_nursery() as nursery:
         stopping = trio.Event()
-        address = await nursery.start(serve_http, app, "127.0.0.1:0", stopping, 3)
+        address = await nursery.start(
+            serve_http, respond_ok, "127.0.0.1:0", stopping, 3
+        )
         streams = [await connect(address) for _ in range(3)]
         for stream in streams:
             await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -196,14 +199,9 @@
 
 async def test_connections_not_yet_accepted_are_served():
     """Guards against requests reset because their connection waited to be accepted."""
-
-    async def app(scope, receive, send):
-        await send({"type": "http.response.start", "status": 200, "headers": []})
-        await send({"type": "http.response.body", "body": b"ok"})
-
     async with trio.open_nursery() as nursery:
         stopping = trio.Event()
-        address = await nursery.start(serve_http, app, "127.0.0.1:0", stopping)
+        address = await nursery.start(serve_http, respond_ok, "127.0.0.1:0", stopping)
         host, port = address.split(":")
         # Opened without a checkpoint, so that the listener cannot accept them before.
         clients = [socket.create_connection((host, int(port))) for _ in range(20)]
