Log why the keys of a lost VM have no new owner

Such a request now names the owner, for how long it has been unreachable, and whether it is suspected. A suspicion that is older than the time until a takeover is logged once with the reachability of its VM, and its age is a metric. Failed attempts to connect to another VM, which left no line, are logged once a reason.

--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -142,6 +142,8 @@
                     continue
                 if state.owner_hint and state.sends < MAX_OWNER_HINTS:
                     continue
+            elif request.key is not None:
+                state.reason = node.owner_problem(service, request.key)
             if (
                 not may_wait_for_owner(request, service)
                 or trio.current_time() > wait_until
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -308,6 +308,21 @@
             return False
         return owner == self.settings.vm or self.unreachable_s(owner) < SUSPECT_AFTER_S
 
+    def owner_problem(self, service, key):
+        """Return why no VM can be sent a request for a key of a service."""
+        keymap = self.keymaps.get(service)
+        if keymap is None:
+            return f"no key map of {service} is known"
+        key_range = locate(keymap, key)
+        if key_range is None:
+            return "the key has no owner"
+        owner = key_range.vm
+        suspected = any(vm == owner for vm, _ in keymap.suspicions)
+        return (
+            f"the owner {owner} accepts no requests: unreachable for "
+            f"{self.unreachable_s(owner):.1f} s{', suspected' if suspected else ''}"
+        )
+
     def _serve_refusal(self, service, key):
         """Return the reason to refuse a request and the VM that may serve it, or None.
 
@@ -338,7 +353,9 @@
         return vm == self.settings.vm or self._link_accepts(vm)
 
     def unreachable_s(self, vm):
-        """Return for how many seconds a VM has been unreachable."""
+        """Return for how many seconds a VM has been unreachable; 0 for this one."""
+        if vm == self.settings.vm:
+            return 0.0
         link = self.links.get(vm)
         if link is None:
             return trio.current_time() - self.membership.started
@@ -621,6 +638,9 @@
             "target_usage": round(load.usage, 4),
             "gate_open": int(load.accepting),
             "configuration_version": node.config_version,
+            "suspicion_age_s": round(
+                node.ownership.suspicion_age_s(trio.current_time()), 1
+            ),
             "links_up": sum(link.up for link in node.links.values()),
             "ready": int(node.ready),
         }
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -246,6 +246,7 @@
         self._failed_writers = {}
         # Id to the time at which this node first read the suspicion.
         self._suspicions = {}
+        self._logged_suspicions = set()
         self._last_keymap, self._key_counts, self._grown_at = None, {}, {}
         self._started = trio.current_time()
         self._next_move_at = self._started + FIRST_MOVE_DELAY_S
@@ -258,6 +259,10 @@
         known_keymap = self._node.keymaps.get(self._service)
         return known_keymap or KeyMap(self._service)
 
+    def suspicion_age_s(self, now):
+        """Return for how many seconds this node has known the oldest suspicion."""
+        return max((now - at for at in self._suspicions.values()), default=0.0)
+
     def lease_valid(self, now):
         """Extend the lease from the last read and return whether it is valid."""
         suspected = _keymap.suspicion_of(self._keymap(), self._node.settings.vm)
@@ -545,6 +550,18 @@
             now - self._started - self._follower.batch_delay_s,
         )  # fmt: skip
 
+    def _log_standing_suspicions(self, view):
+        """Log each suspicion that stands longer than until a takeover, once."""
+        for vm, suspicion in view.keymap.suspicions:
+            age_s = view.now - view.suspicions[suspicion]
+            if age_s > TAKEOVER_DELAY_S and suspicion not in self._logged_suspicions:
+                self._node.log(
+                    "suspicion_stands", suspect=vm, age_s=age_s,
+                    unreachable_s=view.unreachable_vms.get(vm),
+                )  # fmt: skip
+                self._logged_suspicions.add(suspicion)
+        self._logged_suspicions &= view.suspicions.keys()
+
     async def run(self):
         """Check and change the key map periodically until cancelled."""
         while True:
@@ -561,6 +578,7 @@
         end = self._follower.end
         view = self.view(trio.current_time())
         self._forget_moved_ranges(view.keymap)
+        self._log_standing_suspicions(view)
         change = next_change(view, lambda: secrets.token_hex(4))
         if change is None:
             if not self._handing_over_undecided():
--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_links.py
@@ -142,7 +142,7 @@
 
     async def run(self):
         """Connect, and reconnect after each failure, until cancelled."""
-        backoff_s = INITIAL_BACKOFF_S
+        backoff_s, logged_reason = INITIAL_BACKOFF_S, None
         while True:
             try:
                 stream = await dial(
@@ -150,8 +150,15 @@
                 )
             except OSError as error:
                 reason = str(error)
+                # Attempts go on for as long as the VM is in the membership topic.
+                if reason != logged_reason:
+                    self._log(
+                        "peer_connect_failed", peer=self.vm.name,
+                        address=self.vm.address, reason=reason,
+                    )  # fmt: skip
+                    logged_reason = reason
             else:
-                backoff_s = INITIAL_BACKOFF_S
+                backoff_s, logged_reason = INITIAL_BACKOFF_S, None
                 reason = await self._run_connection(stream)
                 self._log("peer_link_lost", peer=self.vm.name, reason=reason)
             await trio.sleep(backoff_s)
--- a/tests/router/test_owner_change.py
+++ b/tests/router/test_owner_change.py
@@ -35,3 +35,20 @@
         settings=SimpleNamespace(vm=vm), unreachable_s=lambda owner: unreachable_s,
     )  # fmt: skip
     assert Node.owner_may_change(node, "s", key) == expected
+
+
+@pytest.mark.parametrize(
+    "keymap, key, expected",
+    [
+        (None, 7, "no key map"),
+        (KEYMAP, 100, "the key has no owner"),
+        (KEYMAP, 7, "the owner a accepts no requests: unreachable for 3.0 s"),
+        (SUSPECTED, 7, "unreachable for 3.0 s, suspected"),
+    ],
+)
+def test_refusal_names_the_owner_that_cannot_be_reached(keymap, key, expected):
+    """Guards against refusals whose log line does not lead to the VM at fault."""
+    node = SimpleNamespace(
+        keymaps={"s": keymap} if keymap else {}, unreachable_s=lambda owner: 3.0
+    )
+    assert expected in Node.owner_problem(node, "s", key)
