--- a/tests/router/test_reused_address.py
+++ b/tests/router/test_reused_address.py
@@ -1,9 +1,9 @@
-"""Requests sent to an address that now belongs to a VM of another service."""
+"""Addresses of lost VMs that now belong to other VMs."""
 
 import pytest
 import trio
 
-from jujuberudder_emulator import free_addresses
+from jujuberudder_emulator import free_addresses, run_deployment
 from jujuberudder_platform import parse_settings
 from jujuberudder_platform.__main__ import ADAPTER
 from jujuberudder_router import KeyMap, KeyRange, Node, Service
@@ -49,3 +49,18 @@
         reply = await node.serve(request)
     assert (reply.outcome, reply.owner) == (NOT_RUN, owner)
     assert reason in reply.reason
+
+
+@pytest.mark.parametrize("service", ["orders", "jobs"])
+async def test_keys_of_a_lost_vm_get_an_owner_after_its_address_is_reused(service):
+    """Guards against a lost VM that stays reachable through the next at its address."""
+    async with run_deployment("jobs", "jobs") as deployment:
+        await deployment.wait_until(deployment.serves_keys)
+        lost = deployment.vms.pop("vm-0")
+        lost.target_scope.cancel()
+        lost.node_scope.cancel()
+        successor = deployment.add("vm-2", service)
+        successor.peer_address = lost.peer_address
+        successor.start_node()
+        await deployment.wait_until(deployment.serves_keys)
+        assert deployment.double_owners() == []
