Use a connection to another node only if it is the expected VM

Cause: a link was taken for the VM that its address had belonged to.

Change: the first frame in both directions names the sender's VM and process, and the VM that the dialing node expects. Either end closes a connection to another VM; nothing counts as received before. The load of an earlier process is dropped, and releases are accepted only from the process that the connection named.

Nodes without this frame cannot connect to nodes with it.

--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -28,6 +28,18 @@
     usage: float = 0.0
 
 
+class Hello(msgspec.Struct, array_like=True, tag="i"):
+    """First frame in both directions of a connection: the process that sends it.
+
+    An address may belong to another VM by the time that it is dialed. ``peer`` is the
+    VM that the dialing node expects; it is empty in the answer.
+    """
+
+    vm: str
+    node_incarnation: str
+    peer: str = ""
+
+
 class ForwardRequest(msgspec.Struct, array_like=True, tag="a"):
     """A client request, forwarded to the node beside the target that is to run it."""
 
@@ -134,7 +146,8 @@
 
 
 Frame = (
-    ForwardRequest
+    Hello
+    | ForwardRequest
     | ForwardReply
     | CancelForward
     | Ping
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -6,6 +6,7 @@
 import trio
 from result import Err
 
+from ._frames import Hello
 from ._peer_links import PeerLink
 from ._store import MEMBERSHIP_TOPIC
 from ._types import VM, KeyMap
@@ -44,6 +45,10 @@
         self._scopes = {}
         self.started = trio.current_time()
 
+    def hello(self, peer=""):
+        """Return the ``Hello`` of this node to the node of the VM ``peer``."""
+        return Hello(self._node.settings.vm, self.node_incarnation, peer)
+
     def entry(self):
         """Return this VM's current entry."""
         node, settings = self._node, self._node.settings
@@ -117,8 +122,9 @@
     def _add_link(self, vm):
         node = self._node
         link = PeerLink(
-            vm, node.log, node.links.__len__, node.read_progress, node.on_pong
-        )
+            vm, self.hello(vm.name), node.log, node.links.__len__, node.read_progress,
+            node.on_pong,
+        )  # fmt: skip
         node.links[vm.name] = link
         if self._nursery is not None:
             self._start(link)
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -539,8 +539,8 @@
         ):
             nursery.start_soon(server.serve, parse_address(address))
         nursery.start_soon(
-            serve_links, parse_address(settings.peer_address), node.serve,
-            make_relay_handler(node), node.admission.load, node.on_ping,
+            serve_links, parse_address(settings.peer_address), node.membership.hello(),
+            node.serve, make_relay_handler(node), node.admission.load, node.on_ping,
             node.ownership.on_releases, log,
         )  # fmt: skip
         nursery.start_soon(ping_links, node.links)
--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_links.py
@@ -14,6 +14,7 @@
     ForwardReply,
     ForwardRequest,
     FrameError,
+    Hello,
     Ping,
     Pong,
     ReleaseReport,
@@ -48,6 +49,8 @@
 RECEIVE_TIMEOUT_S, RECEIVE_TIMEOUT_INTERVALS = 3.0, 2.8
 # Time-out of a connection attempt to another VM of the deployment.
 CONNECT_TIMEOUT_S = 1.0
+# Time-out of the exchange of the first frames on a connection.
+HELLO_TIMEOUT_S = 1.0
 # First and longest backoff between two connection attempts; it doubles each time.
 INITIAL_BACKOFF_S, MAX_BACKOFF_S = 0.1, 2.0
 
@@ -57,13 +60,41 @@
     return min(MAX_PING_S, max(MIN_PING_S, PING_S_PER_LINK * links))
 
 
+class WrongPeerError(Exception):
+    """The process at the other end of a connection is not the expected one."""
+
+
+async def receive_hello(stream):
+    """Return the first frame of a connection, a ``Hello``.
+
+    Raises
+    ------
+    FrameError
+        The connection ended, or began with another frame.
+    msgspec.MsgspecError, trio.BrokenResourceError
+    """
+    frames = []
+    while not frames:
+        frames = await stream.receive()
+        if frames is None:
+            raise FrameError("closed before the first frame")
+    if len(frames) > 1 or not isinstance(frames[0], Hello):
+        raise FrameError("the first frame does not name its sender")
+    return frames[0]
+
+
 class PeerLink:
     """Connection to one other node, with the load last received on it.
 
+    It is used only while the process at the other end has proved to be a node of the
+    VM: another VM may have got the address.
+
     Parameters
     ----------
     vm : VM
         Membership entry of the other node.
+    hello : Hello
+        Names this node and the VM of the other one.
     log : callable
     count_links : callable
         Returns the number of links of this node.
@@ -74,8 +105,10 @@
 
     Attributes
     ----------
+    node_incarnation : str
+        Process of the other node on the last connection; empty before the first one.
     load : Load or None
-        Last load of the target beside the other node.
+        Last load of the target beside the other node, from its present process.
     load_at : float
         When ``load`` was received, on this node's clock in seconds.
     in_flight : int
@@ -85,8 +118,10 @@
         opened, on this node's clock in seconds.
     """
 
-    def __init__(self, vm, log, count_links, read_progress, on_pong):
+    def __init__(self, vm, hello, log, count_links, read_progress, on_pong):
         self.vm = vm
+        self.node_incarnation = ""
+        self._hello = hello
         self._count_links = count_links
         self._read_progress = read_progress
         self._on_pong = on_pong
@@ -145,10 +180,8 @@
         backoff_s, logged_reason = INITIAL_BACKOFF_S, None
         while True:
             try:
-                stream = await dial(
-                    self.vm.address, CONNECT_TIMEOUT_S, RECEIVE_TIMEOUT_S
-                )
-            except OSError as error:
+                stream = await self._connect()
+            except (OSError, WrongPeerError) as error:
                 reason = str(error)
                 # Attempts go on for as long as the VM is in the membership topic.
                 if reason != logged_reason:
@@ -164,11 +197,49 @@
             await trio.sleep(backoff_s)
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
+    async def _connect(self):
+        """Return a stream to a node that has proved to be one of the VM.
+
+        Raises
+        ------
+        OSError
+            No connection was established.
+        WrongPeerError
+            The process at the address is not a node of the VM.
+        """
+        tcp_stream = await dial(self.vm.address, CONNECT_TIMEOUT_S, RECEIVE_TIMEOUT_S)
+        stream = FrameStream(tcp_stream)
+        try:
+            stream.send(self._hello)
+            with trio.fail_after(HELLO_TIMEOUT_S):
+                hello = await receive_hello(stream)
+            if hello.vm != self.vm.name:
+                raise WrongPeerError(f"the address belongs to {hello.vm}")
+        except (
+            trio.TooSlowError,
+            trio.BrokenResourceError,
+            FrameError,
+            msgspec.MsgspecError,
+        ) as error:
+            stream.close()
+            reason = str(error) or f"no answer in {HELLO_TIMEOUT_S} s"
+            raise WrongPeerError(f"no name of a VM was received: {reason}") from error
+        except BaseException:
+            stream.close()
+            raise
+        if hello.node_incarnation != self.node_incarnation:
+            self.node_incarnation = hello.node_incarnation
+            self.load, self.load_at = None, -1.0
+        return stream
+
     async def _run_connection(self, stream):
-        self._stream = FrameStream(stream)
+        self._stream = stream
         self._silent_s = None
         self._record_receipt()
-        self._log("peer_link_up", peer=self.vm.name, address=self.vm.address)
+        self._log(
+            "peer_link_up", peer=self.vm.name, address=self.vm.address,
+            process=self.node_incarnation,
+        )  # fmt: skip
         reason = "closed by the peer"
         try:
             async with trio.open_nursery() as nursery:
@@ -321,13 +392,16 @@
 
 
 async def serve_links(
-    address, handle_request, handle_store_call, get_load, on_ping, on_releases, log
-):
+    address, own_hello, handle_request, handle_store_call, get_load, on_ping,
+    on_releases, log,
+):  # fmt: skip
     """Accept connections of other nodes until cancelled.
 
     Parameters
     ----------
     address : (str, int)
+    own_hello : Hello
+        Names this node. Connections that are meant for another VM are closed.
     handle_request : callable
         ``await handle_request(request) -> ForwardReply``; cancelled when the peer sends
         a ``CancelForward`` or its connection is lost.
@@ -367,7 +441,23 @@
             result, reason = await handle_store_call(frame.payload)
             stream.send(StoreCallResult(frame.id, result, reason))
 
-        async def read(nursery):
+        async def accept_hello():
+            """Return the ``Hello`` of a peer that looks for this VM."""
+            with trio.fail_after(HELLO_TIMEOUT_S):
+                hello = await receive_hello(stream)
+            stream.send(own_hello)
+            if hello.peer != own_hello.vm:
+                raise WrongPeerError(f"{hello.vm} looks for {hello.peer} here")
+            return hello
+
+        def apply_releases(report, hello):
+            sender = (report.vm, report.node_incarnation)
+            if sender == (hello.vm, hello.node_incarnation):
+                on_releases(report)
+            else:
+                log("releases_of_another_vm", peer=hello.vm, reported=report.vm)
+
+        async def read(nursery, hello):
             while (frames := await stream.receive()) is not None:
                 for frame in frames:
                     if isinstance(frame, ForwardRequest):
@@ -387,16 +477,20 @@
                             )
                         )
                     elif isinstance(frame, ReleaseReport):
-                        on_releases(frame)
+                        apply_releases(frame, hello)
                     elif isinstance(frame, StoreCall):
                         nursery.start_soon(run_store_call, frame)
 
         try:
+            hello = await accept_hello()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(stream.run_writer)
-                await read(nursery)
+                await read(nursery, hello)
                 nursery.cancel_scope.cancel()
+        except* trio.TooSlowError:
+            log("peer_connection_lost", reason=f"no frame in {HELLO_TIMEOUT_S} s")
         except* (
+            WrongPeerError,
             trio.BrokenResourceError,
             trio.ClosedResourceError,
             FrameError,
--- a/tests/router/test_peer_links.py
+++ b/tests/router/test_peer_links.py
@@ -14,6 +14,7 @@
     ForwardReply,
     FrameBuffer,
     FrameError,
+    Hello,
     ReadProgress,
 )
 from jujuberudder_router._peer_links import (
@@ -27,6 +28,8 @@
     ping_links,
 )
 
+HELLO = Hello("a", "1", "b")
+
 
 def log_nothing(*values, **fields):
     """Ignore a log event."""
@@ -58,7 +61,7 @@
 def connect_silent_link():
     """Return a link of 87 that has just connected to a silent peer, and its stream."""
     vm = VM("b", "1", "127.0.0.1:1", "z", "s")
-    link = PeerLink(vm, log_nothing, lambda: 87, ReadProgress, log_nothing)
+    link = PeerLink(vm, HELLO, log_nothing, lambda: 87, ReadProgress, log_nothing)
     link._stream, link._connection_scope = SilentStream(), trio.CancelScope()
     link._record_receipt()
     link.ping()
@@ -68,7 +71,9 @@
 def add_other_links(link):
     """Return the links of a node with 87 links, all but one without a connection."""
     links = {
-        str(n): PeerLink(link.vm, log_nothing, lambda: 87, ReadProgress, log_nothing)
+        str(n): PeerLink(
+            link.vm, HELLO, log_nothing, lambda: 87, ReadProgress, log_nothing
+        )
         for n in range(86)
     }
     return links | {"b": link}
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -14,6 +14,7 @@
     CancelForward,
     ForwardReply,
     ForwardRequest,
+    Hello,
     encode_frame,
 )
 from jujuberudder_router._peer_links import serve_links
@@ -209,13 +210,16 @@
 
         address = ("127.0.0.1", int(free_addresses(1)[0].split(":")[1]))
         nursery.start_soon(
-            serve_links, address, handle, None, lambda: None, None, None, log_nothing
-        )
+            serve_links, address, Hello("b", "1"), handle, None, lambda: None, None,
+            None, log_nothing,
+        )  # fmt: skip
         await trio.sleep(0.05)
         stream = await trio.open_tcp_stream(*address)
         request = ForwardRequest(
             1, "r", b"GET", b"/", [], b"", 1.0, 1.0, 1, None, "s", "s", "r"
         )
+        await stream.send_all(encode_frame(Hello("a", "1", "b")))
+        assert await stream.receive_some() == encode_frame(Hello("b", "1"))
         await stream.send_all(
             bytes(encode_frame(request)) + bytes(encode_frame(CancelForward(1)))
         )
