Take over the keys of a suspected VM that is reachable but does not refute

A takeover was due only while the suspected VM was unreachable. One that answers pings but cannot refute the suspicion, as its reads or appends fail, gets no lease from reads that show the suspicion: its keys stayed unserved for as long as it was reachable. This is the same class as the reused address: reachability of an address decided, not what the VM itself had written.

A suspicion that stands 5 s longer than the time until a takeover is now followed by one. That time already covers lease and grant, whether the VM is reachable or not.

The case "suspected but reachable again" now lists the VM as reachable, as a node does; its expectation is unchanged. The new case fails without the change.

--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -40,6 +40,9 @@
 SAFETY_MARGIN_S = 0.3
 # Seconds from the read of a suspicion to a takeover: lease, grant and margin.
 TAKEOVER_DELAY_S = LEASE_S + GRANT_TTL_S * CLOCK_DRIFT_FACTOR + SAFETY_MARGIN_S
+# Seconds after that delay within which a suspected VM that is reachable may still
+# refute the suspicion: after an outage of the store its read or append may be late.
+REFUTE_GRACE_S = 5.0
 # Seconds for which a VM is unreachable before it is suspected: longer than the restart
 # of a node takes, so that a restarted node keeps its keys.
 SUSPECT_AFTER_S = 2.0
@@ -200,14 +203,18 @@
 
 def _change_for_unreachable_vm(view, rank, new_id):
     for vm, unreachable_s in view.unreachable_vms.items():
-        if unreachable_s < SUSPECT_AFTER_S + rank * RANK_DELAY_S:
-            continue
+        unreachable = unreachable_s >= SUSPECT_AFTER_S + rank * RANK_DELAY_S
         suspicion = _keymap.suspicion_of(view.keymap, vm)
         if suspicion is None:
+            if not unreachable:
+                continue
             suspected = _keymap.add_suspicion(view.keymap, vm, new_id())
             return KeyMapChange(suspected, f"{vm} is unreachable")
+        # Reads do not extend the lease of a suspected VM, so that it serves no keys
+        # although it is reachable.
+        grace_s = 0.0 if unreachable else REFUTE_GRACE_S + rank * RANK_DELAY_S
         since = view.suspicions.get(suspicion)
-        if since is not None and view.now - since > TAKEOVER_DELAY_S:
+        if since is not None and view.now - since > TAKEOVER_DELAY_S + grace_s:
             others = [o for o in view.owners if o.vm != vm]
             taken_over = _keymap.take_over(view.keymap, vm, others)
             return KeyMapChange(
--- a/tests/router/test_keymap.py
+++ b/tests/router/test_keymap.py
@@ -21,6 +21,7 @@
     GRANT_TTL_S,
     INITIAL_ASSIGNMENT_DELAY_S,
     LEASE_S,
+    REFUTE_GRACE_S,
     SUSPECT_AFTER_S,
     TAKEOVER_DELAY_S,
     OwnershipView,
@@ -154,9 +155,21 @@
             take_over(SUSPECTED, "b", [A, C]),
         ),
         (
-            {"keymap": SUSPECTED, "suspicions": {"s1": 99.9 - TAKEOVER_DELAY_S}},
+            {
+                "unreachable_vms": {"b": 0.0},
+                "keymap": SUSPECTED,
+                "suspicions": {"s1": 99.9 - TAKEOVER_DELAY_S},
+            },
             None,
         ),
+        (
+            {
+                "unreachable_vms": {"b": 0.0},
+                "keymap": SUSPECTED,
+                "suspicions": {"s1": 99.9 - TAKEOVER_DELAY_S - REFUTE_GRACE_S},
+            },
+            take_over(SUSPECTED, "b", [A, C]),
+        ),
         (
             {"released": [Release("a", 0, 99, "t", "c")]},
             hand_over(ASSIGNED, "a", [(0, 99, "t")], [C]),
@@ -188,9 +201,10 @@
         "nothing to change", "too early to assign", "assign unowned keys",
         "own target may not own keys", "refute the suspicion", "unreachable briefly",
         "add a suspicion", "suspicion is too recent", "take over",
-        "suspected but reachable again", "released", "released without a receiver",
-        "reported", "reported under an earlier fence", "two releases in one change",
-        "target restarted",
+        "suspected but reachable again",
+        "reachable but does not refute the suspicion", "released",
+        "released without a receiver", "reported", "reported under an earlier fence",
+        "two releases in one change", "target restarted",
     ],
 )  # fmt: skip
 def test_next_change(changes, expected):
