Take over keys at once where another VM has the address of their owner

If a node of another VM answers at the address, that process has ended, and only the grant has to expire.

The process of a VM that came back at another address grants nothing before it has read its own entry, and the conditional append fails if that entry came first; the protocol simulation has this event now, and a rule that fails without the delay.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -361,6 +361,13 @@
             return trio.current_time() - self.membership.started
         return link.idle_s if link.lost else 0.0
 
+    def displaced_s(self, vm):
+        """Return for how many seconds a VM's address has belonged to another VM."""
+        link = self.links.get(vm)
+        if link is None or link.displaced_at is None:
+            return 0.0
+        return trio.current_time() - link.displaced_at
+
     def owners(self, service):
         """Return the VMs of a keyed service that may own keys, sorted by name."""
         owners = []
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -43,6 +43,9 @@
 # Seconds after that delay within which a suspected VM that is reachable may still
 # refute the suspicion: after an outage of the store its read or append may be late.
 REFUTE_GRACE_S = 5.0
+# Seconds after which the keys of a VM whose address belongs to another VM are taken
+# over: its process has ended, so that only the last grant has to expire.
+DISPLACED_DELAY_S = GRANT_TTL_S * CLOCK_DRIFT_FACTOR + SAFETY_MARGIN_S
 # Seconds for which a VM is unreachable before it is suspected: longer than the restart
 # of a node takes, so that a restarted node keeps its keys.
 SUSPECT_AFTER_S = 2.0
@@ -110,6 +113,9 @@
         All VMs of the service that may get keys, in the order of names.
     unreachable_vms : dict of str to float
         Seconds for which each other VM that owns keys has been unreachable.
+    displaced_vms : dict of str to float
+        Seconds since another VM answered at the address of each other VM that owns
+        keys; 0 if none did.
     released : list of Release
         Ranges that targets released or no longer have a grant for.
     suspicions : dict of str to float
@@ -125,6 +131,7 @@
     owner: Owner | None
     owners: list
     unreachable_vms: dict
+    displaced_vms: dict
     released: list
     suspicions: dict
     caught_up_s: float
@@ -202,6 +209,9 @@
 
 
 def _change_for_unreachable_vm(view, rank, new_id):
+    for vm, displaced_s in view.displaced_vms.items():
+        if displaced_s > DISPLACED_DELAY_S + rank * RANK_DELAY_S:
+            return _take_over(view, vm, f"the address of {vm} belongs to another VM")
     for vm, unreachable_s in view.unreachable_vms.items():
         unreachable = unreachable_s >= SUSPECT_AFTER_S + rank * RANK_DELAY_S
         suspicion = _keymap.suspicion_of(view.keymap, vm)
@@ -215,14 +225,15 @@
         grace_s = 0.0 if unreachable else REFUTE_GRACE_S + rank * RANK_DELAY_S
         since = view.suspicions.get(suspicion)
         if since is not None and view.now - since > TAKEOVER_DELAY_S + grace_s:
-            others = [o for o in view.owners if o.vm != vm]
-            taken_over = _keymap.take_over(view.keymap, vm, others)
-            return KeyMapChange(
-                taken_over, f"{vm} did not refute the suspicion in time"
-            )
+            return _take_over(view, vm, f"{vm} did not refute the suspicion in time")
     return None
 
 
+def _take_over(view, vm, reason):
+    others = [o for o in view.owners if o.vm != vm]
+    return KeyMapChange(_keymap.take_over(view.keymap, vm, others), reason)
+
+
 class OwnershipManager:
     """Issues grants to the target beside this node and changes its service's key map.
 
@@ -553,6 +564,7 @@
             now, node.settings.vm, keymap,
             next((o for o in owners if o.vm == node.settings.vm), None),
             owners, {vm: node.unreachable_s(vm) for vm in names},
+            {vm: node.displaced_s(vm) for vm in names},
             self._releases_to_write(owners, now), self._suspicions,
             now - self._started - self._follower.batch_delay_s,
         )  # fmt: skip
--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_links.py
@@ -111,6 +111,9 @@
         Last load of the target beside the other node, from its present process.
     load_at : float
         When ``load`` was received, on this node's clock in seconds.
+    displaced_at : float or None
+        When a node of another VM first answered at the address of this one, on this
+        node's clock in seconds; None unless that was the last answer.
     in_flight : int
         Number of calls without a reply.
     pinged_at, received_at : float
@@ -127,6 +130,7 @@
         self._on_pong = on_pong
         self.load = None
         self.load_at = -1.0
+        self.displaced_at = None
         self.in_flight = 0
         self.pinged_at = self.received_at = -1.0
         self._log = log
@@ -214,6 +218,8 @@
             with trio.fail_after(HELLO_TIMEOUT_S):
                 hello = await receive_hello(stream)
             if hello.vm != self.vm.name:
+                if self.displaced_at is None:
+                    self.displaced_at = trio.current_time()
                 raise WrongPeerError(f"the address belongs to {hello.vm}")
         except (
             trio.TooSlowError,
@@ -227,6 +233,7 @@
         except BaseException:
             stream.close()
             raise
+        self.displaced_at = None
         if hello.node_incarnation != self.node_incarnation:
             self.node_incarnation = hello.node_incarnation
             self.load, self.load_at = None, -1.0
--- a/tests/router/test_keymap.py
+++ b/tests/router/test_keymap.py
@@ -18,6 +18,7 @@
     unowned_ranges,
 )
 from jujuberudder_router._ownership import (
+    DISPLACED_DELAY_S,
     GRANT_TTL_S,
     INITIAL_ASSIGNMENT_DELAY_S,
     LEASE_S,
@@ -116,7 +117,7 @@
     """Return a view of VM ``a`` that requires no change, with some fields replaced."""
     unchanged = OwnershipView(
         now=100.0, vm="a", keymap=ASSIGNED, owner=A, owners=[A, B, C],
-        unreachable_vms={}, released=[], suspicions={},
+        unreachable_vms={}, displaced_vms={}, released=[], suspicions={},
         caught_up_s=60.0,
     )  # fmt: skip
     return unchanged._replace(**changes)
@@ -170,6 +171,17 @@
             },
             take_over(SUSPECTED, "b", [A, C]),
         ),
+        (
+            {
+                "unreachable_vms": {"b": 1.0},
+                "displaced_vms": {"b": DISPLACED_DELAY_S - 0.1},
+            },
+            None,
+        ),
+        (
+            {"displaced_vms": {"b": DISPLACED_DELAY_S + 0.1}},
+            take_over(ASSIGNED, "b", [A, C]),
+        ),
         (
             {"released": [Release("a", 0, 99, "t", "c")]},
             hand_over(ASSIGNED, "a", [(0, 99, "t")], [C]),
@@ -201,8 +213,8 @@
         "nothing to change", "too early to assign", "assign unowned keys",
         "own target may not own keys", "refute the suspicion", "unreachable briefly",
         "add a suspicion", "suspicion is too recent", "take over",
-        "suspected but reachable again",
-        "reachable but does not refute the suspicion", "released",
+        "suspected but reachable again", "reachable but does not refute the suspicion",
+        "displaced a moment ago", "displaced", "released",
         "released without a receiver", "reported", "reported under an earlier fence",
         "two releases in one change", "target restarted",
     ],
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -40,7 +40,9 @@
 HEARTBEAT_INTERVAL_S = 0.87
 CLOCK_DRIFT_FACTOR = 1.02
 PAUSE_UNIT_S = 2.0
-PROCESS_EVENTS = ("kill node", "start node", "kill target", "start target", "leave")
+PROCESS_EVENTS = (
+    "kill node", "start node", "kill target", "start target", "leave", "lose address",
+)  # fmt: skip
 STORE_EVENTS = ("store ok", "store down", "store lost", "store late")
 NETWORK_EVENTS = (
     "partition", "reconnect", "freeze", "thaw", "move keys", "delay reports",
@@ -151,6 +153,9 @@
         self.targets = dict.fromkeys(VMS)
         self.nodes = dict.fromkeys(VMS)
         self.unreachable_since = dict.fromkeys(VMS)
+        # VM to when it lost its address, and the last process before.
+        self.displaced = {}
+        self.last_processes = {}
         self.frozen = dict.fromkeys(VMS, False)
         self.taken = []
         self._process_numbers = itertools.count(1)
@@ -203,6 +208,7 @@
 
     def _make_node(self, vm):
         node_incarnation = f"{vm}#{next(self._process_numbers)}"
+        self.last_processes[vm] = node_incarnation
         node = SimpleNamespace(
             node_incarnation=node_incarnation, entries={},
             settings=SimpleNamespace(vm=vm, service=SERVICE, hold_limit_s=10.0),
@@ -229,6 +235,7 @@
         node.incarnation_of = lambda other: node.entries.get(other, (None, 0))[0]
         node.owners = lambda service: self._owners(vm)
         node.unreachable_s = lambda other: self._unreachable_s(other)
+        node.displaced_s = lambda other: self._displaced_s(node, other)
         node.links = {
             other: SimpleNamespace(
                 load=None, request_read=int,
@@ -269,6 +276,13 @@
         since = self.unreachable_since[vm]
         return 0.0 if since is None else trio.current_time() - since
 
+    def _displaced_s(self, node, vm):
+        """Return how long a VM is displaced for a node that may know no later entry."""
+        since, process = self.displaced.get(vm, (0.0, None))
+        if process is None or node.incarnation_of(vm) != process:
+            return 0.0
+        return trio.current_time() - since
+
     def kill_node(self, vm):
         """End the process of the node; peer links to it are down."""
         if self.nodes[vm] is not None:
@@ -342,6 +356,11 @@
         if kind == "kill node":
             self.kill_node(vm)
             self.unreachable_since[vm] = now
+        elif kind == "lose address":
+            # The target may still serve until its last grant has expired.
+            self.kill_node(vm)
+            self.unreachable_since[vm] = now
+            self.displaced[vm] = (now, self.last_processes[vm])
         elif kind == "start node":
             self.start_node(vm)
             self.unreachable_since[vm] = None
@@ -485,6 +504,10 @@
             ("freeze", "b", 1),
         ],
     ),
+    "wait for the last grant of a VM whose address belongs to another": (
+        (ownership_module, "DISPLACED_DELAY_S", 0.0),
+        [("lose address", "b", 6)],
+    ),
     "no grants after the lease expires": (
         (ownership_module, "LEASE_S", 1e6),
         [("partition", "a", 6), ("move keys", "b", 3)],
@@ -510,6 +533,8 @@
         ([("kill target", "a", 1), ("start target", "a", 0)], 3.0),
         ([("kill node", "a", 1), ("start node", "a", 0)], 4.0),
         ([("kill node", "a", 0)], 16.0),
+        ([("lose address", "a", 0)], 5.0),
+        ([("lose address", "a", 1), ("start node", "a", 0)], 4.0),
         ([("partition", "a", 0)], 16.0),
         ([("leave", "a", 0)], 3.0),
         ([("store lost", "a", 0), ("kill target", "a", 0)], 9.0),
--- a/tests/router/test_peer_identity.py
+++ b/tests/router/test_peer_identity.py
@@ -120,6 +120,8 @@
             assert link.lost and not link.up and not link.connected
             assert link.idle_s >= idle_s + 0.3 and link.load is None
             assert recorder.frames == []
+            # Only another VM that names itself shows that the process has ended.
+            assert (link.displaced_at is not None) == ("belongs" in reason)
             assert reason in recorder.reasons("peer_connect_failed")[0]
         nursery.cancel_scope.cancel()
 
@@ -144,11 +146,12 @@
     async with run_link(address, recorder) as link:
         async with trio.open_nursery() as other:
             other.start_soon(recorder.serve, address, Hello("c", "1"))
-            await wait_until(lambda: recorder.reasons("peer_connection_lost"))
+            await wait_until(lambda: link.displaced_at is not None)
             assert not link.up
             other.cancel_scope.cancel()
         nursery.start_soon(recorder.serve, address, Hello("b", "1"))
         await wait_until(lambda: link.up)
+        assert link.displaced_at is None
     assert "a looks for b here" in recorder.reasons("peer_connection_lost")
 
 
