Ignore the late deregistration of an earlier start of a target

Found while looking for other messages whose sender was told by its address or id alone: a target may start again under the id that it had, and the deregistration of its earlier start, if it arrives late, made the new one count as leaving.

The start that the call states is compared, as for heartbeats; a call that is ignored is logged. The case "earlier start" fails without the change.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -488,9 +488,22 @@
         self.admission.dispatch()
         return grant
 
-    def handle_deregister(self, target_id):
-        """Mark the target as leaving if ``target_id`` is its id."""
-        if target_id != self.target.id:
+    def handle_deregister(self, target_id, started_ms=None):
+        """Mark the target as leaving if the call comes from its present process.
+
+        Parameters
+        ----------
+        target_id : str
+        started_ms : int, default=None
+            Unix time of the start of the process that called, if it is known. A target
+            may start again under the id that it had, and calls may be late.
+        """
+        target = self.target
+        if target_id != target.id or started_ms not in (None, target.started_ms):
+            self.log(
+                "deregister_of_another_target", target=f"{target_id}@{started_ms}",
+                present=target.incarnation,
+            )  # fmt: skip
             return
         self.target.leaving = True
         self.log("target_leaves", target=self.target.incarnation)
--- a/tests/router/test_reused_address.py
+++ b/tests/router/test_reused_address.py
@@ -6,7 +6,7 @@
 from jujuberudder_emulator import free_addresses, run_deployment
 from jujuberudder_platform import parse_settings
 from jujuberudder_platform.__main__ import ADAPTER
-from jujuberudder_router import KeyMap, KeyRange, Node, Service
+from jujuberudder_router import HttpMessage, KeyMap, KeyRange, Node, Service
 from jujuberudder_router._frames import NOT_RUN, ForwardRequest
 
 
@@ -51,6 +51,30 @@
     assert reason in reply.reason
 
 
+@pytest.mark.parametrize(
+    "target, body, leaves",
+    [
+        ("i", b"", True),
+        ("i", b'{"born": 2000}', True),
+        ("i", b'{"born": 1000}', False),
+        ("j", b"", False),
+        ("i", b'{"born": "x"}', True),
+        ("i", b"not JSON", True),
+    ],
+    ids=["no start", "present", "earlier start", "another", "no number", "no JSON"],
+)
+async def test_deregistration_counts_for_the_process_that_sent_it(target, body, leaves):
+    """Guards against a target that stops when its predecessor's last call is late."""
+    node = make_node()
+    handle = ADAPTER.make_heartbeat_handler(node)
+    node.target.id, node.target.started_ms = "i", 2000
+    call = HttpMessage(
+        b"POST", b"/instances/%s/deregister" % target.encode(), 0, [], body, True
+    )
+    assert (await handle(call))[0] == 200
+    assert node.target.leaving == leaves
+
+
 @pytest.mark.parametrize("service", ["orders", "jobs"])
 async def test_keys_of_a_lost_vm_get_an_owner_after_its_address_is_reused(service):
     """Guards against a lost VM that stays reachable through the next at its address."""
