Read and log the rate limit that a target states

The adapter parses the header of valid responses of the own target: the smallest of several values; malformed values, a 421 and responses to other requests state nothing. A change is logged with the request that told, the present value is a metric, and a new start of the target has none.

--- a/packages/router/src/jujuberudder_router/__init__.py
+++ b/packages/router/src/jujuberudder_router/__init__.py
@@ -11,6 +11,7 @@
     response_bytes,
 )
 from ._node import Adapter, Node, run_node
+from ._rate_limit import RateLimit
 from ._routes import order_routes
 from ._server import Server
 from ._store import (
@@ -59,6 +60,7 @@
     "Node",
     "OPERATOR_TOPIC",
     "Page",
+    "RateLimit",
     "Record",
     "Request",
     "Response",
--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -11,6 +11,7 @@
 import trio
 
 from ._frames import Load
+from ._rate_limit import RateLimiter
 
 # Share of a request's remaining time within which its response has to be ready. The
 # rest covers the way back and the variation of service times.
@@ -169,6 +170,8 @@
     usage : float
         Running and waiting requests divided by the slots, averaged over 2 s.
     slots : int
+    rate_limiter : RateLimiter
+        Rate limit that the target states.
     drain_deadline : float or None
         Time on the node's clock, in seconds, at which unfinished requests get a final
         response; None while the node does not drain.
@@ -193,6 +196,7 @@
         self._untracked, self._untracked_until = 0, 0.0
         self.usage = 0.0
         self.slots = 0
+        self.rate_limiter = RateLimiter()
         self.drain_deadline = None
         self.closed_reason = "no target has announced itself"
 
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -18,6 +18,7 @@
 from ._metrics import Metrics
 from ._ownership import SUSPECT_AFTER_S, OwnershipManager
 from ._peer_links import ping_links, serve_links
+from ._rate_limit import RateLimiter
 from ._relay import make_relay_handler, with_relays
 from ._routes import RetryBudget, TrafficSplitter
 from ._server import STOP_POLL_S, Server
@@ -479,6 +480,7 @@
             self.log("beat_late", target=heartbeat.target, sequence=heartbeat.sequence)
             return None
         if change == "life":
+            self.admission.rate_limiter = RateLimiter()
             self.log(
                 "target_life", target=self.target.incarnation, slots=heartbeat.slots
             )
@@ -650,12 +652,14 @@
 def metrics_text(node):
     """Return counters, histograms and gauges in the text format of Prometheus."""
     load = node.admission.load()
+    rate_limit = node.admission.rate_limiter.limit
     return node.metrics.text(
         {
             "target_running": load.running,
             "target_queued": load.queued,
             "target_slots": load.slots,
             "target_usage": round(load.usage, 4),
+            "target_rate_limit": "+Inf" if rate_limit is None else rate_limit,
             "gate_open": int(load.accepting),
             "configuration_version": node.config_version,
             "suspicion_age_s": round(
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -8,6 +8,7 @@
 from ._connection_pool import ConnectionPool
 from ._frames import ANSWERED, NOT_RUN, UNKNOWN, ForwardReply
 from ._http import MAX_RESPONSE_BODY_BYTES, ExchangeError, request_bytes
+from ._rate_limit import RateLimit
 
 # Time-out of a connection attempt to the target on the same VM. A target whose accept
 # queue is full accepts the connection after 1 s at the earliest.
@@ -27,12 +28,14 @@
 
     ``not_run`` is true if the target states that it did not run the request.
     ``invalid_reason`` is why the response is malformed or belongs to another request,
-    or None. ``load`` is (running, waiting, slots) or None.
+    or None. ``load`` is (running, waiting, slots) or None. ``rate_limit`` is None if
+    the response does not tell whether the target limits its rate.
     """
 
     not_run: bool
     invalid_reason: str | None
     load: tuple | None
+    rate_limit: RateLimit | None = None
 
 
 class Target:
@@ -216,7 +219,7 @@
             result = adapter.check_response(response, request.request_id)
             return result.invalid_reason
 
-        incarnation = target.incarnation
+        incarnation, sent_at = target.incarnation, trio.current_time()
         try:
             response = await target.pool.exchange(data, "send to target", check)
         except ExchangeError as error:
@@ -232,6 +235,8 @@
                 admission.close("the target takes no connections")
             outcome = UNKNOWN if failure.may_have_run else NOT_RUN
             return ForwardReply(request.id, outcome, reason=str(failure))
+        if result.rate_limit is not None and incarnation == target.incarnation:
+            record_rate_limit(result.rate_limit, sent_at, request.request_id)
         if result.load is not None:
             admission.record_target_load(*result.load, trio.current_time())
         if result.not_run:
@@ -248,4 +253,14 @@
             adapter.client_response_headers(response.headers), response.body,
         )  # fmt: skip
 
+    def record_rate_limit(rate_limit, sent_at, request_id):
+        rate = admission.rate_limiter
+        previous = rate.limit
+        rate.record(rate_limit, sent_at, trio.current_time())
+        if rate.limit != previous:
+            log(
+                "target_rate_limit", id=request_id, target=target.incarnation,
+                limit=rate.limit, previous=previous,
+            )  # fmt: skip
+
     return serve
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -18,7 +18,7 @@
     router_response_headers,
     target_request_headers,
 )
-from jujuberudder_router import Grant, HttpError, HttpMessage, KeyRange
+from jujuberudder_router import Grant, HttpError, HttpMessage, KeyRange, RateLimit
 from jujuberudder_router._frames import ForwardRequest
 
 ROOT = Path(__file__).parent.parent.parent
@@ -184,6 +184,36 @@
     assert (check.not_run, check.invalid_reason is not None) == (not_run, invalid)
 
 
+def limits(*values, status=200, request_id=b"q1"):
+    """Return a response with values of the header that limits the rate."""
+    message = response(status, id=request_id, signature=b"s")
+    message.headers.extend((b"server-limit", value) for value in values)
+    return message
+
+
+@pytest.mark.parametrize(
+    "message, expected",
+    [
+        (limits(), RateLimit(None)),
+        (limits(b"27.4"), RateLimit(27.4)),
+        (limits(b" 0 "), RateLimit(0.0)),
+        (limits(b"999999999999"), RateLimit(999999999999.0)),
+        (limits(b"27.4", b"13"), RateLimit(13.0)),
+        (limits(b"27.4, 13"), RateLimit(13.0)),
+        (limits(b"27.4", b"soon"), RateLimit(27.4)),
+        (limits(b"503", status=503), RateLimit(503.0)),
+        *((limits(v), None) for v in (b"", b"soon", b"-3", b"nan", b"inf", b"1e9")),
+        (limits(b"9" * 400), None),
+        (limits(b"5", status=421), None),
+        (limits(b"5", request_id=b"q2"), None),
+        (limits(status=421), None),
+    ],
+)
+def test_rate_limit_of_a_response(message, expected):
+    """Guards against a rate limit that is missed, made up, or another target's."""
+    assert check_response(message, "q1").rate_limit == expected
+
+
 def test_connection_headers_are_not_passed_to_the_client():
     """Guards against headers of the target's connection and load in a response.
 
