--- a/tests/router/test_rate_limit.py
+++ b/tests/router/test_rate_limit.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from jujuberudder_emulator import run_deployment
 from jujuberudder_router import RateLimit
@@ -128,6 +129,29 @@
         assert len(after) >= 0.9 * span_s * min(60.0, max(per_s, MIN_RATE)) - 1
 
 
+@pytest.mark.parametrize("per_s", [40.0, 13.0, 2.0])
+async def test_excess_is_refused_at_once_with_the_time_of_the_queue(
+    autojump_clock, per_s
+):
+    """Guards against requests held until their deadline because of a limit.
+
+    Clients are to return when the queue is empty at the limit, at most 2 s later.
+    """
+    target = LimitedTarget()
+    target.state_limit(per_s)
+    async with trio.open_nursery() as nursery:
+        for _ in range(60):
+            nursery.start_soon(target.send)
+        await trio.testing.wait_all_tasks_blocked()
+        queued = target.admission.load().queued
+        assert target.admission.load().wait_s == pytest.approx((queued + 1) / per_s)
+        assert len(target.refusals) == 60 - queued - len(target.sent)
+        expected_s = min(2.0, (queued + 1) / per_s)
+        for waited_s, retry_after_s in target.refusals:
+            assert waited_s == 0.0 and retry_after_s == pytest.approx(expected_s)
+        nursery.cancel_scope.cancel()
+
+
 async def test_limit_that_ended_no_longer_holds_requests_back(autojump_clock):
     """Guards against a target that stays slow after it recovered."""
     target = LimitedTarget()
