Send no more requests to a target that states in a response that it leaves

The header was not read. A valid response of the present start of the target now closes its queue at once, also while the store is away, and its keys are released and handed over. A 421, a response without the request's id and other values of the header count for nothing, and the next start of the target is open again.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -181,8 +181,9 @@
         self.ownership = OwnershipManager(self, self.store, self.membership_follower)
         self.direct_store = store
         self.serve = make_target_handler(
-            self.target, self.admission, adapter, self._serve_refusal, log, self.metrics
-        )
+            self.target, self.admission, adapter, self._serve_refusal,
+            self._handle_leaving_response, log, self.metrics,
+        )  # fmt: skip
         # VM to its number of consecutive failures and the time of the last one.
         self._failures = {}
         self.active_scopes = set()
@@ -507,8 +508,15 @@
                 present=target.incarnation,
             )  # fmt: skip
             return
+        self._handle_leaving("deregistered")
+
+    def _handle_leaving_response(self, request_id):
+        self._handle_leaving(f"stated in the response to {request_id}")
+
+    def _handle_leaving(self, reason):
+        """Send no more to the present start of the target, and release its keys."""
         self.target.leaving = True
-        self.log("target_leaves", target=self.target.incarnation)
+        self.log("target_leaves", target=self.target.incarnation, reason=reason)
         self._update_admission()
         self.membership.announce()
 
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -29,13 +29,15 @@
     ``not_run`` is true if the target states that it did not run the request.
     ``invalid_reason`` is why the response is malformed or belongs to another request,
     or None. ``load`` is (running, waiting, slots) or None. ``rate_limit`` is None if
-    the response does not tell whether the target limits its rate.
+    the response does not tell whether the target limits its rate. ``leaving`` is true
+    if the target states that it is about to stop.
     """
 
     not_run: bool
     invalid_reason: str | None
     load: tuple | None
     rate_limit: RateLimit | None = None
+    leaving: bool = False
 
 
 class Target:
@@ -150,7 +152,9 @@
         return any(start <= key <= end for start, end in self._granted_ranges)
 
 
-def make_target_handler(target, admission, adapter, serve_refusal, log, metrics):
+def make_target_handler(
+    target, admission, adapter, serve_refusal, on_leaving, log, metrics
+):
     """Return ``await serve(request) -> ForwardReply``, which sends to the target.
 
     Parameters
@@ -162,6 +166,9 @@
     serve_refusal : callable
         ``serve_refusal(service, key) -> (reason, owner) or None``: the reason to refuse
         a request at this node, and the VM that may serve it.
+    on_leaving : callable
+        ``on_leaving(request_id)`` is called when the target's response to a request
+        states that it is about to stop.
     log : callable
     metrics : Metrics
     """
@@ -235,8 +242,12 @@
                 admission.close("the target takes no connections")
             outcome = UNKNOWN if failure.may_have_run else NOT_RUN
             return ForwardReply(request.id, outcome, reason=str(failure))
-        if result.rate_limit is not None and incarnation == target.incarnation:
-            record_rate_limit(result.rate_limit, sent_at, request.request_id)
+        # A response of an earlier start says nothing about the present one.
+        if incarnation == target.incarnation:
+            if result.rate_limit is not None:
+                record_rate_limit(result.rate_limit, sent_at, request.request_id)
+            if result.leaving and not target.leaving:
+                on_leaving(request.request_id)
         if result.load is not None:
             admission.record_target_load(*result.load, trio.current_time())
         if result.not_run:
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -214,6 +214,25 @@
     assert check_response(message, "q1").rate_limit == expected
 
 
+@pytest.mark.parametrize(
+    "message, expected",
+    [
+        (response(200, id=b"q1", signature=b"s", server_leaving=b"1"), True),
+        (response(503, id=b"q1", not_run=b"1", server_leaving=b" 1 "), True),
+        (response(500, id=b"q1", signature=b"s", server_leaving=b"1"), True),
+        (response(200, id=b"q1", signature=b"s", server_leaving=b"0"), False),
+        (response(200, id=b"q1", signature=b"s", server_leaving=b"yes"), False),
+        (response(200, id=b"q1", signature=b"s"), False),
+        (response(200, id=b"q2", signature=b"s", server_leaving=b"1"), False),
+        (response(421, id=b"q1", server_leaving=b"1"), False),
+        (response(503, not_run=b"1", server_leaving=b"1"), False),
+    ],
+)
+def test_leaving_target_in_a_response(message, expected):
+    """Guards against a target that leaves unnoticed, or for another one's response."""
+    assert check_response(message, "q1").leaving == expected
+
+
 def test_connection_headers_are_not_passed_to_the_client():
     """Guards against headers of the target's connection and load in a response.
 
--- a/tests/router/test_endless_messages.py
+++ b/tests/router/test_endless_messages.py
@@ -188,7 +188,13 @@
     admission.open(1)
     adapter = SimpleNamespace(target_request_headers=lambda *arguments: [])
     handle = make_target_handler(
-        target, admission, adapter, lambda *arguments: None, log_nothing, Metrics()
+        target,
+        admission,
+        adapter,
+        lambda *arguments: None,
+        log_nothing,
+        log_nothing,
+        Metrics(),
     )
     request = ForwardRequest(
         1, "r", b"GET", b"/", [], b"", 0.2, 0.2, 1, None, "s", "s", "r"
