--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_links.py
@@ -49,8 +49,9 @@
 RECEIVE_TIMEOUT_S, RECEIVE_TIMEOUT_INTERVALS = 3.0, 2.8
 # Time-out of a connection attempt to another VM of the deployment.
 CONNECT_TIMEOUT_S = 1.0
-# Time-out of the exchange of the first frames on a connection.
-HELLO_TIMEOUT_S = 1.0
+# Time-out of the exchange of the first frames on a connection: as long as a connection
+# may be silent later, since bodies that fill a link delay these frames as well.
+HELLO_TIMEOUT_S = RECEIVE_TIMEOUT_S
 # First and longest backoff between two connection attempts; it doubles each time.
 INITIAL_BACKOFF_S, MAX_BACKOFF_S = 0.1, 2.0
 
