Report the usage of a target by its room at present

The number of requests is averaged, and divided by the slots that are usable now. Without a limit the result is the same.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -168,8 +168,6 @@
 
     Attributes
     ----------
-    usage : float
-        Running and waiting requests divided by the usable slots, averaged over 2 s.
     slots : int
     rate_limiter : RateLimiter
         Rate limit that the target states.
@@ -195,7 +193,8 @@
         # (time of the arrival, key, expected service time) of recent requests.
         self._arrivals = deque()
         self._untracked, self._untracked_until = 0, 0.0
-        self.usage = 0.0
+        # Running and waiting requests, averaged over 2 s.
+        self._mean_used = 0.0
         self.slots = 0
         self.rate_limiter = RateLimiter()
         self.drain_deadline = None
@@ -209,6 +208,15 @@
         """
         return usable_slots(self.slots, self._mean_service_s, self.rate_limiter.limit)
 
+    @property
+    def usage(self):
+        """Running and waiting requests, averaged over 2 s, per slot usable at present.
+
+        It is not the ratio that is averaged: when a rate limit begins, other VMs have
+        to know at once that this one has no room.
+        """
+        return self._mean_used / (self.usable_slots or 1)
+
     @property
     def running(self):
         """Number of requests that this node has sent to the target."""
@@ -271,8 +279,8 @@
         Requests that the rate limit held back are started.
         """
         self.dispatch()
-        used = (self._running + len(self._waiters)) / (self.usable_slots or 1)
-        self.usage += USAGE_WEIGHT * (used - self.usage)
+        used = self._running + len(self._waiters)
+        self._mean_used += USAGE_WEIGHT * (used - self._mean_used)
         while self._work and self._work[0][0] < now - WORK_WINDOW_S:
             self._work.popleft()
         while self._arrivals and self._arrivals[0][0] < now - DEMAND_WINDOW_S:
--- a/tests/router/test_rate_limit.py
+++ b/tests/router/test_rate_limit.py
@@ -152,6 +152,17 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_usage_counts_a_limit_from_its_first_response(autojump_clock):
+    """Guards against keys moved to a VM that had room before its limit began."""
+    target = LimitedTarget()
+    await target.run(60.0, 8.0)
+    assert 0.4 < target.admission.usage < 0.6
+    target.state_limit(13.0)
+    assert target.admission.load().usage > 1
+    target.state_limit(None)
+    assert 0.4 < target.admission.usage < 0.6
+
+
 async def test_limit_that_ended_no_longer_holds_requests_back(autojump_clock):
     """Guards against a target that stays slow after it recovered."""
     target = LimitedTarget()
