Size moves of keys by the slots of both VMs

Moves assumed that all VMs of a service have the same slots.

Moves and splits convert between the usable slots of both VMs. A VM with little room for its size receives no keys of a split. With equal slots nothing changes.

--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -408,7 +408,7 @@
         load = node.admission.load() if vm == node.settings.vm else node.links[vm].load
         if load is None:
             return VMLoad(vm, 0.0, count, 0.0, settled)
-        return VMLoad(vm, load.usage, count, load.service_s, settled)
+        return VMLoad(vm, load.usage, count, load.service_s, settled, load.slots)
 
     def _split_by_key_range(self, pieces, receiver=""):
         """Return a release for each part of (start, end, token) that this VM owns."""
--- a/packages/router/src/jujuberudder_router/_placement.py
+++ b/packages/router/src/jujuberudder_router/_placement.py
@@ -38,7 +38,8 @@
     ``usage`` is the averaged number of running and waiting requests divided by the
     slots, ``key_count`` the number of keys, ``service_s`` the mean service time in
     seconds. ``settled`` is false while the usage does not yet reflect keys that the VM
-    got recently.
+    got recently. ``slots`` counts those that the target's rate limit keeps busy; 0 if
+    they are not known.
     """
 
     vm: str
@@ -46,6 +47,7 @@
     key_count: int
     service_s: float
     settled: bool = True
+    slots: float = 0.0
 
 
 class Move(NamedTuple):
@@ -85,6 +87,7 @@
         return None
     measured = own.service_s > 0 and receiver.service_s > 0
     ratio = receiver.service_s / own.service_s if measured else 1.0
+    ratio /= _room_ratio(own, receiver)
     total = sum(seconds for _, seconds in work)
     work_to_move_s = total * difference / (1 + ratio) / max(own.usage, difference)
     piece = _best_end_piece(key_ranges, sorted(work), work_to_move_s)
@@ -121,16 +124,24 @@
         load.vm for load in [own, *others] if load.vm == own.vm or load.usage >= 1
     )
     receivers = [
-        load for load in others if load.settled and load.usage <= MAX_USAGE_TO_RECEIVE
+        ((SPLIT_DEMAND - load.usage) * _room_ratio(own, load), load.vm)
+        for load in others
+        if load.settled and load.usage <= MAX_USAGE_TO_RECEIVE
     ]
-    receivers.sort(key=lambda load: (load.usage, load.vm))
+    # A VM of fewer slots receives keys only if it has as much room as one of this size.
+    min_room = SPLIT_DEMAND - MAX_USAGE_TO_RECEIVE
+    receivers = sorted(
+        (r for r in receivers if r[0] >= min_room), key=lambda r: (-r[0], r[1])
+    )
     # Each giver has receivers of its own.
     receivers = receivers[givers.index(own.vm) :: len(givers)][:MAX_SPLIT_RECEIVERS]
-    room = [SPLIT_DEMAND - load.usage for load in receivers]
-    return [
-        Move(start, end, receivers[index].vm)
-        for index, (start, end) in enumerate(_cut_pieces(key_ranges, demand, room))
-    ]
+    pieces = _cut_pieces(key_ranges, demand, [room for room, _ in receivers])
+    return [Move(start, end, vm) for (start, end), (_, vm) in zip(pieces, receivers)]
+
+
+def _room_ratio(own, receiver):
+    """Return the slots of a receiver divided by those of this VM, 1 if unknown."""
+    return receiver.slots / own.slots if own.slots and receiver.slots else 1.0
 
 
 def _cut_pieces(key_ranges, demand, room):
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -104,6 +104,33 @@
     assert plan_split(load("a", 1.5), others, KEY_RANGES, demand) == expected
 
 
+@pytest.mark.parametrize(
+    "own_slots, receiver_slots, expected",
+    [(18, 18, 2), (3, 18, 3), (18, 3, 0), (0, 18, 2)],
+    ids=["equal", "from a limited VM", "to a limited VM", "not known"],
+)
+def test_move_counts_the_slots_of_both_vms(own_slots, receiver_slots, expected):
+    """Guards against keys that overload a limited VM, or that stay there for long.
+
+    The usage of 1.0 and 0.6 is even after two tenths of the work have moved to a VM of
+    the same size, 3.4 tenths to one of six times the size and 0.6 tenths to one of a
+    sixth of it; each key has a tenth.
+    """
+    own = load("a", 1.0)._replace(slots=own_slots)
+    receiver = load("b", 0.6)._replace(slots=receiver_slots)
+    move = plan_move(own, [receiver], KEY_RANGES, EVEN)
+    assert (move.end // 100 + 1 if move else 0) == expected
+
+
+def test_split_leaves_a_limited_vm_what_it_can_serve():
+    """Guards against keys that overload a VM whose target limits its rate."""
+    own = load("a", 1.5)._replace(slots=18)
+    receivers = [load("b", 0.0)._replace(slots=3), load("c", 0.1)._replace(slots=18)]
+    demand = {0: 0.9, 10: 0.1, 20: 0.4, 30: 0.4}
+    moves = plan_split(own, receivers, KEY_RANGES, demand)
+    assert moves == [Move(11, 999, "c")]
+
+
 def test_hot_keys_are_spread_within_two_moves():
     """Guards against slots that stay idle while 200 busy keys lie on one VM.
 
