Keep a leaving target closed after its node has restarted

Found in review: a target that deregisters, or states in a response that it leaves, may go on to send heartbeats that do not say so. A node that restarted meanwhile took it for a new one and sent requests to it, also for nodes that had passed such a response on.

The membership entry now says whether it is the target that leaves; it said only whether target or node does. The next process of the node closes the target of the same start, once it has read that entry. A node that was stopped beside a target that stays opens it as before.

--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -56,11 +56,22 @@
         incarnation, slots = target.incarnation, target.slots
         if not incarnation and previous is not None:
             incarnation, slots = previous.target_incarnation, previous.slots
+        target_leaving = target.leaving or self.was_leaving(incarnation)
         return VM(
             settings.vm, self.node_incarnation, settings.peer_address, settings.zone,
-            settings.service, incarnation, slots, node.draining or target.leaving,
+            settings.service, incarnation, slots, node.draining or target_leaving,
+            target_leaving,
         )  # fmt: skip
 
+    def was_leaving(self, target_incarnation):
+        """Whether a target was about to stop in an earlier process of this node."""
+        previous = self._previous_entry
+        return (
+            previous is not None
+            and previous.target_leaving
+            and previous.target_incarnation == target_incarnation
+        )
+
     def entry_confirmed(self, end):
         """Whether this process has read all records up to ``end`` and its own entry."""
         return (
@@ -112,6 +123,7 @@
             if vm.node_incarnation != self.node_incarnation:
                 if vm.service == self._node.settings.service:
                     self._previous_entry = vm
+                    self._node.check_leaving()
             elif self._entry_offset is None:
                 self._entry_offset = record.offset
             return
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -485,6 +485,7 @@
             self.log(
                 "target_life", target=self.target.incarnation, slots=heartbeat.slots
             )
+            self.check_leaving()
         self._update_admission()
         self.membership.announce()
         grant = self.ownership.grant(heartbeat, now)
@@ -510,6 +511,12 @@
             return
         self._handle_leaving("deregistered")
 
+    def check_leaving(self):
+        """Mark the target as leaving if an earlier process of this node knew that."""
+        target = self.target
+        if not target.leaving and self.membership.was_leaving(target.incarnation):
+            self._handle_leaving("known to an earlier process of this node")
+
     def _handle_leaving_response(self, request_id):
         self._handle_leaving(f"stated in the response to {request_id}")
 
--- a/packages/router/src/jujuberudder_router/_types.py
+++ b/packages/router/src/jujuberudder_router/_types.py
@@ -149,7 +149,8 @@
 
     ``node_incarnation`` names one process of the node. ``target_incarnation`` names one
     process of the target by id and start, and is empty while none is known. ``leaving``
-    is true if the node or the target is about to stop.
+    is true if the node or the target is about to stop, ``target_leaving`` if the target
+    is: the next process of the node learns it from there.
     """
 
     name: str
@@ -160,6 +161,7 @@
     target_incarnation: str = ""
     slots: int = 0
     leaving: bool = False
+    target_leaving: bool = False
 
 
 class KeyRange(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/router/test_leaving_response.py
+++ b/tests/router/test_leaving_response.py
@@ -66,3 +66,31 @@
         await trio.sleep(0.2)
         vm.start_target()
         await deployment.wait_until(serves)
+
+
+@pytest.mark.parametrize("left", [True, False])
+async def test_next_process_of_a_node_knows_that_its_target_leaves(left):
+    """Guards against requests to a leaving target after its node has restarted.
+
+    The heartbeats of the target do not say that it leaves. If it does not leave, the
+    restarted node sends requests to it as before.
+    """
+    async with run_deployment("orders") as deployment:
+        vm = deployment.vms["vm-0"]
+
+        async def serves():
+            return (await vm.send_request("/orders/1")).status == 200
+
+        await deployment.wait_until(serves)
+        if left:
+            vm.target.stated_headers = LEAVING
+            await serves()
+            vm.target.stated_headers = []
+            assert not await serves()
+        vm.stopping.set()
+        await trio.sleep(4.0)
+        count = len(vm.target.arrivals)
+        vm.start_node()
+        await trio.sleep(2.0)
+        assert await serves() != left
+        assert (len(vm.target.arrivals) == count) == left
