--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -202,18 +202,15 @@
 
     @property
     def usable_slots(self):
-        """Number of slots that the rate limit of the target keeps busy, at least 0.
-
-        All slots if there is no limit.
-        """
+        """Number of slots that the target's rate limit keeps busy; all without one."""
         return usable_slots(self.slots, self._mean_service_s, self.rate_limiter.limit)
 
     @property
     def usage(self):
         """Running and waiting requests, averaged over 2 s, per slot usable at present.
 
-        It is not the ratio that is averaged: when a rate limit begins, other VMs have
-        to know at once that this one has no room.
+        The requests are averaged, not the ratio, so that the usage shows a rate limit
+        as soon as it begins.
         """
         return self._mean_used / (self.usable_slots or 1)
 
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -183,7 +183,7 @@
     ):
         filled = _keymap.assign_unowned(keymap, view.owners)
         return KeyMapChange(filled, "key ranges had no owner")
-    return _change_for_unreachable_vm(view, rank, new_id)
+    return _change_for_lost_vm(view, rank, new_id)
 
 
 def _hand_over_all(view):
@@ -208,7 +208,8 @@
     return names.index(view.vm) if view.vm in names else None
 
 
-def _change_for_unreachable_vm(view, rank, new_id):
+def _change_for_lost_vm(view, rank, new_id):
+    """Return a takeover of a lost VM's keys, or a suspicion against it, or None."""
     for vm, displaced_s in view.displaced_vms.items():
         if displaced_s > DISPLACED_DELAY_S + rank * RANK_DELAY_S:
             return _take_over(view, vm, f"the address of {vm} belongs to another VM")
@@ -262,9 +263,9 @@
         self._sent_reports = {}
         # Writer that failed to the time until which it gets no reports.
         self._failed_writers = {}
-        # Id to the time at which this node first read the suspicion.
-        self._suspicions = {}
-        self._logged_suspicions = set()
+        # Id to the time at which this node first read the suspicion, and the ids of those
+        # that were logged because they stand for long.
+        self._suspicions, self._logged_suspicions = {}, set()
         self._last_keymap, self._key_counts, self._grown_at = None, {}, {}
         self._started = trio.current_time()
         self._next_move_at = self._started + FIRST_MOVE_DELAY_S
--- a/packages/router/src/jujuberudder_router/_placement.py
+++ b/packages/router/src/jujuberudder_router/_placement.py
@@ -128,7 +128,8 @@
         for load in others
         if load.settled and load.usage <= MAX_USAGE_TO_RECEIVE
     ]
-    # A VM of fewer slots receives keys only if it has as much room as one of this size.
+    # A VM with fewer slots receives keys only if it has the least room that a receiver
+    # with as many slots as this VM has.
     min_room = SPLIT_DEMAND - MAX_USAGE_TO_RECEIVE
     receivers = sorted(
         (r for r in receivers if r[0] >= min_room), key=lambda r: (-r[0], r[1])
