--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -263,8 +263,8 @@
         self._sent_reports = {}
         # Writer that failed to the time until which it gets no reports.
         self._failed_writers = {}
-        # Id to the time at which this node first read the suspicion, and the ids of those
-        # that were logged because they stand for long.
+        # Id to the time at which this node first read the suspicion, and the ids of
+        # those that were logged because they stand for long.
         self._suspicions, self._logged_suspicions = {}, set()
         self._last_keymap, self._key_counts, self._grown_at = None, {}, {}
         self._started = trio.current_time()
--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_links.py
@@ -188,8 +188,8 @@
                 stream = await self._connect()
             except (OSError, WrongPeerError) as error:
                 reason = str(error)
-                # A lost VM is dialed as long as its entry is in the membership topic, so
-                # only new reasons are logged.
+                # A lost VM is dialed as long as its entry is in the membership topic,
+                # so only new reasons are logged.
                 if reason != logged_reason:
                     self._log(
                         "peer_connect_failed", peer=self.vm.name,
