Wait for the target's requests in the test of freed slots

Cause: the test waits until five of seven requests are queued, and then counts those that run at the target, which may not have read the second one yet. With 0.5 s more at the target before it counts a request, all three cases fail with the same assertion.

The test now waits up to 5 s until two requests run there; the checks are unchanged. With the 0.5 s all cases pass.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -121,6 +121,10 @@
                 )
             owner = deployment.members["jobs-dar-a"]
             await wait_until_queued(owner, len(case.first) + len(case.later) - 2)
+            # The target has not yet seen a request that has just left the queue.
+            with trio.fail_after(5):
+                while blocking.running < 2:
+                    await trio.sleep(0.01)
             assert blocking.max_running == 2
             blocking.released.set()
         assert [response.status for _, response in responses] == [200] * len(responses)
