Answer a request that arrives while its idle connection is closed

Cause: a node that stops closes connections that are idle and have no unread bytes. The read ends one pass of the event loop later, which takes milliseconds on a busy machine. A request that arrived meanwhile was never read, and closing a socket with unread bytes resets the connection.

When a read was ended so and bytes are there, the connection reads on; the response then closes it.

--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -193,8 +193,14 @@
         """Read requests; a second task answers them in order."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            with self._read_scope:
-                await self._read(nursery)
+            while True:
+                with self._read_scope:
+                    await self._read(nursery)
+                # A request may have arrived between the check that the connection is
+                # idle and the end of the read; closing would reset the connection.
+                if not self._read_scope.cancelled_caught or not self.has_data():
+                    break
+                self._read_scope = trio.CancelScope()
             if not (self._read_scope.cancelled_caught and self.busy):
                 nursery.cancel_scope.cancel()
 
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -6,6 +6,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from jujuberudder_emulator import free_addresses
 from jujuberudder_router import Limits
@@ -117,6 +118,25 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_request_that_arrives_while_an_idle_connection_closes_is_answered():
+    """Guards against requests reset because their connection was idle a moment ago."""
+    async with trio.open_nursery() as nursery:
+        server, stream = await start_server(nursery, respond)
+        with trio.fail_after(5):
+            while not server._connections:
+                await trio.lowlevel.checkpoint()
+            await trio.testing.wait_all_tasks_blocked()
+            server.closing = True
+            (connection,) = server._connections
+            assert not connection.has_data()
+            connection.stop_reading()
+            # Sent without a checkpoint, so that the read has not ended before.
+            stream.socket._sock.send(REQUEST)
+            response = await stream.receive_some(1000)
+        assert response.startswith(b"HTTP/1.1 200") and b"connection: close" in response
+        nursery.cancel_scope.cancel()
+
+
 async def test_unused_connection_closes_during_a_stop():
     """Guards against a stop that waits for clients until the end of its grace."""
     async with trio.open_nursery() as nursery:
