Write the entry of a VM again after an older write of it took effect

Cause: the node wrote its entry twice without an answer while its store was cut off, then a third time with its new target. The first two took effect 8 s later, at the offsets 55 and 56 that no key map has (that they are these writes is inferred from the count and the time). The newest entry then named the target before, so that nobody, the VM included, gave it keys. The node compared its entry with what it had written last, not with what it read.

It now compares it with the entry that it reads.

--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -124,8 +124,12 @@
                 if vm.service == self._node.settings.service:
                     self._previous_entry = vm
                     self._node.check_leaving()
-            elif self._entry_offset is None:
+                return
+            if self._entry_offset is None:
                 self._entry_offset = record.offset
+            # An earlier write that got no answer may take effect after a later one.
+            self._written_entry = vm
+            self.announce()
             return
         if previous is None or previous.address != vm.address:
             self._drop_link(name)
