Grant keys by calls to the target where a service states so

Change: OwnershipManager decides as before which ranges a target is to hold; GrantCaller carries that out by calls, through two functions of the adapter. HeldKeys records the earliest and latest end of each grant, so that keys go to another target only after every call without a response has run out. A target that states not to hold a key ends the use of that range at once.

--- a/packages/router/src/jujuberudder_router/__init__.py
+++ b/packages/router/src/jujuberudder_router/__init__.py
@@ -1,6 +1,7 @@
 """The router beside a target: request routing, key ownership and membership."""
 
 from ._connection_pool import ConnectionPool
+from ._grant_calls import GrantCalls
 from ._http import (
     HOP_BY_HOP_HEADERS,
     ExchangeError,
@@ -8,6 +9,7 @@
     HttpMessage,
     find_header,
     parse_address,
+    request_bytes,
     response_bytes,
 )
 from ._node import Adapter, Node, run_node
@@ -49,6 +51,7 @@
     "ConnectionPool",
     "ExchangeError",
     "Grant",
+    "GrantCalls",
     "HOP_BY_HOP_HEADERS",
     "Heartbeat",
     "HttpError",
@@ -76,6 +79,7 @@
     "find_header",
     "order_routes",
     "parse_address",
+    "request_bytes",
     "response_bytes",
     "run_node",
 ]
--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -52,6 +52,8 @@
 OUTLASTS_NODE = "the node ends before the request might"
 # Reason of a refusal while a request waits.
 KEY_MOVED = "the key moved to another VM"
+# Reason of a refusal after the target stated twice that it does not hold a key.
+KEY_NOT_HELD = "the target does not hold the key"
 
 
 class Waiter(NamedTuple):
@@ -165,6 +167,9 @@
     may_serve_key : callable
         ``may_serve_key(key, now)`` returns whether the target may serve a key;
         the key is None for requests without one.
+    key_delay_s : callable, default=None
+        ``key_delay_s(key, now)`` returns for how many seconds the target will certainly
+        not serve a key.
 
     Attributes
     ----------
@@ -178,8 +183,9 @@
         Reason for which all requests are refused; empty while requests are admitted.
     """
 
-    def __init__(self, may_serve_key):
+    def __init__(self, may_serve_key, key_delay_s=None):
         self._may_serve_key = may_serve_key
+        self._key_delay_s = key_delay_s or (lambda key, now: 0.0)
         self._waiters = {}
         # Numbers of waiting requests whose key now belongs to another VM.
         self._moved = set()
@@ -244,6 +250,13 @@
                 self._moved.add(number)
                 waiter.event.set()
 
+    def refuse_distrusted(self):
+        """Refuse the waiting requests whose key the target does not serve for now."""
+        now = trio.current_time()
+        for waiter in self._waiters.values():
+            if waiter.key is not None and self._key_delay_s(waiter.key, now) > 0:
+                waiter.event.set()
+
     def record_target_load(self, running, waiting, slots, now):
         """Record the load that the target reported with a response."""
         untracked = max(0, running + waiting - self._running)
@@ -338,6 +351,7 @@
             raise Refused(OUTLASTS_NODE, 0.0)
         if request.key is not None:
             self._arrivals.append((now, request.key, service_s))
+        self._check_key(request.key, now)
         granted = self._may_serve_key(request.key, now)
         if granted and not self._waiters and self._may_start(now):
             self._start(now)
@@ -345,6 +359,12 @@
         self._check_expected_wait(request, now, service_s)
         await self._wait(request, now, service_s)
 
+    def _check_key(self, key, now):
+        """Raise ``Refused`` if the target will not serve a key for a while."""
+        delay_s = 0.0 if key is None else self._key_delay_s(key, now)
+        if delay_s > 0:
+            raise Refused(KEY_NOT_HELD, max(RETRY_AFTER_MIN_S, delay_s))
+
     def _may_outlast_node(self, service_s, now):
         """Return whether a request that starts now may still run when the node ends."""
         return (
@@ -410,6 +430,7 @@
             raise Refused(self.closed_reason, 0.0)
         if self._may_outlast_node(service_s, trio.current_time()):
             raise Refused(OUTLASTS_NODE, 0.0)
+        self._check_key(request.key, trio.current_time())
         raise Refused("no slot came free in time", RETRY_AFTER_MIN_S)
 
     def release(self, request=None, took_s=None):
--- a/packages/router/src/jujuberudder_router/_connection_pool.py
+++ b/packages/router/src/jujuberudder_router/_connection_pool.py
@@ -37,6 +37,9 @@
         Maximum length of a response body.
     body_budget : BodyBudget, default=None
         Limits the response bodies of all connections together.
+    fail_when_stale : bool, default=False
+        Whether an exchange fails if the peer has closed an idle connection too early,
+        so that the caller can check whether another process listens there now.
     max_connect_timeout_s : float, default=None
         If given, the wait for a connection doubles after each failure, up to this many
         seconds, until one succeeds.
@@ -50,6 +53,7 @@
         max_body_bytes=MAX_RESPONSE_BODY_BYTES,
         body_budget=None,
         max_connect_timeout_s=None,
+        fail_when_stale=False,
     ):
         self.address = address
         self._max_body_bytes = max_body_bytes
@@ -57,6 +61,7 @@
         self._min_connect_timeout_s = self._connect_timeout_s = connect_timeout_s
         self._max_connect_timeout_s = max_connect_timeout_s or connect_timeout_s
         self._user_timeout_s = user_timeout_s
+        self._fail_when_stale = fail_when_stale
         self._idle = []
         self._reset_limit_s, self._reset_limit_until = 0.0, -1.0
         self.opened = 0
@@ -66,15 +71,20 @@
         while self._idle:
             self._idle.pop().close()
 
-    def _take_idle(self):
+    def _take_idle(self, step):
         now = trio.current_time()
         while self._idle:
             connection = self._idle.pop()
-            if (
-                now - connection.idle_since < self._idle_limit(connection, now)
-                and not connection.is_stale()
-            ):
-                return connection
+            if now - connection.idle_since < self._idle_limit(connection, now):
+                if not connection.is_stale():
+                    return connection
+                if self._fail_when_stale:
+                    connection.close()
+                    self.close()
+                    raise ExchangeError(
+                        step, self.address, "the idle connection was closed",
+                        may_have_run=False,
+                    )  # fmt: skip
             connection.close()
         return None
 
@@ -118,7 +128,9 @@
 
         Parameters
         ----------
-        data : bytes
+        data : bytes or callable
+            The request, or a function that returns it, called when a connection is
+            there.
         step : str
             Name of the step, for failures.
         check : callable, default=None
@@ -133,7 +145,7 @@
             ``failure.may_have_run`` states whether the peer may have received the
             request.
         """
-        connection, idle_s = self._take_idle(), None
+        connection, idle_s = self._take_idle(step), None
         if connection is not None:
             idle_s = trio.current_time() - connection.idle_since
         else:
@@ -141,7 +153,8 @@
         reusable = False
         try:
             try:
-                response = await connection.exchange(data, step, on_data)
+                request = data() if callable(data) else data
+                response = await connection.exchange(request, step, on_data)
             except ExchangeError:
                 if idle_s is not None:
                     self._record_reset(idle_s)
--- a/packages/router/src/jujuberudder_router/_keymap.py
+++ b/packages/router/src/jujuberudder_router/_keymap.py
@@ -85,6 +85,24 @@
     )
 
 
+def renew_fences(keymap, key_ranges):
+    """Give key ranges a new fence because their target has seen a higher one.
+
+    Their owners stay the same. The fences at least double, since it is not known which
+    fence the target has seen.
+    """
+    least_fence = 2 * max(r.fence for r in key_ranges)
+    if least_fence > keymap.next_fence:
+        keymap = msgspec.structs.replace(keymap, next_fence=least_fence)
+    kept = [r for r in keymap.ranges if r not in key_ranges]
+    renewed = [
+        (r.start, r.end, Owner(r.vm, r.target_incarnation), "")
+        for r in keymap.ranges
+        if r in key_ranges
+    ]
+    return _with_new_ranges(keymap, kept, renewed)
+
+
 def hand_over(keymap, vm, released, owners, fence=None):
     """Assign ranges that the target of ``vm`` released to other owners.
 
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -107,8 +107,7 @@
             suspicions=len(keymap.suspicions), next_fence=keymap.next_fence,
         )  # fmt: skip
         if service == self._node.settings.service:
-            self._node.admission.refuse_moved(self._node.owns_key)
-            self._node.admission.dispatch()
+            self._node.on_own_keymap()
 
     def _apply_vm(self, name, record):
         vms, value = self._node.vms, record.value
--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -29,6 +29,12 @@
     "keys_given_up": "key ranges handed over to another VM because of load",
     "grants": "heartbeats answered with a grant",
     "grants_withheld": "heartbeats of a keyed service answered without a grant",
+    "grant_calls": "calls that grant or renew a key range at the target",
+    "grant_calls_unanswered": "such calls without a response that could be read",
+    "grant_calls_refused": "such calls that were refused because of a higher fence",
+    "release_calls": "calls that release a key range at the target",
+    "release_calls_unanswered": "such calls without a response that could be read",
+    "grants_disowned": "ranges not used because the target stated not to hold a key",
     "store_failures": "failed calls to the store",
     "store_relays": "calls to the store made for another node",
 }
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -12,6 +12,7 @@
 from ._client_requests import make_client_handler
 from ._follower import Follower
 from ._frames import ReadProgress
+from ._grant_calls import GrantCaller
 from ._http import BodyBudget, parse_address
 from ._keymap import Owner, locate
 from ._membership import Membership
@@ -92,6 +93,8 @@
         ``parse_configuration(value) -> Configuration``; raises ``ValueError``.
     make_heartbeat_handler : callable
         ``make_heartbeat_handler(node)`` returns the handler of the heartbeat address.
+    make_grant_calls : callable
+        ``make_grant_calls(target_address)`` returns ``GrantCalls``.
     configuration_key : str
         Key of the configuration record in the operator topic.
     """
@@ -103,6 +106,7 @@
     client_response_headers: Callable
     parse_configuration: Callable
     make_heartbeat_handler: Callable
+    make_grant_calls: Callable
     configuration_key: str
 
 
@@ -158,7 +162,9 @@
             settings.target_address,
             BodyBudget(int(BODY_MEMORY_SHARE * settings.memory_bytes)),
         )
-        self.admission = AdmissionQueue(self.target.grant_covers)
+        self.admission = AdmissionQueue(
+            self.target.held.covers, self.target.held.distrusted_s
+        )
         self.stopping = False
         self.store = with_relays(store, self)
         self.membership = Membership(self, self.store)
@@ -179,10 +185,14 @@
             lambda: CONFIG_BATCH_DELAY_S,
         )
         self.ownership = OwnershipManager(self, self.store, self.membership_follower)
+        self.grant_caller = GrantCaller(
+            self, self.ownership, adapter.make_grant_calls(settings.target_address)
+        )
         self.direct_store = store
         self.serve = make_target_handler(
             self.target, self.admission, adapter, self._serve_refusal,
-            self._handle_leaving_response, log, self.metrics,
+            self._handle_leaving_response, self.grant_caller.check_now, log,
+            self.metrics,
         )  # fmt: skip
         # VM to its number of consecutive failures and the time of the last one.
         self._failures = {}
@@ -213,6 +223,16 @@
         entry = self.configuration and self.configuration.services.get(service)
         return bool(entry and entry.keyed)
 
+    @property
+    def grants_by_call(self):
+        """Whether the target is granted keys by calls, not by heartbeat responses."""
+        entry = self.configuration and self.configuration.services.get(
+            self.settings.service
+        )
+        if entry is None or entry.grants_by_call is None:
+            return self.settings.grants_by_call
+        return entry.grants_by_call
+
     def encode_keymap(self, keymap):
         """Return a key map encoded as the value of a record."""
         return _keymap_encoder.encode(keymap)
@@ -350,6 +370,12 @@
         key_range = locate(keymap, key) if keymap else None
         return key_range is not None and key_range.vm == self.settings.vm
 
+    def on_own_keymap(self):
+        """Apply a new key map of this VM's service to requests and grants."""
+        self.admission.refuse_moved(self.owns_key)
+        self.admission.dispatch()
+        self.grant_caller.check_now()
+
     def accepts_requests(self, vm):
         """Whether a VM is this one, or its link is up and it is not known to refuse."""
         return vm == self.settings.vm or self._link_accepts(vm)
@@ -488,7 +514,11 @@
             self.check_leaving()
         self._update_admission()
         self.membership.announce()
-        grant = self.ownership.grant(heartbeat, now)
+        self.ownership.on_heartbeat(heartbeat, now)
+        if self.grants_by_call:
+            self.grant_caller.on_heartbeat()
+            return None
+        grant = self.ownership.grant(now)
         self.admission.dispatch()
         return grant
 
@@ -584,6 +614,7 @@
         nursery.start_soon(node.configuration_follower.run)
         nursery.start_soon(node.membership_follower.run)
         nursery.start_soon(node.ownership.run)
+        nursery.start_soon(node.grant_caller.run)
         nursery.start_soon(node.watch_target)
         nursery.start_soon(log_route_times, node)
         nursery.start_soon(node.membership.run, nursery)
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -23,6 +23,7 @@
 
 from . import _keymap
 from ._frames import ReleaseReport
+from ._held_keys import HeldRange
 from ._keymap import Owner
 from ._placement import VMLoad, plan_move, plan_split
 from ._store import MEMBERSHIP_TOPIC, Appended, Conflict
@@ -58,6 +59,8 @@
 # Each VM of a service, in the order of names, waits this many seconds longer than the
 # previous one, so that the previous one can change the key map first.
 RANK_DELAY_S = 0.5
+# Seconds between two log lines that nothing is granted: a heartbeat interval.
+WITHHELD_LOG_INTERVAL_S = 0.8
 # Seconds between two checks whether the key map has to change.
 POLL_INTERVAL_S = 0.1
 # Seconds after a report of a release until it is reported to another writer: a check of
@@ -123,6 +126,8 @@
     caught_up_s : float
         Seconds since this node has certainly read all that was written before its
         start.
+    refused_fences : list of KeyRange
+        Ranges of this VM whose fence the target refused, as the key map still has them.
     """
 
     now: float
@@ -135,6 +140,7 @@
     released: list
     suspicions: dict
     caught_up_s: float
+    refused_fences: list = []
 
 
 class KeyMapChange(NamedTuple):
@@ -174,6 +180,11 @@
             _keymap.assign_to_new_incarnation(keymap, view.owner),
             "the target restarted",
         )
+    if view.owner and view.refused_fences:
+        return KeyMapChange(
+            _keymap.renew_fences(keymap, view.refused_fences),
+            "the target has seen a higher fence",
+        )
     rank = _rank(view)
     if rank is None:
         return None
@@ -251,10 +262,12 @@
         self._store = store
         self._follower = follower
         self._lease_until = 0.0
-        # (start, end) to the handover token.
+        # (start, end) to a _ReleasedRange.
         self._released = {}
-        # (start, end) to the time by which the grant has expired, and the receiver.
+        # (start, end) to the receiver.
         self._pending_moves = {}
+        # Own ranges in the key map whose fence the target refused.
+        self._refused_fences = set()
         # Own ranges that the last append gives to others, and the end that it expects.
         self._handing_over = _HandingOver((), -1)
         # (VM, start, end, fence) to (release, node incarnation, time of the report).
@@ -267,8 +280,10 @@
         # those that were logged because they stand for long.
         self._suspicions, self._logged_suspicions = {}, set()
         self._last_keymap, self._key_counts, self._grown_at = None, {}, {}
-        self._started = trio.current_time()
+        self._next_withheld_log_at = 0.0
+        self._started = now = trio.current_time()
         self._next_move_at = self._started + FIRST_MOVE_DELAY_S
+        node.target.held.assume_granted(now, now + GRANT_TTL_S * CLOCK_DRIFT_FACTOR)
 
     @property
     def _service(self):
@@ -290,44 +305,122 @@
             self._lease_until = max(self._lease_until, until)
         return now < self._lease_until
 
-    def grant(self, heartbeat, now):
-        """Return the grant that answers a heartbeat, or None if none may be issued.
+    def on_heartbeat(self, heartbeat, now):
+        """Record the ranges that a heartbeat reports as released, and plan moves."""
+        for start, end, handover in heartbeat.released:
+            self.record_release(start, end, handover)
+        if not self._node.target.leaving and self._may_grant(now):
+            self._plan_move(now)
+
+    def record_release(self, start, end, handover, usable_at=0.0):
+        """Record that the target has released the keys [start, end].
 
         Parameters
         ----------
-        heartbeat : Heartbeat
-        now : float
-            Time on the node's clock, in seconds.
+        start, end : int
+        handover : str
+        usable_at : float, default=0.0
+            Time on the node's clock, in seconds, from which the keys may be handed
+            over: grants without a response may be applied before.
+        """
+        self._released[(start, end)] = _ReleasedRange(handover, usable_at)
+
+    def grant(self, now):
+        """Return the grant that answers a heartbeat, or None if none may be issued."""
+        key_ranges = self.ranges_to_grant(now)
+        if key_ranges is None:
+            return None
+        self._node.metrics.count("grants")
+        ttl_s = self.grant_ttl_s
+        self._node.target.held.grant_all(
+            key_ranges, now + ttl_s, now + ttl_s * CLOCK_DRIFT_FACTOR
+        )
+        return Grant(key_ranges, ttl_s)
+
+    @property
+    def grant_ttl_s(self):
+        """Duration of a grant, in seconds."""
+        return min(GRANT_TTL_S, self._node.settings.hold_limit_s)
+
+    def ranges_to_grant(self, now):
+        """Return the ranges that the target is to hold from now on.
+
+        Returns
+        -------
+        tuple of KeyRange, or None if nothing may be granted
         """
         target = self._node.target
-        for start, end, handover in heartbeat.released:
-            self._released[(start, end)] = handover
         if not self._node.is_keyed(self._service) or not self._follower.started:
             return None
-        # Releases that an earlier process of this node reported may be written until
-        # the entry of this process is in the topic, and are read with the entry.
-        confirmed = self._node.entry_confirmed() or not any(self._own_ranges())
-        if not self.lease_valid(now) or not confirmed:
-            self._node.metrics.count("grants_withheld")
-            self._node.log(
-                "grant_withheld", read_at=self._follower.read_at, now=now,
-                confirmed=confirmed,
-                suspected=_keymap.suspicion_of(
-                    self._keymap(), self._node.settings.vm
-                ),
-            )  # fmt: skip
+        if not self._may_grant(now):
+            self._record_withheld(now)
             return None
-        self._node.metrics.count("grants")
-        key_ranges = () if target.leaving else tuple(self._own_ranges())
-        if not target.leaving:
-            self._plan_move(now)
-            key_ranges = _keymap.subtract(key_ranges, self._pending_moves)
-            if self._handing_over_undecided():
-                key_ranges = _keymap.subtract(key_ranges, self._handing_over.ranges)
-            self._forget_granted_again(key_ranges)
-        ttl_s = min(GRANT_TTL_S, self._node.settings.hold_limit_s)
-        target.apply_grant(key_ranges, ttl_s, CLOCK_DRIFT_FACTOR, now)
-        return Grant(key_ranges, ttl_s)
+        if target.leaving:
+            return ()
+        key_ranges = _keymap.subtract(tuple(self._own_ranges()), self._pending_moves)
+        if self._handing_over_undecided():
+            key_ranges = _keymap.subtract(key_ranges, self._handing_over.ranges)
+        self._forget_granted_again(key_ranges)
+        return key_ranges
+
+    def _record_withheld(self, now):
+        """Count and log that nothing is granted, once per interval."""
+        if now < self._next_withheld_log_at:
+            return
+        self._next_withheld_log_at = now + WITHHELD_LOG_INTERVAL_S
+        self._node.metrics.count("grants_withheld")
+        self._node.log(
+            "grant_withheld", read_at=self._follower.read_at, now=now,
+            confirmed=self._entry_confirmed(),
+            suspected=_keymap.suspicion_of(self._keymap(), self._node.settings.vm),
+        )  # fmt: skip
+
+    def ranges_to_release(self, now):
+        """Return the ranges that the target is to release, as ``HeldRange``.
+
+        They are ranges that it may hold although the key map does not assign them to
+        it, or that move to other VMs; all ranges of a target that is leaving.
+        """
+        if not self._may_grant(now):
+            return ()
+        own = tuple(self._own_ranges())
+        kept = () if self._node.target.leaving else own
+        kept = [(r.start, r.end) for r in _keymap.subtract(kept, self._pending_moves)]
+        to_release = []
+        for held in self._node.target.held.possible(now):
+            for start, end in _keymap.uncovered(held.start, held.end, kept):
+                if held.fence:
+                    to_release.append(held._replace(start=start, end=end))
+                    continue
+                to_release += [
+                    HeldRange(max(start, r.start), min(end, r.end), r.fence, held.until)
+                    for r in own
+                    if r.start <= end and start <= r.end
+                ]
+        return tuple(to_release)
+
+    def on_fence_refused(self, start, end, fence):
+        """Record that the target has seen a higher fence of keys [start, end].
+
+        Either there is a newer key map, or the keys get a higher fence by a change of
+        the key map, which succeeds only if nothing was appended meanwhile.
+        """
+        self._refused_fences.update(
+            r
+            for r in self._own_ranges()
+            if r.fence == fence and r.start <= end and start <= r.end
+        )
+
+    def _may_grant(self, now):
+        """Whether this node may grant keys: it has a lease, and knows all releases.
+
+        Releases that an earlier process of this node reported may be written until
+        the entry of this process is in the topic, and are read with the entry.
+        """
+        return self.lease_valid(now) and self._entry_confirmed()
+
+    def _entry_confirmed(self):
+        return self._node.entry_confirmed() or not any(self._own_ranges())
 
     def _handing_over_undecided(self):
         """Whether the last append may have given ranges of this VM to others.
@@ -345,8 +438,8 @@
         """
         granted = [(r.start, r.end) for r in key_ranges]
         self._released = {
-            part: token
-            for (start, end), token in self._released.items()
+            part: released
+            for (start, end), released in self._released.items()
             for part in _keymap.uncovered(start, end, granted)
         }
 
@@ -378,10 +471,10 @@
         if not moves:
             move = plan_move(own, others, key_ranges, node.admission.recent_work())
             moves = [move] if move else []
-        until = node.target.grant_expiry + SAFETY_MARGIN_S
         usages = {load.vm: load.usage for load in others}
         for move in moves:
-            self._pending_moves[(move.start, move.end)] = (until, move.vm)
+            self._pending_moves[(move.start, move.end)] = move.vm
+            node.target.held.withdraw(move.start, move.end)
             self._next_move_at = now + MOVE_INTERVAL_S
             node.metrics.count("keys_given_up")
             node.log(
@@ -421,16 +514,24 @@
             )
         ]
 
+    def _handovers(self, now):
+        """Return the released ranges to hand over, as (start, end, token)."""
+        return [
+            (start, end, released.handover)
+            for (start, end), released in self._released.items()
+            if released.usable_at <= now
+        ]
+
     def _moved_ranges(self, now):
         """Return the releases of ranges that this VM moves away."""
-        releases = []
-        for (start, end), (until, receiver) in self._pending_moves.items():
+        held, releases = self._node.target.held, []
+        for (start, end), receiver in self._pending_moves.items():
             pieces = [
                 (max(low, start), min(high, end), token)
-                for (low, high), token in self._released.items()
+                for low, high, token in self._handovers(now)
                 if low <= end and start <= high
             ]
-            if not pieces and now > until:
+            if not pieces and now > held.expiry(start, end) + SAFETY_MARGIN_S:
                 pieces = [(start, end, "")]
             releases += self._split_by_key_range(pieces, receiver)
         return releases
@@ -441,16 +542,11 @@
         moved = [(release.start, release.end, "") for release in moved]
         released = [
             (start, end, token)
-            for (start, end), token in self._released.items()
+            for start, end, token in self._handovers(now)
             if not _overlaps(start, end, moved)
         ]
         target_gone = target.leaving or target.heartbeat_overdue(now)
-        grant_expired = (
-            now
-            > max(target.grant_expiry, self._started + GRANT_TTL_S * CLOCK_DRIFT_FACTOR)
-            + SAFETY_MARGIN_S
-        )
-        if target_gone and grant_expired:
+        if target_gone and now > target.held.expiry() + SAFETY_MARGIN_S:
             released += [
                 (key_range.start, key_range.end, "")
                 for key_range in self._keymap().ranges
@@ -561,6 +657,7 @@
         present = {suspicion for _, suspicion in keymap.suspicions}
         known = {s: t for s, t in self._suspicions.items() if s in present}
         self._suspicions = {s: known.get(s, now) for s in present}
+        self._refused_fences &= set(keymap.ranges)
         return OwnershipView(
             now, node.settings.vm, keymap,
             next((o for o in owners if o.vm == node.settings.vm), None),
@@ -568,6 +665,7 @@
             {vm: node.displaced_s(vm) for vm in names},
             self._releases_to_write(owners, now), self._suspicions,
             now - self._started - self._follower.batch_delay_s,
+            sorted(self._refused_fences),
         )  # fmt: skip
 
     def _log_standing_suspicions(self, view):
@@ -661,6 +759,13 @@
                 await self._follower.changed.wait()
 
 
+class _ReleasedRange(NamedTuple):
+    """Handover token of a released range, and the time from which it may be used."""
+
+    handover: str
+    usable_at: float
+
+
 class _SentReport(NamedTuple):
     """Writer to which a release was reported last, when, and how often in all."""
 
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -7,6 +7,7 @@
 from ._admission import Refused
 from ._connection_pool import ConnectionPool
 from ._frames import ANSWERED, NOT_RUN, UNKNOWN, ForwardReply
+from ._held_keys import HeldKeys
 from ._http import MAX_RESPONSE_BODY_BYTES, ExchangeError, request_bytes
 from ._rate_limit import RateLimit
 
@@ -30,7 +31,8 @@
     ``invalid_reason`` is why the response is malformed or belongs to another request,
     or None. ``load`` is (running, waiting, slots) or None. ``rate_limit`` is None if
     the response does not tell whether the target limits its rate. ``leaving`` is true
-    if the target states that it is about to stop.
+    if the target states that it is about to stop, ``key_not_held`` if it states that it
+    does not hold the request's key.
     """
 
     not_run: bool
@@ -38,6 +40,7 @@
     load: tuple | None
     rate_limit: RateLimit | None = None
     leaving: bool = False
+    key_not_held: bool = False
 
 
 class Target:
@@ -59,6 +62,8 @@
         Time of the last heartbeat on the node's clock, in seconds.
     leaving : bool
         Whether the target announced that it is about to stop.
+    held : HeldKeys
+        Keys that this node has granted to the target.
     """
 
     def __init__(self, address, body_budget=None):
@@ -72,23 +77,13 @@
         self.slots = 0
         self.leaving = False
         self.heartbeat_at = None
-        self._granted_ranges = ()
-        self._grant_valid_until = self._grant_expiry = 0.0
+        self.held = HeldKeys()
 
     @property
     def incarnation(self):
         """Name of the target's incarnation; empty while no target is known."""
         return f"{self.id}@{self.started_ms}" if self.id else ""
 
-    @property
-    def grant_expiry(self):
-        """Time on the node's clock (s) by which the last grant has surely expired.
-
-        The target's clock may run slower than the node's, so this is later than the
-        end of the grant as the node counts it.
-        """
-        return self._grant_expiry
-
     def heartbeat_overdue(self, now):
         """Whether no heartbeat has arrived for ``HEARTBEAT_TIMEOUT_S``."""
         return (
@@ -109,13 +104,14 @@
         change = ""
         if (heartbeat.target, heartbeat.started_ms) != (self.id, self.started_ms):
             change = "life"
+            if self.id:
+                self.held.reset()
             self.id, self.started_ms, self.sequence = (
                 heartbeat.target,
                 heartbeat.started_ms,
                 -1,
             )
             self.leaving = False
-            self._granted_ranges = ()
             self.pool.close()
         if heartbeat.sequence < self.sequence:
             return "old"
@@ -125,36 +121,11 @@
         self.leaving = self.leaving or heartbeat.leaving
         return change
 
-    def apply_grant(self, ranges, ttl_s, drift, now):
-        """Record the key ranges granted in the response to a heartbeat.
-
-        Parameters
-        ----------
-        ranges : iterable of KeyRange
-        ttl_s : float
-            Seconds from ``now`` for which the grant is valid.
-        drift : float
-            Factor by which the target's clock may run slow.
-        now : float
-        """
-        self._granted_ranges = tuple(
-            (key_range.start, key_range.end) for key_range in ranges
-        )
-        self._grant_valid_until = now + ttl_s
-        self._grant_expiry = now + ttl_s * drift
-
-    def grant_covers(self, key, now):
-        """Whether a valid grant covers a key (None: the request has no key)."""
-        if key is None:
-            return True
-        if not self._granted_ranges or now > self._grant_valid_until:
-            return False
-        return any(start <= key <= end for start, end in self._granted_ranges)
-
 
 def make_target_handler(
-    target, admission, adapter, serve_refusal, on_leaving, log, metrics
-):
+    target, admission, adapter, serve_refusal, on_leaving, on_keys_not_held, log,
+    metrics,
+):  # fmt: skip
     """Return ``await serve(request) -> ForwardReply``, which sends to the target.
 
     Parameters
@@ -169,6 +140,9 @@
     on_leaving : callable
         ``on_leaving(request_id)`` is called when the target's response to a request
         states that it is about to stop.
+    on_keys_not_held : callable
+        ``on_keys_not_held()`` is called when the target states that it does not hold
+        keys that it was granted.
     log : callable
     metrics : Metrics
     """
@@ -257,13 +231,32 @@
                 status=response.status,
             )  # fmt: skip
             reason = f"the target refused with {response.status}"
-            admission.record_target_shed(trio.current_time())
+            if result.key_not_held and request.key is not None:
+                if incarnation == target.incarnation:
+                    disown(request)
+            else:
+                admission.record_target_shed(trio.current_time())
             return ForwardReply(request.id, NOT_RUN, reason=reason, reached_target=True)
+        if request.key is not None:
+            target.held.trust(request.key)
         return ForwardReply(
             request.id, ANSWERED, response.status,
             adapter.client_response_headers(response.headers), response.body,
         )  # fmt: skip
 
+    def disown(request):
+        """Stop to use the grant of a key that the target states not to hold."""
+        now = trio.current_time()
+        for start, end in target.held.disown(request.key, now):
+            metrics.count("grants_disowned")
+            log(
+                "keys_not_held", id=request.request_id, target=target.incarnation,
+                start=start, end=end, key=request.key,
+                again_in_s=target.held.distrusted_s(request.key, now),
+            )  # fmt: skip
+            admission.refuse_distrusted()
+            on_keys_not_held()
+
     def record_rate_limit(rate_limit, sent_at, request_id):
         rate = admission.rate_limiter
         previous = rate.limit
--- a/packages/router/src/jujuberudder_router/_types.py
+++ b/packages/router/src/jujuberudder_router/_types.py
@@ -74,12 +74,17 @@
 
 
 class Service(NamedTuple):
-    """A service of the configuration."""
+    """A service of the configuration.
+
+    ``grants_by_call`` states whether keys are granted by calls to its targets; if not,
+    by the responses to their heartbeats. None leaves it to the node's settings.
+    """
 
     name: str
     keyed: bool
     max_connections: int
     warm_up_s: float = 0.0
+    grants_by_call: bool | None = None
 
 
 class Limits(NamedTuple):
@@ -164,7 +169,7 @@
     target_leaving: bool = False
 
 
-class KeyRange(msgspec.Struct, array_like=True, frozen=True):
+class KeyRange(msgspec.Struct, array_like=True, frozen=True, order=True):
     """A range of keys [start, end] of a service and its owner.
 
     ``fence`` is the fencing token of the assignment. ``handover`` is the token from the
@@ -199,7 +204,8 @@
     and metrics. ``grace_s`` is the time from SIGTERM to the end of the node,
     ``hold_limit_s`` the longest validity of a grant. ``memory_bytes`` is the memory
     that the process may use, ``link_bytes_per_s`` the capacity of the VM's network link
-    in bytes per second.
+    in bytes per second. ``grants_by_call`` holds for services of which the
+    configuration does not tell how keys are granted.
     """
 
     vm: str
@@ -219,3 +225,4 @@
     retry_slack: float
     memory_bytes: int
     link_bytes_per_s: float
+    grants_by_call: bool = False
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -15,6 +16,7 @@
     parse_configuration,
     parse_heartbeat,
     parse_request,
+    parse_settings,
     router_response_headers,
     target_request_headers,
 )
@@ -370,6 +372,31 @@
         parse_configuration(value)
 
 
+@pytest.mark.parametrize(
+    "grants, expected", [(None, None), ("call", True), ("heartbeat", False)]
+)
+def test_way_of_granting(grants, expected):
+    """Guards against keys that are granted in a way that the targets ignore."""
+    document = json.loads(json.dumps(CONFIGURATION))
+    if grants is not None:
+        document["clusters"][0]["grants"] = grants
+    parsed = parse_configuration(json.dumps(document).encode())
+    assert parsed.services["s-1"].grants_by_call is expected
+    default = "" if grants is None else f'grants = "{grants}"\n'
+    settings = parse_settings(tomllib.loads(default + SETTINGS))
+    assert settings.grants_by_call is bool(expected)
+
+
+def test_unknown_way_of_granting_is_named():
+    """Guards against an unknown way of granting that is taken for another one."""
+    document = json.loads(json.dumps(CONFIGURATION))
+    document["clusters"][1]["grants"] = "push"
+    with pytest.raises(ValueError, match="cluster s-2: grants is 'push'"):
+        parse_configuration(json.dumps(document).encode())
+    with pytest.raises(ValueError, match="grants is 'push', known are heartbeat, call"):
+        parse_settings(tomllib.loads('grants = "push"\n' + SETTINGS))
+
+
 # Names that only the platform uses, taken from its pages.
 PLATFORM_NAMES = re.compile(
     "storeRevision|coldRemainingS|log-append|log-newest|log-join|pathPrefix|"
--- a/tests/router/test_endless_messages.py
+++ b/tests/router/test_endless_messages.py
@@ -184,7 +184,7 @@
     address = free_addresses(1)[0]
     await nursery.start(trio.serve_tcp, serve, int(address.split(":")[1]))
     target = Target(address)
-    admission = AdmissionQueue(target.grant_covers)
+    admission = AdmissionQueue(target.held.covers)
     admission.open(1)
     adapter = SimpleNamespace(target_request_headers=lambda *arguments: [])
     handle = make_target_handler(
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -2,8 +2,10 @@
 
 Each node runs the real ``OwnershipManager`` and ``Follower`` against a simulated store
 with faults, on a simulated clock. Targets measure the duration of their grants with a
-clock that runs slow by as much as the platform allows. ``RULES`` lists the rules that
-are disabled in turn to verify that these tests detect it.
+clock that runs slow by as much as the platform allows. Keys are granted by the
+responses to heartbeats, or by calls of the real ``GrantCaller`` that may get no
+response and may be applied seconds later. ``RULES`` lists the rules that are disabled
+in turn to verify that these tests detect it.
 """
 
 import itertools
@@ -31,6 +33,8 @@
 )
 from jujuberudder_router import _ownership as ownership_module
 from jujuberudder_router._follower import Follower
+from jujuberudder_router._grant_calls import GrantCaller, GrantCalls
+from jujuberudder_router._held_keys import HeldKeys
 from jujuberudder_router._keymap import Owner
 from jujuberudder_router._ownership import OwnershipManager
 from jujuberudder_router._target import Target
@@ -47,6 +51,14 @@
 NETWORK_EVENTS = (
     "partition", "reconnect", "freeze", "thaw", "move keys", "delay reports",
 )  # fmt: skip
+CALL_EVENTS = (
+    "calls ok", "calls unsent", "grants lost", "grants late", "releases lost",
+    "releases late", "calls slow",
+)  # fmt: skip
+# Delay of a call that is applied late, in seconds, and of a slow one.
+LATE_CALL_S, SLOW_CALL_S = (2.0, 2.3, 5.0, 12.0), 0.25
+# Ways in which keys are granted.
+TRANSPORTS = ("heartbeat", "call")
 # Delay of the reports of released ranges by "delay reports", in seconds.
 REPORT_DELAY_S = 1.5
 
@@ -120,15 +132,20 @@
 
 
 class SimulatedTarget:
-    """One incarnation of a target: its granted ranges and their expiry."""
+    """One incarnation of a target: the ranges that it holds, and until when.
+
+    ``taken`` are the ranges with the fences under which it ever held them.
+    """
 
     _start_numbers = itertools.count(1)
 
     def __init__(self, vm):
         self.vm = vm
         self.id, self.started_ms = f"i-{vm}", next(self._start_numbers)
-        self.ranges, self.expiry = {}, 0.0
-        self.released, self.highest = [], 0
+        # (start, end) to (fence, expiry).
+        self.held = {}
+        self.taken = []
+        self.released = []
         self.leaving = False
         self.sequence = 0
 
@@ -138,18 +155,43 @@
         return f"{self.id}@{self.started_ms}"
 
     def served_ranges(self, now):
-        """Return the ranges that the target may serve at a time."""
-        if now >= self.expiry:
-            self.ranges = {}
-        return self.ranges
+        """Return the ranges (start, end) that the target may serve at a time."""
+        self.held = {r: h for r, h in self.held.items() if now < h[1]}
+        return list(self.held)
+
+    def hold(self, start, end, fence, expiry):
+        """Hold a range, unless a higher fence was seen; return whether it does."""
+        if any(f > fence and s <= end and start <= e for s, e, f in self.taken):
+            return False
+        self.drop(start, end)
+        self.held[(start, end)] = (fence, expiry)
+        self.taken.append((start, end, fence))
+        return True
+
+    def drop(self, start, end):
+        """Hold a range no more, and return the parts that were held."""
+        dropped = []
+        for (low, high), held in list(self.held.items()):
+            if low <= end and start <= high:
+                del self.held[(low, high)]
+                for part in uncovered_ranges(low, high, [(start, end)]):
+                    self.held[part] = held
+                dropped.append((max(low, start), min(high, end)))
+        return dropped
 
 
 class Simulation:
     """Nodes, targets and partitions, with a check after each grant."""
 
-    def __init__(self, nursery):
+    def __init__(self, nursery, transport):
         self.nursery = nursery
+        self.transport = transport
         self.store = SimulatedStore(nursery)
+        # Mode of the calls to each target, and incarnation at the other end of the
+        # connection of each node.
+        self.call_modes = dict.fromkeys(VMS, "calls ok")
+        self.call_peers = {}
+        self._late_calls = itertools.cycle(LATE_CALL_S)
         self.targets = dict.fromkeys(VMS)
         self.nodes = dict.fromkeys(VMS)
         self.unreachable_since = dict.fromkeys(VMS)
@@ -157,21 +199,44 @@
         self.displaced = {}
         self.last_processes = {}
         self.frozen = dict.fromkeys(VMS, False)
-        self.taken = []
+        # All incarnations so far.
+        self.incarnations = []
         self._process_numbers = itertools.count(1)
         self.reports_delayed = dict.fromkeys(VMS, False)
 
+    def add_target(self, vm, late=False):
+        """Start a new incarnation of a target, which sends a heartbeat at once.
+
+        It does so one interval later if ``late`` is true.
+        """
+        self.targets[vm] = target = SimulatedTarget(vm)
+        self.incarnations.append(target)
+        if self.nodes[vm] is not None and not late:
+            self.nursery.start_soon(self._send_heartbeat, vm, target, self.nodes[vm][0])
+
     def check(self, target, now):
-        """Check that no other target serves a key that was just granted."""
+        """Check that no other target serves a key that was just granted.
+
+        Its fence must be higher than all fences under which others held the key.
+        """
         for other in self.targets.values():
             if other is None or other is target:
                 continue
             for start, end in other.served_ranges(now):
-                for low, high in target.ranges:
+                for low, high in target.held:
                     assert end < low or start > high, (
                         f"{target.incarnation} and {other.incarnation} serve "
                         f"{low}-{high} at {now}"
                     )
+        for other in self.incarnations:
+            if other is target:
+                continue
+            for start, end, seen in other.taken:
+                for (low, high), (fence, _) in target.held.items():
+                    assert end < low or start > high or fence > seen, (
+                        f"{target.incarnation} holds {low}-{high} under {fence}, "
+                        f"{other.incarnation} did under {seen}"
+                    )
 
     def start_node(self, vm):
         """Start a new process of the node, without state."""
@@ -188,7 +253,9 @@
         )
         node.follower = follower
         node.ownership = OwnershipManager(node, self.store.store_of(vm), follower)
+        node.grant_caller = GrantCaller(node, node.ownership, self._make_calls(vm))
         self.nodes[vm] = (node, scope)
+        self.call_peers[vm] = None
 
         async def announce():
             append, result = self.store.store_of(vm).append, None
@@ -203,6 +270,7 @@
                     nursery.start_soon(announce)
                     nursery.start_soon(follower.run)
                     nursery.start_soon(node.ownership.run)
+                    nursery.start_soon(node.grant_caller.run)
 
         self.nursery.start_soon(run)
 
@@ -214,12 +282,13 @@
             settings=SimpleNamespace(vm=vm, service=SERVICE, hold_limit_s=10.0),
             target=Target("127.0.0.1:1"), keymaps={}, links={},
             is_keyed=lambda service: True,
+            grants_by_call=self.transport == "call",
             encode_keymap=msgspec.msgpack.encode,
             log=lambda event, **fields: None,
             metrics=SimpleNamespace(count=lambda event: None),
             admission=SimpleNamespace(
                 load=lambda: None, recent_work=lambda: [], demand=dict,
-                sample_usage=lambda now: None,
+                sample_usage=lambda now: None, dispatch=lambda: None,
             ),
         )  # fmt: skip
 
@@ -229,6 +298,7 @@
                 node.entries[record.key.removeprefix("vm/")] = entry
                 return
             node.keymaps[SERVICE] = msgspec.msgpack.decode(record.value, type=KeyMap)
+            node.grant_caller.check_now()
 
         node.apply = apply
         node.entry_confirmed = lambda: self.entry_confirmed(node)
@@ -330,7 +400,11 @@
         now = trio.current_time()
         if node.target.apply_heartbeat(heartbeat, now) == "old":
             return
-        grant = node.ownership.grant(heartbeat, now)
+        node.ownership.on_heartbeat(heartbeat, now)
+        if self.transport == "call":
+            node.grant_caller.on_heartbeat()
+            return
+        grant = node.ownership.grant(now)
         if grant is None or self.targets[vm] is not target:
             return
         target.released = target.released[len(released) :]
@@ -338,18 +412,92 @@
 
     def _accept(self, target, grant, sent):
         now = trio.current_time()
-        ranges = {
-            (key_range.start, key_range.end): key_range.fence
-            for key_range in grant.ranges
-        }
+        granted = [(key_range.start, key_range.end) for key_range in grant.ranges]
         for start, end in target.served_ranges(now):
-            for low, high in uncovered_ranges(start, end, ranges):
+            for low, high in uncovered_ranges(start, end, granted):
                 target.released.append((low, high, "token"))
-        target.ranges = ranges
-        target.expiry = sent + grant.ttl_s * CLOCK_DRIFT_FACTOR
-        if now < target.expiry:
+                target.drop(low, high)
+        expiry = sent + grant.ttl_s * CLOCK_DRIFT_FACTOR
+        for key_range in grant.ranges:
+            target.hold(key_range.start, key_range.end, key_range.fence, expiry)
+        if now < expiry:
             self.check(target, now)
 
+    def _make_calls(self, vm):
+        """Return the ``GrantCalls`` of a VM, with the faults of its present mode."""
+
+        async def connect():
+            """Return the target, or the failure of a call that was not sent."""
+            while self.frozen[vm]:
+                await trio.sleep(0.1)
+            target, peer = self.targets[vm], self.call_peers[vm]
+            if target is None or peer not in (None, target.incarnation):
+                self.call_peers[vm] = None
+                return None, Err(Failure("call", vm, "connection lost"))
+            self.call_peers[vm] = target.incarnation
+            return target, None
+
+        async def call(kind, apply):
+            """Apply a call in the present mode; return None if there is no response."""
+            mode = self.call_modes[vm]
+            if mode == "calls unsent":
+                await trio.sleep_forever()
+            await trio.sleep(SLOW_CALL_S if mode == "calls slow" else 0.001)
+            if mode == f"{kind} late":
+
+                async def apply_later():
+                    await trio.sleep(next(self._late_calls))
+                    apply()
+
+                self.nursery.start_soon(apply_later)
+                await self._hang(vm)
+            result = apply()
+            if mode == f"{kind} lost":
+                await self._hang(vm)
+            return result
+
+        async def grant(target_id, key_range, end_at):
+            target, failure = await connect()
+            if failure is not None:
+                return failure
+            sent = trio.current_time()
+            if end_at - sent < 0.05:
+                return Err(Failure("grant", vm, "too late"))
+            expiry = sent + (end_at - sent) * CLOCK_DRIFT_FACTOR
+
+            def apply():
+                now = trio.current_time()
+                if now >= expiry:
+                    return True
+                accepted = target.hold(
+                    key_range.start, key_range.end, key_range.fence, expiry
+                )
+                if self.targets[vm] is target:
+                    self.check(target, now)
+                return accepted
+
+            return Ok(await call("grants", apply))
+
+        async def release(target_id, start, end, fence):
+            target, failure = await connect()
+            if failure is not None:
+                return failure
+
+            def apply():
+                target.served_ranges(trio.current_time())
+                return "token" if target.drop(start, end) else ""
+
+            return Ok(await call("releases", apply))
+
+        return GrantCalls(grant, release)
+
+    async def _hang(self, vm):
+        """Wait until the caller gives the call up and closes the connection."""
+        try:
+            await trio.sleep_forever()
+        finally:
+            self.call_peers[vm] = None
+
     def apply_event(self, kind, vm):
         """Apply one event to a VM."""
         now = trio.current_time()
@@ -367,11 +515,15 @@
         elif kind == "kill target":
             self.targets[vm] = None
         elif kind == "start target" and self.targets[vm] is None:
-            self.targets[vm] = SimulatedTarget(vm)
+            self.add_target(vm)
+        elif kind == "start target late":
+            self.add_target(vm, late=True)
         elif kind == "leave" and self.targets[vm] is not None:
             self.targets[vm].leaving = True
         elif kind.startswith("store"):
             self.store.modes[vm] = kind
+        elif kind in CALL_EVENTS:
+            self.call_modes[vm] = kind
         elif kind == "partition":
             self.store.modes[vm] = "store down"
             self.unreachable_since[vm] = self.unreachable_since[vm] or now
@@ -392,17 +544,17 @@
         if ranges and node.target.incarnation and not node.ownership._pending_moves:
             key_range, to = ranges[0], VMS[(VMS.index(vm) + 1) % len(VMS)]
             middle = (key_range.start + key_range.end) // 2
-            expiry = node.target.grant_expiry + ownership_module.SAFETY_MARGIN_S
-            node.ownership._pending_moves[(key_range.start, middle)] = (expiry, to)
+            node.ownership._pending_moves[(key_range.start, middle)] = to
+            node.target.held.withdraw(key_range.start, middle)
 
 
-async def simulate(events, settle_s=0.0):
+async def simulate(events, settle_s, transport):
     """Apply events with pauses between them and return the simulation."""
     async with trio.open_nursery() as nursery:
-        simulation = Simulation(nursery)
+        simulation = Simulation(nursery, transport)
         for vm in VMS:
-            simulation.targets[vm] = SimulatedTarget(vm)
             simulation.start_node(vm)
+            simulation.add_target(vm)
             nursery.start_soon(simulation.send_heartbeats, vm)
             for other in VMS:
                 if other != vm:
@@ -416,28 +568,39 @@
     return simulation
 
 
-def run(events, settle_s=0.0):
+def run(events, settle_s=0.0, transport="heartbeat"):
     """Simulate events on a clock that skips idle time."""
     clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(simulate, events, settle_s, clock=clock)
+    return trio.run(simulate, events, settle_s, transport, clock=clock)
 
 
-event = st.tuples(
-    st.sampled_from(PROCESS_EVENTS + STORE_EVENTS + NETWORK_EVENTS),
-    st.sampled_from(VMS),
-    st.sampled_from((0, 1, 1, 3, 6)),
-)
+EVENTS = PROCESS_EVENTS + STORE_EVENTS + NETWORK_EVENTS
+
+
+def event_lists(kinds):
+    """Return a strategy of lists of (kind, VM, pause)."""
+    event = st.tuples(
+        st.sampled_from(kinds), st.sampled_from(VMS), st.sampled_from((0, 1, 1, 3, 6))
+    )
+    return st.lists(event, min_size=2, max_size=14)
 
 
-@given(st.lists(event, min_size=2, max_size=14))
+@given(event_lists(EVENTS))
 def test_no_two_targets_serve_a_key(events):
     """Guards against two targets that serve a key at the same instant."""
     run(events)
 
 
+@given(event_lists(EVENTS + CALL_EVENTS))
+def test_no_two_targets_serve_a_key_granted_by_call(events):
+    """Guards against grants without a response that give a key a second server."""
+    run(events, transport="call")
+
+
+@pytest.mark.parametrize("transport", TRANSPORTS)
 @pytest.mark.parametrize("delay", [0.1, 0.35, 0.6, 0.85])
 @pytest.mark.parametrize("moves", [("b",), ("c", "b"), ("b", "b"), ("c", "c", "b")])
-def test_restart_between_release_and_handover(moves, delay):
+def test_restart_between_release_and_handover(moves, delay, transport):
     """Guards against keys granted again by a new process that also hands them over.
 
     The previous process of the node planned the move and ended before the handover.
@@ -445,7 +608,7 @@
     vm = moves[-1]
     planned = [("move keys", other, 1) for other in moves[:-1]]
     restart = [("kill node", vm, 0), ("start node", vm, 2)]
-    run([*planned, ("move keys", vm, delay), *restart])
+    run([*planned, ("move keys", vm, delay), *restart], transport=transport)
 
 
 def confirm_any_read(follower, end, at):
@@ -465,8 +628,9 @@
 
 
 # Rules of the protocol: the constant or function that implements each, a replacement
-# that disables it, and events that need it. With the replacement two targets must serve
-# a key, or the tests of this file prove nothing.
+# that disables it, events that need it, and in CALL_RULES those of grants by call. With
+# the replacement two targets must serve a key, or a fence must not rise; otherwise the
+# tests of this file prove nothing.
 # fmt: off
 RULES = {
     "another node's read counts only if it showed no unread records": (
@@ -516,16 +680,59 @@
 # fmt: on
 
 
-@pytest.mark.parametrize("rule", RULES, ids=str)
-def test_disabled_rule_is_detected(rule):
+# fmt: off
+CALL_RULES = {
+    "wait for lease and grant before a takeover": (
+        (ownership_module, "TAKEOVER_DELAY_S", 0.5),
+        [("partition", "a", 6), ("move keys", "b", 3)],
+    ),
+    "no grants after the lease expires": (
+        (ownership_module, "LEASE_S", 1e6),
+        [("partition", "a", 6), ("move keys", "b", 3)],
+    ),
+    "a handover waits for grants without a response": (
+        (HeldKeys, "open_call_expiry", lambda held, start, end: 0.0),
+        [("grants late", "b", 0.4), ("move keys", "b", 3)],
+    ),
+    "keys without a handover wait for the latest end of their grants": (
+        (HeldKeys, "expiry", lambda held, start=0, end=0: 0.0),
+        [("releases late", "b", 0), ("move keys", "b", 3)],
+    ),
+    "grants of the previous process of a node may still be applied": (
+        (HeldKeys, "assume_granted", lambda held, now, until: None),
+        [
+            ("grants late", "b", 0.5), ("kill node", "b", 0), ("start node", "b", 0.1),
+            ("move keys", "b", 3),
+        ],
+    ),
+    "no calls between the end of a connection and the next heartbeat": (
+        (GrantCaller, "_may_call", lambda caller: True),
+        # The target restarts just after a heartbeat.
+        [
+            ("calls ok", "b", 0.19), ("kill target", "b", 0.02),
+            ("start target late", "b", 3),
+        ],
+    ),
+}
+# fmt: on
+
+
+@pytest.mark.parametrize(
+    "rule, transport",
+    [(rule, "heartbeat") for rule in RULES] + [(rule, "call") for rule in CALL_RULES],
+    ids=str,
+)
+def test_disabled_rule_is_detected(rule, transport):
     """Guards against a protocol test that passes although a rule is missing."""
-    (place, name, value), events = RULES[rule]
-    run(events)
+    rules = {"heartbeat": RULES, "call": CALL_RULES}[transport]
+    (place, name, value), events = rules[rule]
+    run(events, transport=transport)
     with mock.patch.object(place, name, value):
         with pytest.raises((AssertionError, ExceptionGroup)):
-            run(events)
+            run(events, transport=transport)
 
 
+@pytest.mark.parametrize("transport", TRANSPORTS)
 @pytest.mark.parametrize(
     "events, settle_s",
     [
@@ -540,17 +747,21 @@
         ([("store lost", "a", 0), ("kill target", "a", 0)], 9.0),
         ([("store late", "a", 0), ("kill target", "a", 0)], 20.0),
         ([("freeze", "a", 3), ("thaw", "a", 0)], 4.0),
+        ([("grants lost", "a", 2), ("calls ok", "a", 0)], 2.0),
+        ([("calls unsent", "a", 3), ("calls ok", "a", 0)], 2.0),
+        ([("releases late", "a", 0), ("move keys", "a", 0)], 16.0),
+        ([("grants late", "a", 1), ("move keys", "a", 0), ("calls ok", "a", 0)], 6.0),
     ],
     ids=str,
 )
-def test_all_keys_are_served_after_a_failure(events, settle_s):
+def test_all_keys_are_served_after_a_failure(events, settle_s, transport):
     """Guards against keys that stay unserved after a fault of target, node or store."""
-    simulation = run(events, settle_s)
+    simulation = run(events, settle_s, transport)
     covered = sorted(
         key_range
         for target in simulation.targets.values()
         if target is not None and (target.vm != "a" or simulation.nodes["a"])
-        for key_range in target.ranges
+        for key_range in target.held
     )
     ends = [-1] + [end for _, end in covered]
     assert [start for start, _ in covered] == [end + 1 for end in ends[:-1]]
