Do not delay short calls behind long requests until they fail

Cause: a request that would miss its latency goal is run after all others, and is refused if twice the whole queue does not fit its deadline.

Change: a request shorter than half of the mean counts as late only at its deadline.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -16,6 +16,10 @@
 # Share of a request's remaining time within which its response has to be ready. The
 # rest covers the way back and the variation of service times.
 USABLE_TIME_SHARE = 0.85
+# A request counts as short below this multiple of the mean service time. A short one
+# that will miss its latency goal is not run after all others: it hardly delays them,
+# and is mostly a call of a request that waits for it in a slot.
+SHORT_SERVICE_SHARE = 0.5
 # Factor on the expected wait of a request that will miss its latency goal: all requests
 # that arrive meanwhile and can meet their goal are run before it.
 LATE_WAIT_FACTOR = 2.0
@@ -59,11 +63,13 @@
 class Waiter(NamedTuple):
     """A request that waits for a slot.
 
-    ``latency_goal_at`` is when its response is due, on the node's clock in seconds.
+    ``latency_goal_at`` is when its response is due, and ``late_at`` from when on it is
+    run after those that can meet their goal, on the node's clock in seconds.
     """
 
     priority: int
     latency_goal_at: float
+    late_at: float
     service_s: float
     key: int | None
     event: trio.Event
@@ -73,8 +79,9 @@
 def next_waiter(waiters, now, ready):
     """Return the request to run next, or None.
 
-    Requests that can still meet their latency goal are run before those that cannot.
-    Within both groups the order is by priority, then by the end of the latency goal.
+    Requests that can still meet their latency goal are run before those that cannot;
+    short requests are not delayed so. Within both groups the order is by priority, then
+    by the end of the latency goal.
 
     Parameters
     ----------
@@ -92,7 +99,7 @@
     for waiter in waiters:
         if not ready(waiter.key):
             continue
-        late = now + waiter.service_s > waiter.latency_goal_at
+        late = now + waiter.service_s > waiter.late_at
         order = (late, waiter.priority, waiter.latency_goal_at, waiter.number)
         if best is None or order < best_order:
             best, best_order = waiter, order
@@ -114,10 +121,23 @@
     return (mean_s + ahead_s) / (slots or 1)
 
 
-def refusal(wait_s, full_queue_wait_s, service_s, latency_goal_s, remaining_s):
+def late_after(service_s, mean_s, latency_goal_s, remaining_s):
+    """Return the time (s) from its arrival after which a request is late.
+
+    Parameters
+    ----------
+    service_s, mean_s : float
+        Expected service time, and the mean over all requests, in seconds.
+    latency_goal_s, remaining_s : float
+        Times until the response is due, and until the deadline, in seconds.
+    """
+    return remaining_s if service_s < SHORT_SERVICE_SHARE * mean_s else latency_goal_s
+
+
+def refusal(wait_s, full_queue_wait_s, service_s, late_s, remaining_s):
     """Return the retry delay if a request is refused, or None if it is queued.
 
-    A request is queued if it will meet its latency goal, or if its remaining time has
+    A request is queued if it will not be late, or if its remaining time has
     a reserve for a wait behind all others.
 
     Parameters
@@ -127,7 +147,7 @@
         requests, in seconds.
     service_s : float
         Expected service time, in seconds.
-    latency_goal_s, remaining_s : float
+    late_s, remaining_s : float
         Times until the response is late, and until the deadline, in seconds.
 
     Returns
@@ -135,7 +155,7 @@
     retry_after_s : float or None
     """
     if (
-        wait_s + service_s <= latency_goal_s
+        wait_s + service_s <= late_s
         and wait_s + service_s <= remaining_s * USABLE_TIME_SHARE
     ):
         return None
@@ -356,8 +376,11 @@
         if granted and not self._waiters and self._may_start(now):
             self._start(now)
             return
-        self._check_expected_wait(request, now, service_s)
-        await self._wait(request, now, service_s)
+        late_s = late_after(
+            service_s, self._mean_service_s, request.latency_goal_s, request.remaining_s
+        )
+        self._check_expected_wait(request, now, service_s, late_s)
+        await self._wait(request, now, service_s, late_s)
 
     def _check_key(self, key, now):
         """Raise ``Refused`` if the target will not serve a key for a while."""
@@ -372,21 +395,21 @@
             and now + MAX_RUN_FACTOR * service_s > self.drain_deadline
         )
 
-    def _check_expected_wait(self, request, now, service_s):
+    def _check_expected_wait(self, request, now, service_s, late_s):
         waiters = self._waiters.values()
         order = (request.priority, now + request.latency_goal_s)
         ahead_s = sum(
             w.service_s
             for w in waiters
             if (w.priority, w.latency_goal_at) <= order
-            and now + w.service_s <= w.latency_goal_at
+            and now + w.service_s <= w.late_at
         )
         queued_s, slots = self._queued_work_s(), self.usable_slots
         retry_after_s = refusal(
             expected_wait(self._mean_service_s, ahead_s, slots),
             expected_wait(self._mean_service_s, queued_s, slots),
             service_s,
-            request.latency_goal_s,
+            late_s,
             request.remaining_s,
         )
         if retry_after_s is not None:
@@ -396,7 +419,7 @@
                 f"queue of {queued_s / (slots or 1):.2f} s{limited}", retry_after_s
             )
 
-    async def _wait(self, request, now, service_s):
+    async def _wait(self, request, now, service_s, late_s):
         self._last_number += 1
         number = self._last_number
         refuse_at = now + min(
@@ -405,6 +428,7 @@
         waiter = Waiter(
             request.priority,
             now + request.latency_goal_s,
+            now + late_s,
             service_s,
             request.key,
             trio.Event(),
--- a/tests/router/admission_load.py
+++ b/tests/router/admission_load.py
@@ -15,6 +15,7 @@
 
     Times are in seconds. ``share`` is its part of the arrivals, ``value`` is the worth
     of a response within the latency goal and ``late_value`` that of a later one.
+    ``retries`` is how often a refused request is sent again.
     """
 
     share: float
@@ -24,6 +25,7 @@
     priority: int
     value: float
     late_value: float
+    retries: int = 1
 
 
 class Outcome(NamedTuple):
@@ -32,13 +34,15 @@
     ``credit`` is the value of the responses and ``refused_late`` the value of requests
     refused after an eighth of their latency goal, both as shares of the value of all
     requests. ``served`` is the share of requests with a response. ``by_kind`` is the
-    credit of each kind as a share of the value of its requests.
+    credit of each kind as a share of the value of its requests, ``served_by_kind`` the
+    share of its requests with a response.
     """
 
     credit: float
     served: float
     refused_late: float
     by_kind: tuple
+    served_by_kind: tuple
 
 
 # Casa Pluma, with six slots: lookups with calls, and bookings together with checks.
@@ -53,6 +57,12 @@
     Kind(0.4, 0.64, 2.0, 4.0, 2, 1.0, 0.1),
     Kind(0.3, 0.04, 0.2, 0.5, 1, 1.0, 0.3),
 )
+# Meteor Count Sheet Mesh, with six slots: long fetches, and calls that running requests
+# wait for. A late call is as good for its caller as one in time.
+ARCHIVE = (
+    Kind(0.58, 0.55, 1.5, 3.0, 2, 1.0, 0.1),
+    Kind(0.42, 0.055, 0.2, 0.6, 1, 1.0, 1.0, 0),
+)
 
 
 def simulate(kinds, slots, load, duration_s=40.0, seed=1):
@@ -86,7 +96,7 @@
 
     async def request(index, kind):
         started = trio.current_time()
-        for last in (False, True):
+        for sends in range(kind.retries + 1):
             sent = trio.current_time()
             remaining_s = started + kind.remaining_s - sent
             forward_request = ForwardRequest(
@@ -97,7 +107,7 @@
                 await admission.acquire(forward_request, sent)
             except Refused as refused:
                 waited_s = trio.current_time() - sent
-                if last or refused.retry_after_s > remaining_s / 3:
+                if sends == kind.retries or refused.retry_after_s > remaining_s / 3:
                     results[index].append((None, waited_s))
                     return
                 await trio.sleep(refused.retry_after_s)
@@ -130,8 +140,8 @@
 
 
 def _summary(kinds, results):
-    earned = owed = served = refused_late = 0.0
-    by_kind = []
+    earned = owed = refused_late = 0.0
+    by_kind, served_by_kind = [], []
     for kind, outcomes in zip(kinds, results):
         credit = [
             0
@@ -143,12 +153,18 @@
         ]
         earned += sum(credit)
         owed += kind.value * len(outcomes)
-        served += sum(1 for took_s, _ in outcomes if took_s is not None)
+        served_by_kind.append(sum(1 for took_s, _ in outcomes if took_s is not None))
         refused_late += sum(
             kind.value
             for took_s, waited_s in outcomes
             if took_s is None and waited_s > kind.latency_goal_s / 8
         )
         by_kind.append(sum(credit) / (kind.value * max(1, len(outcomes))))
-    total = sum(len(outcomes) for outcomes in results)
-    return Outcome(earned / owed, served / total, refused_late / owed, tuple(by_kind))
+    counts = [len(outcomes) for outcomes in results]
+    return Outcome(
+        earned / owed,
+        sum(served_by_kind) / sum(counts),
+        refused_late / owed,
+        tuple(by_kind),
+        tuple(served / max(1, count) for served, count in zip(served_by_kind, counts)),
+    )
--- a/tests/router/test_admission.py
+++ b/tests/router/test_admission.py
@@ -8,15 +8,21 @@
     Refused,
     Waiter,
     expected_wait,
+    late_after,
     next_waiter,
     refusal,
 )
 from jujuberudder_router._frames import ForwardRequest
 
 
-def waiter(number, priority=1, latency_goal_at=10.0, service_s=0.1, key=None):
+def waiter(
+    number, priority=1, latency_goal_at=10.0, service_s=0.1, key=None, late_at=None
+):
     """Return a waiting request; unspecified fields do not matter."""
-    return Waiter(priority, latency_goal_at, service_s, key, trio.Event(), number)
+    late_at = latency_goal_at if late_at is None else late_at
+    return Waiter(
+        priority, latency_goal_at, late_at, service_s, key, trio.Event(), number
+    )
 
 
 @pytest.mark.parametrize(
@@ -31,12 +37,22 @@
             (),
             2,
         ),
+        (
+            [
+                waiter(1, 1, latency_goal_at=5.0, late_at=7.0),
+                waiter(2, 2, latency_goal_at=9.0),
+            ],
+            6.0,
+            (),
+            1,
+        ),
         ([waiter(1, key=5), waiter(2, key=6)], 0.0, (6,), 2),
         ([waiter(1, key=5)], 0.0, (), None),
     ],
     ids=[
         "none", "most urgent first", "earlier latency goal first",
-        "late ones after those in time", "one key not granted", "no key granted",
+        "late ones after those in time", "a short one is not late",
+        "one key not granted", "no key granted",
     ],
 )  # fmt: skip
 def test_next_waiter(waiters, now, granted, expected):
@@ -72,6 +88,12 @@
     )
 
 
+@pytest.mark.parametrize("service_s, expected", [(0.2, 0.4), (0.1, 0.4), (0.09, 1.0)])
+def test_late_after(service_s, expected):
+    """Guards against short calls that wait behind long requests until they fail."""
+    assert late_after(service_s, 0.2, 0.4, 1.0) == expected
+
+
 @pytest.mark.parametrize(
     "ahead_s, slots, expected", [(0.0, 4, 0.05), (1.4, 4, 0.4), (0.0, 0, 0.2)]
 )
