Do not assume the mean time of long routes for one that has not run

Cause: after a start, a target whose long requests ran first assumed their mean time for the calls of other targets, found that they would miss their goal of 0.2 s, and refused all of them; so it never learned their time.

Change: once other routes are measured, a route without a measured time counts as 0.35 of its latency goal, as in the data sheets.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -32,10 +32,14 @@
 MAX_RUN_FACTOR = 8.0
 # Weight of the newest run in the mean service time of a route.
 MEAN_WEIGHT = 0.1
-# Initial value of the mean service time over all routes, in seconds. The mean is
-# assumed for a route until one of its requests has run. The value is the mean in the
-# data sheets of the users.
+# Initial value of the mean service time over all routes, in seconds. It is assumed for
+# each route until a request has run: the mean in the data sheets of the users.
 INITIAL_SERVICE_S = 0.15
+# Service time that is assumed for a route after requests of others have run, as a share
+# of its latency goal: the ratio in the data sheets of the users. If the mean over the
+# others were assumed, a target that runs long requests would refuse all short ones, and
+# never learn their time.
+INITIAL_SERVICE_SHARE = 0.35
 # Bounds of the retry delay sent with a refusal, in seconds. The upper bound is the
 # time in which the queue empties once; clients retry sooner than that anyway.
 RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S = 0.1, 2.0
@@ -366,7 +370,7 @@
         """
         if self.closed_reason:
             raise Refused(self.closed_reason, 0.0)
-        service_s = self._service_s.get(request.route, self._mean_service_s)
+        service_s = self._expected_service_s(request)
         if self._may_outlast_node(service_s, now):
             raise Refused(OUTLASTS_NODE, 0.0)
         if request.key is not None:
@@ -382,6 +386,12 @@
         self._check_expected_wait(request, now, service_s, late_s)
         await self._wait(request, now, service_s, late_s)
 
+    def _expected_service_s(self, request):
+        if not self._service_s:
+            return self._mean_service_s
+        assumed_s = INITIAL_SERVICE_SHARE * request.latency_goal_s
+        return self._service_s.get(request.route, assumed_s)
+
     def _check_key(self, key, now):
         """Raise ``Refused`` if the target will not serve a key for a while."""
         delay_s = 0.0 if key is None else self._key_delay_s(key, now)
--- a/tests/router/test_admission.py
+++ b/tests/router/test_admission.py
@@ -1,5 +1,6 @@
 """Admission to the target: which request runs next, and which is refused."""
 
+import msgspec
 import pytest
 import trio
 
@@ -286,3 +287,33 @@
         admission.sample_usage(trio.current_time())
         assert admission.demand() == {}
     assert refused > 50
+
+
+async def test_short_requests_after_long_ones(autojump_clock):
+    """Guards against a route that is refused for ever because it has never run.
+
+    A target that has just started has run only long requests of another route.
+    """
+    admission = AdmissionQueue(lambda key, now: True)
+    admission.open(6)
+    long = forward_request(remaining_s=3.0)
+    short = msgspec.structs.replace(
+        long, route="call", latency_goal_s=0.2, remaining_s=0.6
+    )
+    for _ in range(30):
+        await admission.acquire(long, trio.current_time())
+        admission.release(long, 0.55)
+    for _ in range(6):
+        await admission.acquire(long, trio.current_time())
+    started = False
+
+    async def run():
+        nonlocal started
+        await admission.acquire(short, trio.current_time())
+        started = True
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run)
+        await trio.sleep(0.05)
+        admission.release(long, 0.55)
+    assert started
