--- a/packages/ctl/src/jujuberudderctl/__main__.py
+++ b/packages/ctl/src/jujuberudderctl/__main__.py
@@ -11,12 +11,13 @@
 from ._diff import diff
 from ._exits import EXIT_CODES, EXIT_INTERRUPTED
 from ._explain import explain
+from ._inspect import inspect
 from ._owners import owners
 from ._publish import publish
 from ._show import show
 from ._status import status
 
-COMMANDS = [check, publish, show, diff, owners, explain, status]
+COMMANDS = [check, publish, show, diff, owners, explain, status, inspect]
 
 
 def main():
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -23,9 +23,10 @@
 from ._relay import make_relay_handler, with_relays
 from ._routes import RetryBudget, TrafficSplitter
 from ._server import STOP_POLL_S, Server
+from ._status import key_status, node_status
 from ._store import MEMBERSHIP_TOPIC, OPERATOR_TOPIC
 from ._target import Target, make_target_handler
-from ._types import Limits, Settings
+from ._types import KEY_COUNT, Limits, Settings
 
 # Minimum and maximum time that a read of the configuration topic waits for a record.
 # Peers report their read progress, so a lost response is detected sooner.
@@ -685,16 +686,36 @@
 
 
 def make_ready_handler(node):
-    """Return the handler of the ready address, which serves readiness and metrics."""
+    """Return the handler of the ready address, for probes and operators.
+
+    ``/metrics`` returns the metrics, ``/status`` the state of the node, and
+    ``/keys/SERVICE/KEY`` that of a key. All other paths tell whether it is ready.
+    """
 
     async def handle(message):
-        if message.target.startswith(b"/metrics"):
+        path, now = message.target.partition(b"?")[0], trio.current_time()
+        if path.startswith(b"/metrics"):
             return 200, [], metrics_text(node).encode()
+        if path == b"/status":
+            return json_response(node_status(node, now))
+        if path.startswith(b"/keys/"):
+            service, _, key = (
+                path.removeprefix(b"/keys/").decode("latin-1").partition("/")
+            )
+            if not key.isdecimal() or int(key) >= KEY_COUNT:
+                return 400, [], b"expected /keys/SERVICE/KEY with a key below 65536"
+            return json_response(key_status(node, service, int(key), now))
         return (200 if node.ready else 503), [], b""
 
     return handle
 
 
+def json_response(content):
+    """Return a response with a value as JSON."""
+    headers = [(b"content-type", b"application/json")]
+    return 200, headers, msgspec.json.encode(content)
+
+
 def metrics_text(node):
     """Return counters, histograms and gauges in the text format of Prometheus."""
     load = node.admission.load()
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -305,6 +305,10 @@
             self._lease_until = max(self._lease_until, until)
         return now < self._lease_until
 
+    def lease_left_s(self, now):
+        """Return for how many seconds the lease is valid; 0 without one."""
+        return max(0.0, self._lease_until - now) if self.lease_valid(now) else 0.0
+
     def on_heartbeat(self, heartbeat, now):
         """Record the ranges that a heartbeat reports as released, and plan moves."""
         for start, end, handover in heartbeat.released:
