--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -23,8 +23,9 @@
 # from two stale key maps that name each other.
 MAX_OWNER_HINTS = 4
 # Number of VMs of a service without keys that may refuse a request because of their
-# queues before the client gets the refusal: each is the least loaded of three, so after
-# three the service has no room.
+# queues before the client gets the refusal. The first two are the least loaded of
+# three, the last one is any VM outside of the subset of this node, which may be full
+# while others are not.
 MAX_QUEUE_REFUSALS = 3
 # Maximum share of the remaining time spent waiting for an owner, so that a refusal
 # reaches the client in time.
@@ -159,9 +160,14 @@
         """Return the name of the VM to send the request to next, or None."""
         if node.is_keyed(service):
             return choose_owner(request, service, state)
-        candidates = node.candidates(service, state.refused)
-        best = choose(candidates, len(request.body), node.jitter)
-        return best.vm if best else None
+        other_vm = None
+        if state.queue_refusals == MAX_QUEUE_REFUSALS - 1:
+            other_vm = node.draw_other_vm(service, state.refused)
+        if other_vm is None:
+            candidates = node.candidates(service, state.refused)
+            best = choose(candidates, len(request.body), node.jitter)
+            other_vm = best.vm if best else None
+        return other_vm or node.draw_other_vm(service, state.refused)
 
     def choose_owner(request, service, state):
         """Return the owner named by a refusal or by the key map, or None."""
@@ -190,7 +196,7 @@
         if vm == node.settings.vm:
             reply = await node.serve(forward_request)
         else:
-            reply = await node.links[vm].forward(forward_request)
+            reply = await node.peers.forward(vm, forward_request)
         state.in_doubt = False
         return reply
 
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -28,6 +28,14 @@
     usage: float = 0.0
 
 
+class LoadReport(msgspec.Struct, array_like=True, frozen=True):
+    """Load of another VM, measured ``age_s`` seconds before the report was sent."""
+
+    vm: str
+    load: Load
+    age_s: float
+
+
 class Hello(msgspec.Struct, array_like=True, tag="i"):
     """First frame in both directions of a connection: the process that sends it.
 
@@ -100,12 +108,15 @@
     """Requests a ``Pong``, which repeats ``sent_at``, a time of the sender's clock.
 
     If ``read_now`` is true, the receiver reads the membership topic at once, because a
-    record in it concerns the receiver.
+    record in it concerns the receiver. ``load`` is that of the target beside the
+    sender, ``reports`` are loads of other VMs of its service.
     """
 
     sent_at: float
     progress: ReadProgress = ReadProgress()
     read_now: bool = False
+    load: Load | None = None
+    reports: list[LoadReport] = []
 
 
 class Pong(msgspec.Struct, array_like=True, tag="q"):
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -1,4 +1,4 @@
-"""Membership: this VM's entry in the store, and entries and peer links of others."""
+"""Membership: this VM's entry in the store, and the entries of others."""
 
 import secrets
 
@@ -7,7 +7,6 @@
 from result import Err
 
 from ._frames import Hello
-from ._peer_links import PeerLink
 from ._store import MEMBERSHIP_TOPIC
 from ._types import VM, KeyMap
 
@@ -24,7 +23,7 @@
 
 
 class Membership:
-    """Announces this VM and maintains a peer link to every other VM.
+    """Announces this VM and applies the entries of others.
 
     Parameters
     ----------
@@ -41,8 +40,6 @@
         self._previous_entry, self._entry_offset = None, None
         self._written_entry = None
         self._entry_changed = trio.Event()
-        self._nursery = None
-        self._scopes = {}
         self.started = trio.current_time()
 
     def hello(self, peer=""):
@@ -112,12 +109,12 @@
     def _apply_vm(self, name, record):
         vms, value = self._node.vms, record.value
         if not value:
-            vms.pop(name, None)
-            self._drop_link(name)
+            vms.remove(name)
+            self._node.peers.drop(name)
             return
         vm = _vm_decoder.decode(value)
         previous = vms.get(name)
-        vms[name] = vm
+        vms.put(vm)
         if name == self._node.settings.vm:
             if vm.node_incarnation != self.node_incarnation:
                 if vm.service == self._node.settings.service:
@@ -130,42 +127,11 @@
             self._written_entry = vm
             self.announce()
             return
-        if previous is None or previous.address != vm.address:
-            self._drop_link(name)
-            self._add_link(vm)
-
-    def _add_link(self, vm):
-        node = self._node
-        link = PeerLink(
-            vm, self.hello(vm.name), node.log, node.links.__len__, node.read_progress,
-            node.on_pong,
-        )  # fmt: skip
-        node.links[vm.name] = link
-        if self._nursery is not None:
-            self._start(link)
-
-    def _start(self, link):
-        scope = trio.CancelScope()
-        self._scopes[link.vm.name] = scope
-
-        async def run():
-            with scope:
-                await link.run()
-
-        self._nursery.start_soon(run)
-
-    def _drop_link(self, name):
-        scope = self._scopes.pop(name, None)
-        if scope is not None:
-            scope.cancel()
-        self._node.links.pop(name, None)
+        if previous is not None and previous.address != vm.address:
+            self._node.peers.drop(name)
 
-    async def run(self, nursery):
+    async def run(self):
         """Write the entry whenever it changes, until cancelled."""
-        self._nursery = nursery
-        for link in list(self._node.links.values()):
-            if link.vm.name not in self._scopes:
-                self._start(link)
         with trio.move_on_after(FIRST_HEARTBEAT_WAIT_S):
             while not self._node.target.id and self._previous_entry is None:
                 await trio.sleep(FIRST_HEARTBEAT_WAIT_S / 20)
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -10,15 +10,19 @@
 from ._admission import AdmissionQueue
 from ._choice import Candidate, sample
 from ._client_requests import make_client_handler
+from ._directory import Directory
 from ._follower import Follower
-from ._frames import ReadProgress
+from ._frames import Ping, ReadProgress
 from ._grant_calls import GrantCaller
 from ._http import BodyBudget, parse_address
-from ._keymap import Owner, locate
+from ._keymap import Owner, locate, suspicion_of
+from ._loads import LoadTable
 from ._membership import Membership
 from ._metrics import Metrics
 from ._ownership import SUSPECT_AFTER_S, OwnershipManager
-from ._peer_links import ping_links, serve_links
+from ._peer_link import LinkCallbacks, PeerLink
+from ._peer_server import PeerHandlers, serve_links
+from ._peers import Peers
 from ._rate_limit import RateLimiter
 from ._relay import make_relay_handler, with_relays
 from ._routes import RetryBudget, TrafficSplitter
@@ -61,6 +65,8 @@
 # Consecutive failures after which a VM counts as failing, and the time since the last
 # one for which it does.
 EJECTION_FAILURES, EJECTION_S = 3, 2.0
+# Loads of other VMs of a keyed service that are passed on with a ping.
+REPORTED_LOADS = 6
 # Share of a VM's memory for long response bodies that are not complete. A complete one
 # is copied up to three times on its way to the client.
 BODY_MEMORY_SHARE = 0.2
@@ -127,10 +133,12 @@
         None until the first configuration is read.
     keymaps : dict of str to KeyMap
         Newest key map of each keyed service.
-    vms : dict of str to VM
+    vms : Directory
         Membership entries of all VMs, this one included.
-    links : dict of str to PeerLink
-        Links to the other VMs.
+    peers : Peers
+        Links to other VMs.
+    loads : LoadTable
+        Last known loads of other VMs.
     store, direct_store : Store
         Store whose calls may be relayed through another node, and without relays.
     active_scopes : set of trio.CancelScope
@@ -151,8 +159,8 @@
         self.metrics = Metrics()
         self.configuration = None
         self.keymaps = {}
-        self.vms = {}
-        self.links = {}
+        self.vms = Directory()
+        self.loads = LoadTable()
         self.splitter = TrafficSplitter()
         self.retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
@@ -169,6 +177,10 @@
         self.stopping = False
         self.store = with_relays(store, self)
         self.membership = Membership(self, self.store)
+        self.peers = Peers(
+            settings.vm, settings.zone, settings.service, self.vms, self._make_link,
+            self.is_keyed, self._is_suspected, lambda: self.ready,
+        )  # fmt: skip
         self.membership_follower = Follower(
             self.store,
             MEMBERSHIP_TOPIC,
@@ -195,12 +207,50 @@
             self._handle_leaving_response, self.grant_caller.check_now, log,
             self.metrics,
         )  # fmt: skip
+        # VMs that the key map of the own service lists as suspected.
+        self._suspects = set()
         # VM to its number of consecutive failures and the time of the last one.
         self._failures = {}
         self.active_scopes = set()
         self.draining = False
         self.drain_deadline = None
 
+    @property
+    def links(self):
+        """Links to other VMs by name."""
+        return self.peers.links
+
+    def _make_link(self, vm):
+        return PeerLink(
+            vm,
+            self.membership.hello(vm.name),
+            LinkCallbacks(
+                self.peers.ping_interval_s, self._make_ping, self.on_pong,
+                self._on_load, self.log,
+            ),
+        )  # fmt: skip
+
+    def _make_ping(self, vm, sent_at, read_now):
+        """Return a ping; a VM of the same keyed service gets loads with it."""
+        entry, service, reports = self.vms.get(vm), self.settings.service, []
+        if entry is not None and entry.service == service and self.is_keyed(service):
+            names = [other.name for other in self.vms.of_service(service)]
+            reports = self.loads.reports(names, REPORTED_LOADS, sent_at)
+        return Ping(
+            sent_at, self.read_progress(), read_now, self.admission.load(), reports
+        )
+
+    def _on_load(self, vm, load):
+        if load is None:
+            self.loads.forget(vm)
+        else:
+            self.loads.record(vm, load, trio.current_time())
+
+    def _is_suspected(self, vm):
+        """Whether the key map of this VM's service lists a suspicion against a VM."""
+        keymap = self.keymaps.get(self.settings.service)
+        return keymap is not None and suspicion_of(keymap, vm) is not None
+
     @property
     def config_version(self):
         """Version of the configuration in force; 0 before the first one."""
@@ -249,6 +299,10 @@
         if configuration.version <= self.config_version:
             self.log("configuration_old", version=configuration.version)
             return
+        if self.configuration is None or (
+            self.configuration.services != configuration.services
+        ):
+            self.peers.choose_again()
         self.configuration = configuration
         routes = sum(len(r) for r in configuration.routes.values())
         self.log(
@@ -302,11 +356,15 @@
                 progress.membership_end, sent_at - progress.membership_age_s
             )
 
-    def on_ping(self, progress, read_now):
-        """Apply the read progress of a peer and return that of this node."""
-        self._observe_ends(progress)
-        if read_now:
+    def on_ping(self, vm, ping):
+        """Apply the ping of a VM and return the read progress of this node."""
+        now = trio.current_time()
+        self._observe_ends(ping.progress)
+        if ping.read_now:
             self.membership_follower.read_now()
+        if ping.load is not None:
+            self.loads.record(vm, ping.load, now)
+        self.loads.apply_reports(ping.reports, now, self.settings.vm)
         return self.read_progress()
 
     def _observe_ends(self, progress):
@@ -376,19 +434,30 @@
         self.admission.refuse_moved(self.owns_key)
         self.admission.dispatch()
         self.grant_caller.check_now()
+        suspects = {vm for vm, _ in self.keymaps[self.settings.service].suspicions}
+        if suspects != self._suspects:
+            self._suspects = suspects
+            self.peers.choose_again()
 
     def accepts_requests(self, vm):
-        """Whether a VM is this one, or its link is up and it is not known to refuse."""
-        return vm == self.settings.vm or self._link_accepts(vm)
+        """Whether a VM is this one, or may be reached and is not known to refuse."""
+        if vm == self.settings.vm:
+            return True
+        load = self.loads.get(vm, trio.current_time())
+        return self.peers.may_reach(vm) and (load is None or load.accepting)
 
     def unreachable_s(self, vm):
-        """Return for how many seconds a VM has been unreachable; 0 for this one."""
+        """Return for how many seconds a VM has been unreachable, as far as known.
+
+        It is 0 for this VM and for those without a link, and the time since the start
+        for those without an entry.
+        """
         if vm == self.settings.vm:
             return 0.0
-        link = self.links.get(vm)
-        if link is None:
+        if vm not in self.vms:
             return trio.current_time() - self.membership.started
-        return link.idle_s if link.lost else 0.0
+        link = self.links.get(vm)
+        return link.idle_s if link is not None and link.lost else 0.0
 
     def displaced_s(self, vm):
         """Return for how many seconds a VM's address has belonged to another VM."""
@@ -399,28 +468,40 @@
 
     def owners(self, service):
         """Return the VMs of a keyed service that may own keys, sorted by name."""
-        owners = []
-        for vm in self.vms.values():
-            if vm.service != service or vm.leaving or not vm.target_incarnation:
+        owners, now = [], trio.current_time()
+        for vm in self.vms.of_service(service):
+            if vm.leaving or not vm.target_incarnation:
                 continue
             if vm.name == self.settings.vm:
-                overdue = self.target.heartbeat_overdue(trio.current_time())
                 if (
-                    overdue
+                    self.target.heartbeat_overdue(now)
                     or self.target.leaving
                     or vm.target_incarnation != self.target.incarnation
                 ):
                     continue
-            elif not self._link_accepts(vm.name):
+            elif not self._may_own(vm.name, now):
                 continue
             owners.append(Owner(vm.name, vm.target_incarnation))
-        return sorted(owners)
+        return owners
 
-    def _link_accepts(self, vm):
-        link = self.links.get(vm)
-        return (
-            link is not None and link.up and (link.load is None or link.load.accepting)
-        )
+    def _may_own(self, vm, now):
+        """Whether another VM may own keys: it is not known to be lost or to refuse."""
+        link, load = self.links.get(vm), self.loads.get(vm, now)
+        if link is not None and link.lost or self._is_suspected(vm):
+            return False
+        if load is None:
+            return not self.loads.silent(vm, now)
+        return load.accepting
+
+    def watch_rank(self, vm):
+        """Return how many other VMs watch a VM more closely, None if not watched."""
+        return self.peers.watch_rank(vm)
+
+    def load_of(self, vm, now):
+        """Return the last known ``Load`` of a VM, or None."""
+        if vm == self.settings.vm:
+            return self.admission.load()
+        return self.loads.get(vm, now)
 
     def record_result(self, vm, success):
         """Record whether a VM served a request, for the choice of VMs later."""
@@ -439,7 +520,8 @@
     def candidates(self, service, refused=()):
         """Return a sample of the VMs of a service without keys for one request.
 
-        This VM is always in it, because its load is known and no link is needed.
+        They are drawn from the subset to which this node keeps links. This VM is always
+        in it, because its load is known and no link is needed.
 
         Parameters
         ----------
@@ -448,29 +530,38 @@
             VMs that refused the request.
         """
         own, same_zone, other_zones = [], [], []
-        for vm in self.vms.values():
-            if vm.service != service or vm.leaving or not vm.target_incarnation:
+        settings = self.settings
+        if settings.service == service and settings.vm not in refused:
+            entry = self.vms.get(settings.vm)
+            if entry is not None and self._known_to_accept(settings.vm):
+                own.append(entry)
+        for name in self.peers.subset(service):
+            if name in refused or not self._known_to_accept(name):
                 continue
-            if vm.name in refused:
+            vm = self.vms.get(name)
+            if vm is None or vm.leaving or vm.service != service:
                 continue
-            if vm.name == self.settings.vm:
-                if self._known_to_accept(vm.name):
-                    own.append(vm)
-            elif vm.zone == self.settings.zone:
-                same_zone.append(vm)
-            else:
-                other_zones.append(vm)
+            (same_zone if vm.zone == settings.zone else other_zones).append(vm)
         drawn = sample(same_zone, other_zones, self._random.sample)
-        # All VMs are checked only if one of the drawn ones is not known to accept.
-        if not all(self._known_to_accept(vm.name) for vm in drawn):
-            drawn = sample(
-                [vm for vm in same_zone if self._known_to_accept(vm.name)],
-                [vm for vm in other_zones if self._known_to_accept(vm.name)],
-                self._random.sample,
-            )
         now = trio.current_time()
         return [self._candidate(vm, now) for vm in own + drawn]
 
+    def draw_other_vm(self, service, refused):
+        """Return a VM of a service outside of the subset of this node, or None.
+
+        Its load is not known; a connection to it is made.
+        """
+        excluded = {self.settings.vm, *refused, *self.peers.subset(service)}
+        others = [
+            vm.name
+            for vm in self.vms.of_service(service)
+            if vm.name not in excluded
+            and vm.target_incarnation
+            and not vm.leaving
+            and self.peers.may_reach(vm.name)
+        ]
+        return self._random.choice(others) if others else None
+
     def _known_to_accept(self, vm):
         """Whether a VM is known to accept requests at present."""
         if vm == self.settings.vm:
@@ -606,19 +697,22 @@
             (readiness_server, settings.ready_address),
         ):
             nursery.start_soon(server.serve, parse_address(address))
+        handlers = PeerHandlers(
+            node.serve, make_relay_handler(node), node.admission.load, node.on_ping,
+            node.ownership.on_releases,
+        )  # fmt: skip
         nursery.start_soon(
             serve_links, parse_address(settings.peer_address), node.membership.hello(),
-            node.serve, make_relay_handler(node), node.admission.load, node.on_ping,
-            node.ownership.on_releases, log,
+            handlers, log,
         )  # fmt: skip
-        nursery.start_soon(ping_links, node.links)
+        nursery.start_soon(node.peers.run)
         nursery.start_soon(node.configuration_follower.run)
         nursery.start_soon(node.membership_follower.run)
         nursery.start_soon(node.ownership.run)
         nursery.start_soon(node.grant_caller.run)
         nursery.start_soon(node.watch_target)
         nursery.start_soon(log_route_times, node)
-        nursery.start_soon(node.membership.run, nursery)
+        nursery.start_soon(node.membership.run)
         await stopping.wait()
         await _stop(node, client_server)
         nursery.cancel_scope.cancel()
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -116,6 +116,8 @@
         All VMs of the service that may get keys, in the order of names.
     unreachable_vms : dict of str to float
         Seconds for which each other VM that owns keys has been unreachable.
+    watch_ranks : dict of str to int
+        VMs that this VM watches, and how many others watch each of them more closely.
     displaced_vms : dict of str to float
         Seconds since another VM answered at the address of each other VM that owns
         keys; 0 if none did.
@@ -136,6 +138,7 @@
     owner: Owner | None
     owners: list
     unreachable_vms: dict
+    watch_ranks: dict
     displaced_vms: dict
     released: list
     suspicions: dict
@@ -220,12 +223,21 @@
 
 
 def _change_for_lost_vm(view, rank, new_id):
-    """Return a takeover of a lost VM's keys, or a suspicion against it, or None."""
+    """Return a takeover of a lost VM's keys, or a suspicion against it, or None.
+
+    The VMs that watch a VM act first, in the order of their ranks; only they know
+    whether it is reachable. All others take the keys over if no watcher has done so.
+    """
     for vm, displaced_s in view.displaced_vms.items():
         if displaced_s > DISPLACED_DELAY_S + rank * RANK_DELAY_S:
             return _take_over(view, vm, f"the address of {vm} belongs to another VM")
     for vm, unreachable_s in view.unreachable_vms.items():
-        unreachable = unreachable_s >= SUSPECT_AFTER_S + rank * RANK_DELAY_S
+        watch_rank = view.watch_ranks.get(vm)
+        own_rank = rank if watch_rank is None else watch_rank
+        unreachable = (
+            watch_rank is not None
+            and unreachable_s >= SUSPECT_AFTER_S + watch_rank * RANK_DELAY_S
+        )
         suspicion = _keymap.suspicion_of(view.keymap, vm)
         if suspicion is None:
             if not unreachable:
@@ -234,7 +246,7 @@
             return KeyMapChange(suspected, f"{vm} is unreachable")
         # Reads do not extend the lease of a suspected VM, so that it serves no keys
         # although it is reachable.
-        grace_s = 0.0 if unreachable else REFUTE_GRACE_S + rank * RANK_DELAY_S
+        grace_s = 0.0 if unreachable else REFUTE_GRACE_S + own_rank * RANK_DELAY_S
         since = view.suspicions.get(suspicion)
         if since is not None and view.now - since > TAKEOVER_DELAY_S + grace_s:
             return _take_over(view, vm, f"{vm} did not refute the suspicion in time")
@@ -503,7 +515,7 @@
     def _vm_load(self, vm, now):
         node, count = self._node, self._key_counts.get(vm, 0)
         settled = now - self._grown_at.get(vm, -MOVE_INTERVAL_S) >= MOVE_INTERVAL_S
-        load = node.admission.load() if vm == node.settings.vm else node.links[vm].load
+        load = node.load_of(vm, now)
         if load is None:
             return VMLoad(vm, 0.0, count, 0.0, settled)
         return VMLoad(vm, load.usage, count, load.service_s, settled, load.slots)
@@ -623,10 +635,11 @@
             ranges = [
                 (r.start, r.end, r.fence, r.handover, r.receiver) for r in releases
             ]
-            self._node.links[writer].report_releases(
+            self._node.peers.report_releases(
+                writer,
                 ReleaseReport(
                     self._node.settings.vm, self._node.node_incarnation, ranges
-                )
+                ),
             )
         return own
 
@@ -636,7 +649,7 @@
             if owner.vm == self._node.settings.vm:
                 return None
             if now >= self._failed_writers.get(owner.vm, 0.0):
-                return owner.vm if owner.vm in self._node.links else None
+                return owner.vm
         return None
 
     def _releases_to_write(self, owners, now):
@@ -666,6 +679,7 @@
             now, node.settings.vm, keymap,
             next((o for o in owners if o.vm == node.settings.vm), None),
             owners, {vm: node.unreachable_s(vm) for vm in names},
+            {vm: r for vm in names if (r := node.watch_rank(vm)) is not None},
             {vm: node.displaced_s(vm) for vm in names},
             self._releases_to_write(owners, now), self._suspicions,
             now - self._started - self._follower.batch_delay_s,
@@ -738,8 +752,8 @@
         for vm in {
             key_range.vm for key_range in set(after.ranges) ^ set(before.ranges)
         }:
-            if vm in self._node.links:
-                self._node.links[vm].request_read()
+            if vm != self._node.settings.vm:
+                self._node.peers.request_read(vm)
 
     def _forget_moved_ranges(self, keymap):
         """Drop released and moved ranges that this VM no longer owns."""
--- a/packages/router/src/jujuberudder_router/_peer_links.py
+++ b/packages/router/src/jujuberudder_router/_peer_link.py
@@ -1,7 +1,8 @@
-"""Peer links: each node connects to every other node and sends its calls there."""
+"""Peer link: connection of this node to another one, for the calls that it sends."""
 
 import itertools
-import math
+from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 import trio
@@ -12,31 +13,14 @@
     UNKNOWN,
     CancelForward,
     ForwardReply,
-    ForwardRequest,
     FrameError,
     Hello,
-    Ping,
     Pong,
-    ReleaseReport,
     StoreCall,
     StoreCallResult,
 )
 from ._http import dial
-from ._server import error_location
-
-# Minimum ping interval: on an idle link it is the age of the load by which requests
-# choose a VM.
-MIN_PING_S = 0.5
-# Ping interval per link, and its maximum. The interval grows with the number of links,
-# so that all pings together take a fixed share of a processor: each takes about 0.1 ms
-# at both ends.
-PING_S_PER_LINK, MAX_PING_S = 0.015, 1.5
-# Interval at which the links that are due for a ping get one, and the maximum number of
-# links that get one at a time, as a multiple of the mean: together the pings of 87
-# links would delay requests by 10 ms.
-PING_TICK_S, MAX_TICK_SHARE = 0.1, 1.5
-# Time between two such checks above which the process was paused.
-MAX_TICK_S = 0.5
+
 # Ping intervals without any frame after which a link gets no new requests: one
 # interval, a round trip and a late timer.
 UP_INTERVALS = 2.4
@@ -56,11 +40,6 @@
 INITIAL_BACKOFF_S, MAX_BACKOFF_S = 0.1, 2.0
 
 
-def ping_interval(links):
-    """Return the ping interval in seconds of a node with ``links`` links."""
-    return min(MAX_PING_S, max(MIN_PING_S, PING_S_PER_LINK * links))
-
-
 class WrongPeerError(Exception):
     """The process at the other end of a connection is not the expected one."""
 
@@ -84,11 +63,36 @@
     return frames[0]
 
 
+class LinkCallbacks(NamedTuple):
+    """Functions of a node that its links call.
+
+    Parameters
+    ----------
+    ping_interval_s : callable
+        Returns the ping interval in seconds.
+    make_ping : callable
+        ``make_ping(vm, sent_at, read_now) -> Ping``.
+    on_pong : callable
+        ``on_pong(progress, sent_at)`` applies the ``ReadProgress`` of another node,
+        which sent it after ``sent_at``.
+    on_load : callable
+        ``on_load(vm, load)`` records the ``Load`` of a VM; None if its process is new.
+    log : callable
+    """
+
+    ping_interval_s: Callable
+    make_ping: Callable
+    on_pong: Callable
+    on_load: Callable
+    log: Callable
+
+
 class PeerLink:
     """Connection to one other node, with the load last received on it.
 
     It is used only while the process at the other end has proved to be a node of the
-    VM: another VM may have got the address.
+    VM: another VM may have got the address. A link that is not kept connects when it is
+    first used, and again when it is used after its connection has ended.
 
     Parameters
     ----------
@@ -96,16 +100,12 @@
         Membership entry of the other node.
     hello : Hello
         Names this node and the VM of the other one.
-    log : callable
-    count_links : callable
-        Returns the number of links of this node.
-    read_progress, on_pong : callable
-        ``read_progress()`` returns the ``ReadProgress`` of this node;
-        ``on_pong(progress, sent_at)`` applies that of the other node, which sent it
-        after ``sent_at``.
+    callbacks : LinkCallbacks
 
     Attributes
     ----------
+    kept : bool
+        Whether the link is connected, and pinged, also while it is not used.
     node_incarnation : str
         Process of the other node on the last connection; empty before the first one.
     load : Load or None
@@ -117,24 +117,23 @@
         node's clock in seconds; None unless that was the last answer.
     in_flight : int
         Number of calls without a reply.
-    pinged_at, received_at : float
-        When the last ping was sent and the last frame received or the connection
-        opened, on this node's clock in seconds.
+    pinged_at, received_at, used_at : float
+        When the last ping was sent, the last frame received or the connection opened,
+        and the last call made, on this node's clock in seconds.
     """
 
-    def __init__(self, vm, hello, log, count_links, read_progress, on_pong):
+    def __init__(self, vm, hello, callbacks):
         self.vm = vm
         self.node_incarnation = ""
         self._hello = hello
-        self._count_links = count_links
-        self._read_progress = read_progress
-        self._on_pong = on_pong
+        self._callbacks = callbacks
+        self._log = callbacks.log
+        self.kept = False
         self.load = None
         self.load_at = -1.0
         self.displaced_at = None
         self.in_flight = 0
         self.pinged_at = self.received_at = -1.0
-        self._log = log
         self._stream = None
         self._connection_scope = None
         self._pending = {}
@@ -142,7 +141,11 @@
         # Time of the first ping since the last frame, or None.
         self._unanswered_ping_at = None
         self._last_round_trip_s = 0.0
-        self._created_at = trio.current_time()
+        self._created_at = self.used_at = trio.current_time()
+        # Whether a connection is to be made, whether the last attempt or connection has
+        # failed, and events for a change of that and of the connection.
+        self._demanded, self._failed, self._demand = False, False, trio.Event()
+        self._changed = trio.Event()
 
     @property
     def idle_s(self):
@@ -154,40 +157,81 @@
         """Whether there is a connection, which may be silent."""
         return self._stream is not None
 
+    @property
+    def unanswered_s(self):
+        """Seconds since the first ping without any frame after it; 0 without one."""
+        if self._unanswered_ping_at is None:
+            return 0.0
+        return trio.current_time() - self._unanswered_ping_at
+
     @property
     def round_trip_s(self):
         """Seconds from a ping to its pong: of the last one, or of one under way so far.
 
         It grows to seconds while bodies fill the network link of either VM.
         """
-        if self._unanswered_ping_at is None:
-            return self._last_round_trip_s
-        waited_s = trio.current_time() - self._unanswered_ping_at
-        return max(self._last_round_trip_s, waited_s)
+        return max(self._last_round_trip_s, self.unanswered_s)
 
     @property
     def lost(self):
-        """Whether the connection is closed or no frame arrived for long."""
+        """Whether a connection cannot be made, or answers no ping for long."""
         if self._stream is None:
-            return True
-        return self.idle_s >= UP_INTERVALS * ping_interval(self._count_links())
+            return self._failed and (self.kept or self._demanded)
+        silence_s = (UP_INTERVALS - 1) * self._callbacks.ping_interval_s()
+        return self.unanswered_s >= silence_s
 
     @property
     def up(self):
         """Whether new requests may be sent: the link answers its pings."""
-        ping_at = self._unanswered_ping_at
-        if ping_at is not None and trio.current_time() - ping_at > PONG_TIMEOUT_S:
+        if self._stream is None or self.unanswered_s > PONG_TIMEOUT_S:
             return False
         return not self.lost
 
+    def keep(self, kept):
+        """Set whether the link is connected also while it is not used."""
+        self.kept = kept
+        if kept:
+            self._demand.set()
+
+    def demand(self):
+        """Connect if there is no connection."""
+        self.used_at = trio.current_time()
+        if self._stream is None:
+            self._demanded = True
+            self._demand.set()
+
+    async def wait_connected(self, timeout_s):
+        """Connect within ``timeout_s`` seconds and return whether that succeeded."""
+        self.demand()
+        with trio.move_on_after(timeout_s):
+            while self._stream is None:
+                await self._changed.wait()
+        return self._stream is not None
+
+    async def probe(self, timeout_s):
+        """Ping an idle connection, and replace it if nothing arrives in time."""
+        self.ping()
+        with trio.move_on_after(timeout_s):
+            while self._stream is not None and self._unanswered_ping_at is not None:
+                await self._changed.wait()
+        if self._unanswered_ping_at is not None and not self.in_flight:
+            self.close_silent()
+
+    def _notify(self):
+        self._changed.set()
+        self._changed = trio.Event()
+
     async def run(self):
-        """Connect, and reconnect after each failure, until cancelled."""
+        """Connect when needed, and reconnect after each failure, until cancelled."""
         backoff_s, logged_reason = INITIAL_BACKOFF_S, None
         while True:
+            while not (self.kept or self._demanded):
+                self._demand = trio.Event()
+                await self._demand.wait()
             try:
                 stream = await self._connect()
             except (OSError, WrongPeerError) as error:
-                reason = str(error)
+                reason, self._failed = str(error), True
                 # A lost VM is dialed as long as its entry is in the membership topic,
                 # so only new reasons are logged.
                 if reason != logged_reason:
@@ -198,6 +242,7 @@
                     logged_reason = reason
             else:
                 backoff_s, logged_reason = INITIAL_BACKOFF_S, None
+                self._demanded = self._failed = False
                 reason = await self._run_connection(stream)
                 self._log("peer_link_lost", peer=self.vm.name, reason=reason)
             await trio.sleep(backoff_s)
@@ -239,12 +284,14 @@
         if hello.node_incarnation != self.node_incarnation:
             self.node_incarnation = hello.node_incarnation
             self.load, self.load_at = None, -1.0
+            self._callbacks.on_load(self.vm.name, None)
         return stream
 
     async def _run_connection(self, stream):
         self._stream = stream
         self._silent_s = None
         self._record_receipt()
+        self._notify()
         self._log(
             "peer_link_up", peer=self.vm.name, address=self.vm.address,
             process=self.node_incarnation,
@@ -266,7 +313,9 @@
                 reason = f"silent for {self._silent_s:.1f} s"
             self._stream.close()
             self._stream = None
+            self._failed, self._unanswered_ping_at = True, None
             self._fail_pending(reason)
+            self._notify()
         return reason
 
     def _fail_pending(self, reason):
@@ -286,9 +335,10 @@
         if isinstance(frame, (ForwardReply, Pong)) and frame.load is not None:
             self.load = frame.load
             self.load_at = trio.current_time()
+            self._callbacks.on_load(self.vm.name, frame.load)
         if isinstance(frame, Pong):
             self._last_round_trip_s = trio.current_time() - frame.sent_at
-            self._on_pong(frame.progress, frame.sent_at)
+            self._callbacks.on_pong(frame.progress, frame.sent_at)
         if isinstance(frame, (ForwardReply, StoreCallResult)):
             pending_reply = self._pending.pop(frame.id, None)
             if pending_reply is not None:
@@ -296,12 +346,15 @@
 
     def _record_receipt(self):
         self.received_at = trio.current_time()
-        self._unanswered_ping_at = None
+        if self._unanswered_ping_at is not None:
+            self._unanswered_ping_at = None
+            self._notify()
 
     def close_silent(self):
         """Close the connection because no frame has arrived for too long."""
-        self._silent_s = trio.current_time() - self.received_at
-        self._connection_scope.cancel()
+        if self._connection_scope is not None:
+            self._silent_s = trio.current_time() - self.received_at
+            self._connection_scope.cancel()
 
     def ping(self, read_now=False):
         """Send a ``Ping`` with the read progress, if there is a connection."""
@@ -310,7 +363,7 @@
         self.pinged_at = now = trio.current_time()
         if self._unanswered_ping_at is None:
             self._unanswered_ping_at = now
-        self._stream.send(Ping(now, self._read_progress(), read_now))
+        self._stream.send(self._callbacks.make_ping(self.vm.name, now, read_now))
 
     def request_read(self):
         """Ask the peer to read the membership topic now, for a record about it."""
@@ -342,6 +395,7 @@
         stream = self._stream
         if stream is None:
             return ForwardReply(0, NOT_RUN, reason=f"link to {self.vm.name} is down")
+        self.used_at = trio.current_time()
         frame.id = call_id = next(self._call_ids)
         pending_reply = _PendingReply()
         self._pending[call_id] = pending_reply
@@ -369,144 +423,3 @@
     async def wait(self):
         await self._event.wait()
         return self._frame
-
-
-async def ping_links(links):
-    """Ping each link once per interval and close silent ones, until cancelled.
-
-    Parameters
-    ----------
-    links : dict of str to PeerLink
-    """
-    while True:
-        slept_at = trio.current_time()
-        await trio.sleep(PING_TICK_S)
-        now = trio.current_time()
-        interval_s = ping_interval(len(links))
-        silence_s = max(RECEIVE_TIMEOUT_S, RECEIVE_TIMEOUT_INTERVALS * interval_s)
-        # After a pause of the process, frames that arrived meanwhile are read first.
-        paused = now - slept_at >= MAX_TICK_S
-        due = []
-        for link in links.values():
-            if not link.connected:
-                continue
-            if now - link.received_at >= silence_s and not paused:
-                link.close_silent()
-            elif now - link.pinged_at >= interval_s:
-                due.append(link)
-        due.sort(key=lambda link: link.pinged_at)
-        mean_due = len(links) * PING_TICK_S / interval_s
-        for link in due[: math.ceil(MAX_TICK_SHARE * mean_due)]:
-            link.ping()
-
-
-async def serve_links(
-    address, own_hello, handle_request, handle_store_call, get_load, on_ping,
-    on_releases, log,
-):  # fmt: skip
-    """Accept connections of other nodes until cancelled.
-
-    Parameters
-    ----------
-    address : (str, int)
-    own_hello : Hello
-        Names this node. Connections that are meant for another VM are closed.
-    handle_request : callable
-        ``await handle_request(request) -> ForwardReply``; cancelled when the peer sends
-        a ``CancelForward`` or its connection is lost.
-    handle_store_call : callable
-        ``await handle_store_call(payload) -> (result, reason)``.
-    get_load : callable
-        Returns the ``Load`` of the target beside this node, or None.
-    on_ping : callable
-        ``on_ping(progress, read_now)`` applies the ``ReadProgress`` of a peer and reads
-        the membership topic at once if ``read_now`` is true; it returns the
-        ``ReadProgress`` of this node.
-    on_releases : callable
-        ``on_releases(report)`` applies a ``ReleaseReport``.
-    log : callable
-    """
-    host, port = address
-
-    async def serve(tcp_stream):
-        stream = FrameStream(tcp_stream)
-        scopes = {}
-
-        async def answer(request, scope):
-            with scope:
-                try:
-                    reply = await handle_request(request)
-                except Exception as error:
-                    log(
-                        "handler_fault", id=request.request_id, error=repr(error),
-                        where=error_location(error),
-                    )  # fmt: skip
-                    reply = ForwardReply(request.id, UNKNOWN, reason="internal fault")
-                reply.id = request.id
-                stream.send(reply)
-            scopes.pop(request.id, None)
-
-        async def run_store_call(frame):
-            result, reason = await handle_store_call(frame.payload)
-            stream.send(StoreCallResult(frame.id, result, reason))
-
-        async def accept_hello():
-            """Return the ``Hello`` of a peer that looks for this VM."""
-            with trio.fail_after(HELLO_TIMEOUT_S):
-                hello = await receive_hello(stream)
-            stream.send(own_hello)
-            if hello.peer != own_hello.vm:
-                raise WrongPeerError(f"{hello.vm} looks for {hello.peer} here")
-            return hello
-
-        def apply_releases(report, hello):
-            sender = (report.vm, report.node_incarnation)
-            if sender == (hello.vm, hello.node_incarnation):
-                on_releases(report)
-            else:
-                log("releases_of_another_vm", peer=hello.vm, reported=report.vm)
-
-        async def read(nursery, hello):
-            while (frames := await stream.receive()) is not None:
-                for frame in frames:
-                    if isinstance(frame, ForwardRequest):
-                        # Created before the task starts, so that a CancelForward that
-                        # arrives in the same read finds the scope.
-                        scopes[frame.id] = trio.CancelScope()
-                        nursery.start_soon(answer, frame, scopes[frame.id])
-                    elif isinstance(frame, CancelForward):
-                        if frame.id in scopes:
-                            scopes[frame.id].cancel()
-                    elif isinstance(frame, Ping):
-                        stream.send(
-                            Pong(
-                                frame.sent_at,
-                                get_load(),
-                                on_ping(frame.progress, frame.read_now),
-                            )
-                        )
-                    elif isinstance(frame, ReleaseReport):
-                        apply_releases(frame, hello)
-                    elif isinstance(frame, StoreCall):
-                        nursery.start_soon(run_store_call, frame)
-
-        try:
-            hello = await accept_hello()
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(stream.run_writer)
-                await read(nursery, hello)
-                nursery.cancel_scope.cancel()
-        except* trio.TooSlowError:
-            log("peer_connection_lost", reason=f"no frame in {HELLO_TIMEOUT_S} s")
-        except* (
-            WrongPeerError,
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-            FrameError,
-            msgspec.MsgspecError,
-        ) as group:
-            log("peer_connection_lost", reason=str(group.exceptions[0]))
-        finally:
-            stream.close()
-
-    await trio.serve_tcp(serve, port, host=host)
--- /dev/null
+++ b/packages/router/src/jujuberudder_router/_peer_server.py
@@ -0,0 +1,141 @@
+"""Server side of peer links: other nodes connect and send their calls."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+import trio
+
+from ._frame_stream import FrameStream
+from ._frames import (
+    UNKNOWN,
+    CancelForward,
+    ForwardReply,
+    ForwardRequest,
+    FrameError,
+    Ping,
+    Pong,
+    ReleaseReport,
+    StoreCall,
+    StoreCallResult,
+)
+from ._peer_link import HELLO_TIMEOUT_S, WrongPeerError, receive_hello
+from ._server import error_location
+
+
+class PeerHandlers(NamedTuple):
+    """Functions that handle the frames of other nodes.
+
+    Parameters
+    ----------
+    request : callable
+        ``await request(frame) -> ForwardReply``; cancelled when the peer sends a
+        ``CancelForward`` or its connection is lost.
+    store_call : callable
+        ``await store_call(payload) -> (result, reason)``.
+    load : callable
+        Returns the ``Load`` of the target beside this node, or None.
+    ping : callable
+        ``ping(vm, frame)`` applies a ``Ping`` of a VM and returns the ``ReadProgress``
+        of this node.
+    releases : callable
+        ``releases(report)`` applies a ``ReleaseReport``.
+    """
+
+    request: Callable
+    store_call: Callable
+    load: Callable
+    ping: Callable
+    releases: Callable
+
+
+async def serve_links(address, own_hello, handlers, log):
+    """Accept connections of other nodes until cancelled.
+
+    Parameters
+    ----------
+    address : (str, int)
+    own_hello : Hello
+        Names this node. Connections that are meant for another VM are closed.
+    handlers : PeerHandlers
+    log : callable
+    """
+    host, port = address
+
+    async def serve(tcp_stream):
+        stream = FrameStream(tcp_stream)
+        scopes = {}
+
+        async def answer(request, scope):
+            with scope:
+                try:
+                    reply = await handlers.request(request)
+                except Exception as error:
+                    log(
+                        "handler_fault", id=request.request_id, error=repr(error),
+                        where=error_location(error),
+                    )  # fmt: skip
+                    reply = ForwardReply(request.id, UNKNOWN, reason="internal fault")
+                reply.id = request.id
+                stream.send(reply)
+            scopes.pop(request.id, None)
+
+        async def run_store_call(frame):
+            result, reason = await handlers.store_call(frame.payload)
+            stream.send(StoreCallResult(frame.id, result, reason))
+
+        async def accept_hello():
+            """Return the ``Hello`` of a peer that looks for this VM."""
+            with trio.fail_after(HELLO_TIMEOUT_S):
+                hello = await receive_hello(stream)
+            stream.send(own_hello)
+            if hello.peer != own_hello.vm:
+                raise WrongPeerError(f"{hello.vm} looks for {hello.peer} here")
+            return hello
+
+        def apply_releases(report, hello):
+            sender = (report.vm, report.node_incarnation)
+            if sender == (hello.vm, hello.node_incarnation):
+                handlers.releases(report)
+            else:
+                log("releases_of_another_vm", peer=hello.vm, reported=report.vm)
+
+        async def read(nursery, hello):
+            while (frames := await stream.receive()) is not None:
+                for frame in frames:
+                    if isinstance(frame, ForwardRequest):
+                        # Created before the task starts, so that a CancelForward that
+                        # arrives in the same read finds the scope.
+                        scopes[frame.id] = trio.CancelScope()
+                        nursery.start_soon(answer, frame, scopes[frame.id])
+                    elif isinstance(frame, CancelForward):
+                        if frame.id in scopes:
+                            scopes[frame.id].cancel()
+                    elif isinstance(frame, Ping):
+                        progress = handlers.ping(hello.vm, frame)
+                        stream.send(Pong(frame.sent_at, handlers.load(), progress))
+                    elif isinstance(frame, ReleaseReport):
+                        apply_releases(frame, hello)
+                    elif isinstance(frame, StoreCall):
+                        nursery.start_soon(run_store_call, frame)
+
+        try:
+            hello = await accept_hello()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(stream.run_writer)
+                await read(nursery, hello)
+                nursery.cancel_scope.cancel()
+        except* trio.TooSlowError:
+            log("peer_connection_lost", reason=f"no frame in {HELLO_TIMEOUT_S} s")
+        except* (
+            WrongPeerError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            FrameError,
+            msgspec.MsgspecError,
+        ) as group:
+            log("peer_connection_lost", reason=str(group.exceptions[0]))
+        finally:
+            stream.close()
+
+    await trio.serve_tcp(serve, port, host=host)
--- a/tests/router/test_client_requests.py
+++ b/tests/router/test_client_requests.py
@@ -33,13 +33,10 @@
     """Return a node with scripted replies of its VMs, and the list of VMs sent to."""
     sent_to = []
 
-    def link(vm):
-        async def forward(request):
-            sent_to.append(vm)
-            await trio.sleep(0.001)
-            return replies[vm].pop(0) if len(replies[vm]) > 1 else replies[vm][0]
-
-        return SimpleNamespace(forward=forward)
+    async def forward(vm, request):
+        sent_to.append(vm)
+        await trio.sleep(0.001)
+        return replies[vm].pop(0) if len(replies[vm]) > 1 else replies[vm][0]
 
     route = Route("r", "h", "/", (WeightedService("s", 1),), retryable, 1.0, 0.5, 2, 1)
     node = SimpleNamespace(
@@ -60,7 +57,9 @@
             if vm not in refused
         ],
         keymaps={"s": KeyMap("s", 2, (KeyRange(0, 65535, 1, "a", "i@1"),))},
-        links={vm: link(vm) for vm in replies}, record_result=lambda vm, success: None,
+        peers=SimpleNamespace(forward=forward),
+        draw_other_vm=lambda service, refused: None,
+        record_result=lambda vm, success: None,
     )  # fmt: skip
     return node, sent_to
 
--- a/tests/router/test_endless_messages.py
+++ b/tests/router/test_endless_messages.py
@@ -194,6 +194,7 @@
         lambda *arguments: None,
         log_nothing,
         log_nothing,
+        log_nothing,
         Metrics(),
     )
     request = ForwardRequest(
--- a/tests/router/test_grants_by_call.py
+++ b/tests/router/test_grants_by_call.py
@@ -125,6 +125,7 @@
 
         await deployment.wait_until(serves)
         vm.target_scope.cancel()
+        await trio.sleep(0.1)  # The port is free once the tasks have ended.
         vm.start_target(work_s=0.3, slots=1)
         vm.target.resets_when_full = True
         await deployment.wait_until(serves)
--- a/tests/router/test_keymap.py
+++ b/tests/router/test_keymap.py
@@ -117,8 +117,8 @@
     """Return a view of VM ``a`` that requires no change, with some fields replaced."""
     unchanged = OwnershipView(
         now=100.0, vm="a", keymap=ASSIGNED, owner=A, owners=[A, B, C],
-        unreachable_vms={}, displaced_vms={}, released=[], suspicions={},
-        caught_up_s=60.0,
+        unreachable_vms={}, watch_ranks={"b": 0, "c": 1}, displaced_vms={},
+        released=[], suspicions={}, caught_up_s=60.0,
     )  # fmt: skip
     return unchanged._replace(**changes)
 
--- a/tests/router/test_membership.py
+++ b/tests/router/test_membership.py
@@ -30,7 +30,7 @@
     def newest():
         return msgspec.msgpack.decode(written[-1], type=VM)
 
-    nursery.start_soon(node.membership.run, nursery)
+    nursery.start_soon(node.membership.run)
     node.target.id, node.target.started_ms = "i", 1
     await trio.sleep(2.0)
     read(written[-1])
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -306,16 +306,15 @@
         node.owners = lambda service: self._owners(vm)
         node.unreachable_s = lambda other: self._unreachable_s(other)
         node.displaced_s = lambda other: self._displaced_s(node, other)
-        node.links = {
-            other: SimpleNamespace(
-                load=None, request_read=int,
-                report_releases=lambda report, other=other: (
-                    self.nursery.start_soon(self._deliver, report, vm, other)
-                ),
-            )
-            for other in VMS
-            if other != vm
-        }  # fmt: skip
+        node.load_of = lambda other, now: None
+        others = [other for other in VMS if other != vm]
+        node.watch_rank = lambda other: others.index(other)
+        node.peers = SimpleNamespace(
+            request_read=lambda other: None,
+            report_releases=lambda other, report: self.nursery.start_soon(
+                self._deliver, report, vm, other
+            ),
+        )
         return node
 
     def entry_confirmed(self, node):
--- a/tests/router/test_peer_identity.py
+++ b/tests/router/test_peer_identity.py
@@ -14,12 +14,12 @@
     Load,
     Ping,
     Pong,
-    ReadProgress,
     ReleaseReport,
     StoreCall,
     encode_frame,
 )
-from jujuberudder_router._peer_links import HELLO_TIMEOUT_S, PeerLink, serve_links
+from jujuberudder_router._peer_link import HELLO_TIMEOUT_S, LinkCallbacks, PeerLink
+from jujuberudder_router._peer_server import PeerHandlers, serve_links
 
 LOAD = Load(1, 0, 4, 0.0, 0.1, True)
 REQUEST = ForwardRequest(
@@ -49,24 +49,29 @@
             self.frames.append(frame)
             return b"", "recorded"
 
-        def on_ping(progress, read_now):
-            self.frames.append(progress)
-            return progress
+        def on_ping(vm, ping):
+            self.frames.append(ping)
+            return ping.progress
 
-        await serve_links(
-            parse_address(address), hello, record, record, lambda: load, on_ping,
-            self.frames.append, self.log,
-        )  # fmt: skip
+        handlers = PeerHandlers(
+            record, record, lambda: load, on_ping, self.frames.append
+        )
+        await serve_links(parse_address(address), hello, handlers, self.log)
 
 
 @asynccontextmanager
 async def run_link(address, recorder):
     """Run a link of the VM a to the VM b at an address."""
     vm = VM("b", "1", address, "z", "s")
-    link = PeerLink(
-        vm, Hello("a", "1", "b"), recorder.log, lambda: 1, ReadProgress,
+    callbacks = LinkCallbacks(
+        lambda: 0.5,
+        lambda vm, sent_at, read_now: Ping(sent_at),
         lambda progress, sent_at: recorder.frames.append(progress),
-    )  # fmt: skip
+        lambda vm, load: None,
+        recorder.log,
+    )
+    link = PeerLink(vm, Hello("a", "1", "b"), callbacks)
+    link.keep(True)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(link.run)
         yield link
--- a/tests/router/test_peer_links.py
+++ b/tests/router/test_peer_links.py
@@ -1,12 +1,14 @@
-"""Pings on peer links, and the length of frames."""
+"""Links between nodes: which are kept, pings, and the length of frames."""
 
 from collections import Counter
 
+import msgspec
 import pytest
 import trio
 import trio.testing
 
 from jujuberudder_router import VM
+from jujuberudder_router._directory import Directory
 from jujuberudder_router._frame_stream import FrameStream
 from jujuberudder_router._frames import (
     ANSWERED,
@@ -15,17 +17,22 @@
     FrameBuffer,
     FrameError,
     Hello,
-    ReadProgress,
+    Ping,
 )
-from jujuberudder_router._peer_links import (
-    PING_TICK_S,
+from jujuberudder_router._peer_link import (
     PONG_TIMEOUT_S,
-    RECEIVE_TIMEOUT_INTERVALS,
     RECEIVE_TIMEOUT_S,
     UP_INTERVALS,
+    LinkCallbacks,
     PeerLink,
+)
+from jujuberudder_router._peers import (
+    IDLE_CLOSE_S,
+    PING_TICK_S,
+    PROBE_IDLE_S,
+    PROBE_TIMEOUT_S,
+    Peers,
     ping_interval,
-    ping_links,
 )
 
 HELLO = Hello("a", "1", "b")
@@ -36,15 +43,12 @@
 
 
 @pytest.mark.parametrize(
-    "links, expected", [(0, 0.5), (8, 0.5), (33, 0.5), (72, 1.08), (300, 1.5)]
+    "kept, expected", [(0, 0.5), (8, 0.5), (10, 0.5), (22, 1.1), (30, 1.5), (90, 1.5)]
 )
-def test_ping_interval(links, expected):
+def test_ping_interval(kept, expected):
     """Guards against pings that use most of a processor in a deployment of many VMs."""
-    assert ping_interval(links) == pytest.approx(expected)
-    assert links * 2 / ping_interval(links) <= 400
-    assert (
-        max(RECEIVE_TIMEOUT_S, RECEIVE_TIMEOUT_INTERVALS * ping_interval(links)) < 4.5
-    )
+    assert ping_interval(kept) == pytest.approx(expected)
+    assert kept * 2 / ping_interval(kept) <= 120
 
 
 class SilentStream:
@@ -58,47 +62,65 @@
         self.sent.append(frame)
 
 
-def connect_silent_link():
-    """Return a link of 87 that has just connected to a silent peer, and its stream."""
-    vm = VM("b", "1", "127.0.0.1:1", "z", "s")
-    link = PeerLink(vm, HELLO, log_nothing, lambda: 87, ReadProgress, log_nothing)
+def make_link(name="b", kept=30):
+    """Return a link of a node that keeps a number of links."""
+    callbacks = LinkCallbacks(
+        lambda: ping_interval(kept),
+        lambda vm, sent_at, read_now: Ping(sent_at, read_now=read_now),
+        log_nothing, log_nothing, log_nothing,
+    )  # fmt: skip
+    return PeerLink(VM(name, "1", "127.0.0.1:1", "z", "s"), HELLO, callbacks)
+
+
+def connect_silent_link(name="b"):
+    """Return a kept link that has just connected to a silent peer."""
+    link = make_link(name)
+    link.keep(True)
     link._stream, link._connection_scope = SilentStream(), trio.CancelScope()
     link._record_receipt()
     link.ping()
     return link
 
 
-def add_other_links(link):
-    """Return the links of a node with 87 links, all but one without a connection."""
-    links = {
-        str(n): PeerLink(
-            link.vm, HELLO, log_nothing, lambda: 87, ReadProgress, log_nothing
-        )
-        for n in range(86)
-    }
-    return links | {"b": link}
+def make_peers(links, services=("s",), keyed=()):
+    """Return the ``Peers`` of the VM a with links that exist already."""
+    directory = Directory()
+    for name, link in links.items():
+        directory.put(msgspec.structs.replace(link.vm, name=name))
+    peers = Peers(
+        "a", "z", services[0], directory, lambda vm: make_link(vm.name),
+        keyed.__contains__, lambda vm: False, lambda: False,
+    )  # fmt: skip
+    peers.links.update(links)
+    peers.kept_count = len(links)
+    return peers
 
 
 async def test_link_without_a_pong_gets_no_requests(autojump_clock, nursery):
     """Guards against requests held for their whole time on a link that is cut."""
     link = connect_silent_link()
-    nursery.start_soon(ping_links, add_other_links(link))
+    others = {str(n): make_link(str(n)) for n in range(29)}
+    peers = make_peers(others | {"b": link})
+    peers._start = lambda link: None
+    nursery.start_soon(peers.run)
     await trio.sleep(PONG_TIMEOUT_S - 0.1)
     assert link.up
     await trio.sleep(0.2)
     assert not link.up and not link.lost
     link._record_receipt()
     assert link.up
-    await trio.sleep(UP_INTERVALS * ping_interval(87) + 0.1)
+    await trio.sleep(UP_INTERVALS * ping_interval(30) + 0.1)
     assert link.lost
 
 
 async def test_links_are_pinged_once_per_interval(autojump_clock, nursery):
     """Guards against pings that stop, bunch up, or come more often than intended."""
-    links = {str(n): connect_silent_link() for n in range(87)}
-    nursery.start_soon(ping_links, links)
+    links = {str(n): connect_silent_link(str(n)) for n in range(30)}
+    peers = make_peers(links)
+    peers._start = lambda link: None
+    nursery.start_soon(peers.run)
     for _ in range(20):
-        await trio.sleep(ping_interval(87))
+        await trio.sleep(ping_interval(30))
         for link in links.values():
             link._record_receipt()
     await trio.sleep(PING_TICK_S)
@@ -106,18 +128,20 @@
         sent = [ping.sent_at for ping in link._stream.sent]
         assert 19 <= len(sent) <= 21
         gaps = [after - before for before, after in zip(sent[1:], sent[2:])]
-        assert max(gaps) <= ping_interval(87) + 2 * PING_TICK_S
-        assert min(gaps) >= ping_interval(87) - 0.001
+        assert max(gaps) <= ping_interval(30) + 2 * PING_TICK_S
+        assert min(gaps) >= ping_interval(30) - 0.001
     ticks = Counter(
         ping.sent_at for link in links.values() for ping in link._stream.sent[1:]
     )
-    assert max(ticks.values()) <= 11
+    assert max(ticks.values()) <= 4
 
 
 async def test_silent_link_is_closed_but_not_after_a_pause(mock_clock, nursery):
     """Guards against links that a node closes because it was itself paused."""
     link = connect_silent_link()
-    nursery.start_soon(ping_links, {"b": link})
+    peers = make_peers({"b": link})
+    peers._start = lambda link: None
+    nursery.start_soon(peers.run)
     await trio.testing.wait_all_tasks_blocked()
     mock_clock.jump(RECEIVE_TIMEOUT_S + 1.0)
     await trio.testing.wait_all_tasks_blocked()
@@ -127,6 +151,85 @@
     assert link._connection_scope.cancel_called
 
 
+async def test_idle_link_is_not_pinged_and_closed_later(autojump_clock, nursery):
+    """Guards against pings to all VMs that ever got a request."""
+    link = connect_silent_link()
+    link._record_receipt()
+    link.keep(False)
+    peers = make_peers({"b": link})
+    peers._start = lambda link: None
+    nursery.start_soon(peers.run)
+    await trio.sleep(IDLE_CLOSE_S - 1)
+    assert len(link._stream.sent) == 1
+    assert peers.links and link.up
+    await trio.sleep(2)
+    assert peers.links == {}
+
+
+async def test_silent_idle_connection_is_replaced_before_a_request(autojump_clock):
+    """Guards against a request that is lost on a connection that died while idle."""
+    link = connect_silent_link()
+    link._record_receipt()
+    link.keep(False)
+    await trio.sleep(PROBE_IDLE_S + 1)
+    with trio.fail_after(PROBE_TIMEOUT_S + 0.1):
+        await link.probe(PROBE_TIMEOUT_S)
+    assert link._connection_scope.cancel_called
+
+
+async def test_links_of_many_vms():
+    """Guards against a link to every other VM, which grows with their square."""
+    zones, services = "abcde", ("jobs", "dispatch", "media")
+    names = [
+        f"{zone}-{s}-{n:02}" for zone in zones for s in services for n in range(13)
+    ]
+    entries = [
+        VM(name, "1", "127.0.0.1:1", name[0], name.split("-")[1], "i@1", 8)
+        for name in names
+    ]
+    directory = Directory()
+    for entry in entries:
+        directory.put(entry)
+    in_degrees = Counter()
+    for entry in entries:
+        peers = Peers(
+            entry.name, entry.zone, entry.service, directory,
+            lambda vm: make_link(vm.name), {"jobs"}.__contains__, lambda vm: False,
+            lambda: True,
+        )  # fmt: skip
+        peers.choose_links()
+        assert len(peers.subset("dispatch")) == len(peers.subset("media")) == 8
+        assert peers.kept_count == len(peers.links) <= 20
+        in_degrees.update(list(peers.links))
+        watched = [peers.watch_rank(vm) for vm in names]
+        assert sorted(r for r in watched if r is not None) == (
+            [0, 1, 2, 3] if entry.service == "jobs" else []
+        )
+    assert max(in_degrees.values()) <= 30
+
+
+async def test_lost_member_is_replaced_but_dialed_further():
+    """Guards against a subset without VMs that serve, and against VMs never retried."""
+    directory = Directory()
+    for number in range(12):
+        directory.put(VM(f"z-{number:02}", "1", "127.0.0.1:1", "z", "s", "i@1", 8))
+    peers = Peers(
+        "a", "z", "other", directory, lambda vm: make_link(vm.name),
+        lambda service: False, lambda vm: False, lambda: True,
+    )  # fmt: skip
+    peers.choose_links()
+    before = peers.subset("s")
+    lost = peers.links[before[0]]
+    lost._failed = True
+    peers.choose_links()
+    after = peers.subset("s")
+    assert len(after) == len(before) and before[0] not in after
+    assert lost.kept and lost.lost
+    lost._failed = False
+    peers.choose_links()
+    assert peers.subset("s") == before
+
+
 @pytest.fixture
 async def streams():
     """Return two connected streams."""
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -18,7 +18,7 @@
     Hello,
     encode_frame,
 )
-from jujuberudder_router._peer_links import serve_links
+from jujuberudder_router._peer_server import PeerHandlers, serve_links
 from jujuberudder_router._server import STOP_IDLE_S, Server
 
 TWO_LENGTHS = (
@@ -230,8 +230,8 @@
 
         address = ("127.0.0.1", int(free_addresses(1)[0].split(":")[1]))
         nursery.start_soon(
-            serve_links, address, Hello("b", "1"), handle, None, lambda: None, None,
-            None, log_nothing,
+            serve_links, address, Hello("b", "1"),
+            PeerHandlers(handle, None, lambda: None, None, None), log_nothing,
         )  # fmt: skip
         await trio.sleep(0.05)
         stream = await trio.open_tcp_stream(*address)
