Let a few nodes read the store and pass records on

Change: at least one VM of each zone, those with the largest links first, reads for the others; each other node gets the records from the reader of its zone, and from one of another zone when that is lost. It reads by itself if it has no source, if a record that exists is overdue, or if its lease grows old; while the store is down it tries every few seconds. A record that a node has appended is applied without a read, and is sent to the VMs that it concerns.

--- a/packages/router/src/jujuberudder_router/_follower.py
+++ b/packages/router/src/jujuberudder_router/_follower.py
@@ -1,17 +1,20 @@
 """Follower of a topic: reads the newest record of each key, then new records.
 
 A follower that is far behind reads the newest record of each key again, so that the
-bytes to read are bounded however many records were written.
+bytes to read are bounded however many records were written. It also takes records that
+other nodes have read.
 """
 
 import trio
 from result import Err, Ok
 
-from ._store import Truncated
+from ._store import Record, Truncated
 
 # Backoff after a failed call, in seconds, which doubles from the first value up to the
 # last one. The last one bounds the delay of a node after the store is available again.
 BACKOFF_MIN_S, BACKOFF_MAX_S = 0.1, 1.0
+# Longest time until it is asked again when to read, in seconds.
+MAX_DELAY_S = 0.5
 # Seconds for which a read may continue after the topic is known to have more records:
 # its response comes within the store's delay unless it was lost. The time doubles with
 # each further attempt, as the store may be slow.
@@ -46,6 +49,13 @@
     batch_delay_s : callable, default=None
         Returns the pause after a read that returned records, in seconds. Records that
         are appended during the pause are read with one call.
+    read_delay_s : callable, default=None
+        ``read_delay_s(follower)`` returns the time until the next read, in seconds; it
+        is asked again after ``wake``. If None, the topic is always read.
+    on_change : callable, default=None
+        ``on_change()`` is called when ``end`` has changed.
+    jitter : callable, default=None
+        Returns random numbers in [0, 1), for the backoff.
 
     Attributes
     ----------
@@ -55,26 +65,37 @@
     read_at : float or None
         When the last read that reached the end of the topic was sent, on the node's
         clock in seconds.
+    read_begun_at : float
+        When this node last began to read by itself, on its clock in seconds.
     failing_since : float or None
         Time of the first of the current failures, in seconds; None after a success.
     changed : trio.Event
         Set, and replaced, after each successful read.
     """
 
-    def __init__(self, store, topic, wait_s, apply, log, batch_delay_s=None):
+    def __init__(
+        self, store, topic, wait_s, apply, log, batch_delay_s=None, read_delay_s=None,
+        on_change=None, jitter=None,
+    ):  # fmt: skip
         self._store = store
         self._topic = topic
         self._wait_s = wait_s
         self._apply = apply
         self._log = log
         self._batch_delay_s = batch_delay_s or float
+        self._read_delay_s = read_delay_s or (lambda follower: 0.0)
+        self._on_change = on_change or (lambda: None)
+        self._jitter = jitter or (lambda: 0.5)
         self._batch_pause = trio.CancelScope()
-        self._offsets = {}
+        self._woken = trio.Event()
+        # Key to its newest record.
+        self._newest = {}
         self._known_end, self._cancelled_reads = 0, 0
         self._received_bytes, self._behind_since = 0, None
         self._read_scope = trio.CancelScope()
         self.end = None
         self.read_at = None
+        self.read_begun_at = trio.current_time()
         self.failing_since = None
         self.changed = trio.Event()
 
@@ -87,6 +108,60 @@
         """End the pause after a read at once, because a record is expected."""
         self._batch_pause.cancel()
 
+    def wake(self):
+        """Ask again when to read, because what that depends on has changed."""
+        self._woken.set()
+
+    def records_since(self, since):
+        """Return the newest records with offsets from ``since`` on, in their order."""
+        records = [r for r in self._newest.values() if r.offset >= since]
+        return sorted(records, key=lambda record: record.offset)
+
+    def merge(self, since, end, records):
+        """Apply records that another node has read.
+
+        Parameters
+        ----------
+        since, end : int
+            The records are the newest ones of all keys with offsets in [since, end).
+        records : list of (offset, key, value)
+
+        Returns
+        -------
+        merged : bool
+            False if records before ``since`` have not been read here.
+        """
+        if since > (self.end or 0):
+            self.observe_end(end)
+            return False
+        if self.end is not None and end <= self.end:
+            return True
+        for offset, key, value in records:
+            self._apply_newer(Record(offset, key, value))
+        self.end = end
+        self._record_change()
+        return True
+
+    def observe_append(self, offset, key, value):
+        """Apply a record that this node has appended, once all before it are read."""
+        self._batch_pause.cancel()
+        if self.end is not None:
+            self.merge(offset, offset + 1, [(offset, key, value)])
+
+    def _apply_newer(self, record):
+        known = self._newest.get(record.key)
+        if known is None or record.offset > known.offset:
+            self._newest[record.key] = record
+            self._apply(record)
+
+    def _record_change(self):
+        if self.end >= self._known_end:
+            self._behind_since = None
+        self.changed.set()
+        self.changed = trio.Event()
+        self.wake()
+        self._on_change()
+
     @property
     def started(self):
         """Whether the topic has been read at least once."""
@@ -109,6 +184,7 @@
         self._known_end = end
         if self._behind_since is None:
             self._behind_since = trio.current_time()
+        self.wake()
         if self._received_bytes:
             return
         deadline = self._read_deadline(trio.current_time())
@@ -120,22 +196,27 @@
         If this node has read up to ``end``, all records that it has not read were
         appended after that time, so its own read counts as sent then.
         """
-        if self.end is not None and end <= self.end and self.read_at is not None:
-            self.read_at = max(self.read_at, at)
+        if self.end is not None and end <= self.end:
+            self.read_at = max(self.read_at or 0.0, at)
 
     async def run(self):
-        """Read the topic until cancelled."""
+        """Read the topic when ``read_delay_s`` says so, until cancelled."""
         backoff_s = BACKOFF_MIN_S
         while True:
-            ok = await self._step()
-            if ok:
+            delay_s = self._read_delay_s(self)
+            if delay_s > 0:
+                with trio.move_on_after(min(delay_s, MAX_DELAY_S)):
+                    await self._woken.wait()
+                self._woken = trio.Event()
+                continue
+            if await self._step():
                 backoff_s = BACKOFF_MIN_S
             else:
-                await trio.sleep(backoff_s)
+                await trio.sleep(backoff_s * (0.5 + self._jitter()))
                 backoff_s = min(2 * backoff_s, BACKOFF_MAX_S)
 
     async def _step(self):
-        sent_at = trio.current_time()
+        self.read_begun_at = sent_at = trio.current_time()
         result = None
         self._received_bytes = 0
         newest = self._reads_newest()
@@ -189,7 +270,7 @@
         """
         if self.end is None or self.failing_since is not None:
             return True
-        return self._known_end - self.end > max(MIN_UNREAD_RECORDS, len(self._offsets))
+        return self._known_end - self.end > max(MIN_UNREAD_RECORDS, len(self._newest))
 
     def _read_deadline(self, now):
         """Return the time at which a read that is in progress now is cancelled."""
@@ -211,9 +292,7 @@
         if page.records:
             self._cancelled_reads = 0
         for record in page.records:
-            if record.offset > self._offsets.get(record.key, -1):
-                self._offsets[record.key] = record.offset
-                self._apply(record)
+            self._apply_newer(record)
         if newest:
             self.end = max(self.end or 0, page.end)
         elif page.records:
@@ -221,10 +300,8 @@
         # The end that the store stated is right; one that a node reported may not be.
         self._known_end = page.end
         if self.end >= page.end:
-            self.read_at = sent_at
-            self._behind_since = None
-        self.changed.set()
-        self.changed = trio.Event()
+            self.read_at = max(self.read_at or 0.0, sent_at)
+        self._record_change()
 
     def _record_failure(self, failure):
         if self.failing_since is None:
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -96,25 +96,25 @@
     """How far a node has read the store's topics.
 
     ``membership_age_s`` is the time in seconds since the node sent its last complete
-    read of the membership topic, negative if there was none.
+    read of the membership topic, negative if there was none. ``store_failing`` states
+    whether its reads fail.
     """
 
     operator_end: int = 0
     membership_end: int = 0
     membership_age_s: float = -1.0
+    store_failing: bool = False
 
 
 class Ping(msgspec.Struct, array_like=True, tag="p"):
     """Requests a ``Pong``, which repeats ``sent_at``, a time of the sender's clock.
 
-    If ``read_now`` is true, the receiver reads the membership topic at once, because a
-    record in it concerns the receiver. ``load`` is that of the target beside the
-    sender, ``reports`` are loads of other VMs of its service.
+    ``load`` is that of the target beside the sender, ``reports`` are loads of other VMs
+    of its service.
     """
 
     sent_at: float
     progress: ReadProgress = ReadProgress()
-    read_now: bool = False
     load: Load | None = None
     reports: list[LoadReport] = []
 
@@ -127,6 +127,26 @@
     progress: ReadProgress = ReadProgress()
 
 
+class Subscribe(msgspec.Struct, array_like=True, tag="u"):
+    """Asks for the newest records of both topics from these ends on, and later ones.
+
+    If ``active`` is false, it ends that.
+    """
+
+    operator_end: int
+    membership_end: int
+    active: bool = True
+
+
+class Update(msgspec.Struct, array_like=True, tag="w"):
+    """Newest records (offset, key, value) of a topic with offsets in [since, end)."""
+
+    topic: str
+    since: int
+    end: int
+    records: list[tuple[int, str, bytes]]
+
+
 class ReleaseReport(msgspec.Struct, array_like=True, tag="h"):
     """Ranges that the target of a VM released, for the VM that writes the key map.
 
@@ -163,6 +183,8 @@
     | CancelForward
     | Ping
     | Pong
+    | Subscribe
+    | Update
     | ReleaseReport
     | StoreCall
     | StoreCallResult
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -57,7 +57,7 @@
         return VM(
             settings.vm, self.node_incarnation, settings.peer_address, settings.zone,
             settings.service, incarnation, slots, node.draining or target_leaving,
-            target_leaving,
+            target_leaving, settings.link_bytes_per_s * 8 / 1e6,
         )  # fmt: skip
 
     def was_leaving(self, target_incarnation):
@@ -150,7 +150,9 @@
                 await trio.sleep(ANNOUNCE_RETRY_S)
                 continue
             self._written_entry = entry
-            self._node.membership_follower.read_now()
+            self._node.membership_follower.observe_append(
+                result.ok_value.offset, f"vm/{entry.name}", value
+            )
             self._node.log(
                 "announced", target=entry.target_incarnation, leaving=entry.leaving,
                 slots=entry.slots,
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -24,9 +24,11 @@
 from ._peer_server import PeerHandlers, serve_links
 from ._peers import Peers
 from ._rate_limit import RateLimiter
+from ._reading import Situation, read_delay
 from ._relay import make_relay_handler, with_relays
 from ._routes import RetryBudget, TrafficSplitter
 from ._server import STOP_POLL_S, Server
+from ._sharing import RecordSharing
 from ._status import key_status, node_status
 from ._store import MEMBERSHIP_TOPIC, OPERATOR_TOPIC
 from ._target import Target, make_target_handler
@@ -35,20 +37,12 @@
 # Minimum and maximum time that a read of the configuration topic waits for a record.
 # Peers report their read progress, so a lost response is detected sooner.
 CONFIG_WAIT_S = (3.0, 10.0)
-# Minimum and maximum wait of a read of the membership topic. The waits are random: one
-# read renews the leases of all nodes that learn of it through a peer, so about one read
-# of some node should end every second.
-MEMBERSHIP_WAIT_S = (0.5, 10.0)
-# The same for a keyed service, where the read renews the lease: below LEASE_S of the
-# ownership module, for a node without a link to any peer.
-LEASE_WAIT_S = (0.5, 6.0)
-# Delay per VM between two reads of the membership topic while records arrive. Every
-# node makes one store call per record, so without the delay the calls grow with the
-# square of the number of VMs. A VM that gets keys is notified at once; other VMs learn
-# of the new owner from the previous one.
-BATCH_DELAY_PER_VM_S = 0.02
-# Upper limit of this delay.
-BATCH_DELAY_MAX_S = 2.0
+# The same for the membership topic: the age of such a read, which begins when it is
+# sent, limits the leases of all nodes.
+MEMBERSHIP_WAIT_S = (0.3, 0.6)
+# Delay per VM between two reads of the membership topic while records arrive, and its
+# upper limit: each is a store call of every node that reads for others.
+BATCH_DELAY_PER_VM_S, BATCH_DELAY_MAX_S = 0.01, 0.25
 # Delay between two reads of the configuration topic while versions arrive, which bounds
 # the load on the store: a version of 26 KB is read by every node. The users' bound for
 # a version to be in force is 2 s.
@@ -179,23 +173,23 @@
         self.membership = Membership(self, self.store)
         self.peers = Peers(
             settings.vm, settings.zone, settings.service, self.vms, self._make_link,
-            self.is_keyed, self._is_suspected, lambda: self.ready,
+            self._is_known_keyed, self._is_suspected,
+            lambda: self.membership_follower.started,
+            lambda vms: self.sharing.set_sources(vms),
         )  # fmt: skip
         self.membership_follower = Follower(
-            self.store,
-            MEMBERSHIP_TOPIC,
-            self._membership_wait_s,
-            self.membership.apply,
-            log,
-            self._batch_delay_s,
-        )
+            self.store, MEMBERSHIP_TOPIC, self._membership_wait_s,
+            self.membership.apply, log, self._batch_delay_s, self._read_delay_s,
+            lambda: self.sharing.publish(MEMBERSHIP_TOPIC), self.jitter,
+        )  # fmt: skip
         self.configuration_follower = Follower(
-            self.store,
-            OPERATOR_TOPIC,
-            self._configuration_wait_s,
-            self._apply_configuration,
-            log,
-            lambda: CONFIG_BATCH_DELAY_S,
+            self.store, OPERATOR_TOPIC, self._configuration_wait_s,
+            self._apply_configuration, log, lambda: CONFIG_BATCH_DELAY_S,
+            self._read_delay_s, lambda: self.sharing.publish(OPERATOR_TOPIC),
+            self.jitter,
+        )  # fmt: skip
+        self.sharing = RecordSharing(
+            self.configuration_follower, self.membership_follower, lambda: self.links
         )
         self.ownership = OwnershipManager(self, self.store, self.membership_follower)
         self.grant_caller = GrantCaller(
@@ -225,20 +219,18 @@
             vm,
             self.membership.hello(vm.name),
             LinkCallbacks(
-                self.peers.ping_interval_s, self._make_ping, self.on_pong,
-                self._on_load, self.log,
+                self.peers.ping_interval_s, self._make_ping, self.sharing.on_connect,
+                self.on_pong, self.sharing.on_update, self._on_load, self.log,
             ),
         )  # fmt: skip
 
-    def _make_ping(self, vm, sent_at, read_now):
+    def _make_ping(self, vm, sent_at):
         """Return a ping; a VM of the same keyed service gets loads with it."""
         entry, service, reports = self.vms.get(vm), self.settings.service, []
         if entry is not None and entry.service == service and self.is_keyed(service):
             names = [other.name for other in self.vms.of_service(service)]
             reports = self.loads.reports(names, REPORTED_LOADS, sent_at)
-        return Ping(
-            sent_at, self.read_progress(), read_now, self.admission.load(), reports
-        )
+        return Ping(sent_at, self.read_progress(), self.admission.load(), reports)
 
     def _on_load(self, vm, load):
         if load is None:
@@ -274,6 +266,10 @@
         entry = self.configuration and self.configuration.services.get(service)
         return bool(entry and entry.keyed)
 
+    def _is_known_keyed(self, service):
+        """Whether a service is divided by key; None before the first configuration."""
+        return None if self.configuration is None else self.is_keyed(service)
+
     @property
     def grants_by_call(self):
         """Whether the target is granted keys by calls, not by heartbeat responses."""
@@ -315,8 +311,7 @@
         return self._random_wait_s(*CONFIG_WAIT_S)
 
     def _membership_wait_s(self):
-        keyed = self.is_keyed(self.settings.service)
-        return self._random_wait_s(*(LEASE_WAIT_S if keyed else MEMBERSHIP_WAIT_S))
+        return self._random_wait_s(*MEMBERSHIP_WAIT_S)
 
     def _random_wait_s(self, min_s, max_s):
         return min_s + self.jitter() * (max_s - min_s)
@@ -324,6 +319,27 @@
     def _batch_delay_s(self):
         return min(BATCH_DELAY_MAX_S, BATCH_DELAY_PER_VM_S * len(self.vms))
 
+    def _read_delay_s(self, follower):
+        """Return the seconds until this node reads a topic by itself."""
+        now, lease_age_s = trio.current_time(), None
+        if follower is self.membership_follower:
+            if self.is_keyed(self.settings.service):
+                lease_age_s = now - (follower.read_at or 0.0)
+        self.sharing.check_active()
+        situation = Situation(
+            follower.started, self.sharing.reads_for_others, self.sharing.alone_s(now),
+            self.sharing.sources_failing, follower.behind_s, lease_age_s,
+            now - follower.read_begun_at,
+        )  # fmt: skip
+        return read_delay(situation, self.jitter())
+
+    @property
+    def store_failing(self):
+        """Whether the store answers neither this node nor its sources of records."""
+        if self.sharing.alone_s(trio.current_time()) > 0:
+            return self.membership_follower.failing_since is not None
+        return self.sharing.sources_failing
+
     @property
     def node_incarnation(self):
         """Name of this process in the membership topic."""
@@ -346,11 +362,13 @@
             self.configuration_follower.end or 0,
             self.membership_follower.end or 0,
             age_s,
+            self.store_failing,
         )
 
-    def on_pong(self, progress, sent_at):
-        """Apply the read progress of a peer, which sent it after ``sent_at``."""
+    def on_pong(self, vm, progress, sent_at):
+        """Apply the read progress of a VM, which sent it after ``sent_at``."""
         self._observe_ends(progress)
+        self.sharing.on_progress(vm, progress)
         if progress.membership_age_s >= 0:
             self.membership_follower.confirm_read(
                 progress.membership_end, sent_at - progress.membership_age_s
@@ -360,8 +378,6 @@
         """Apply the ping of a VM and return the read progress of this node."""
         now = trio.current_time()
         self._observe_ends(ping.progress)
-        if ping.read_now:
-            self.membership_follower.read_now()
         if ping.load is not None:
             self.loads.record(vm, ping.load, now)
         self.loads.apply_reports(ping.reports, now, self.settings.vm)
@@ -699,7 +715,8 @@
             nursery.start_soon(server.serve, parse_address(address))
         handlers = PeerHandlers(
             node.serve, make_relay_handler(node), node.admission.load, node.on_ping,
-            node.ownership.on_releases,
+            node.ownership.on_releases, node.sharing.on_subscribe,
+            node.sharing.on_update,
         )  # fmt: skip
         nursery.start_soon(
             serve_links, parse_address(settings.peer_address), node.membership.hello(),
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -635,12 +635,10 @@
             ranges = [
                 (r.start, r.end, r.fence, r.handover, r.receiver) for r in releases
             ]
-            self._node.peers.report_releases(
-                writer,
-                ReleaseReport(
-                    self._node.settings.vm, self._node.node_incarnation, ranges
-                ),
+            report = ReleaseReport(
+                self._node.settings.vm, self._node.node_incarnation, ranges
             )
+            self._node.peers.send_soon(writer, report)
         return own
 
     def _writer(self, owners, now):
@@ -707,7 +705,7 @@
             self._record_growth(now)
             if not self._follower.started or not self._node.is_keyed(self._service):
                 continue
-            if self._follower.failing_since is None:
+            if not self._node.store_failing:
                 await self._apply_next_change()
 
     async def _apply_next_change(self):
@@ -730,8 +728,9 @@
             outcome=_format_outcome(result), next_fence=change.keymap.next_fence,
         )  # fmt: skip
         self._node.metrics.count("key_map_changes")
-        if isinstance(result, Ok):
-            self._request_reads(view.keymap, change.keymap)
+        if result == Ok(Appended(end)):
+            self._follower.observe_append(end, key, value)
+            self._inform(view.keymap, change.keymap, end)
         await self._catch_up(result)
 
     def _given_up(self, keymap, change):
@@ -747,13 +746,14 @@
             given_up += self._handing_over.ranges
         return tuple(given_up)
 
-    def _request_reads(self, before, after):
-        """Ask the VMs that got keys or lost some to read the topic at once."""
+    def _inform(self, before, after, offset):
+        """Send the key map at an offset to the VMs that got keys or lost some."""
+        update = self._node.sharing.update_since(MEMBERSHIP_TOPIC, offset)
         for vm in {
             key_range.vm for key_range in set(after.ranges) ^ set(before.ranges)
         }:
             if vm != self._node.settings.vm:
-                self._node.peers.request_read(vm)
+                self._node.peers.send_soon(vm, update)
 
     def _forget_moved_ranges(self, keymap):
         """Drop released and moved ranges that this VM no longer owns."""
--- a/packages/router/src/jujuberudder_router/_peer_link.py
+++ b/packages/router/src/jujuberudder_router/_peer_link.py
@@ -18,6 +18,7 @@
     Pong,
     StoreCall,
     StoreCallResult,
+    Update,
 )
 from ._http import dial
 
@@ -71,10 +72,14 @@
     ping_interval_s : callable
         Returns the ping interval in seconds.
     make_ping : callable
-        ``make_ping(vm, sent_at, read_now) -> Ping``.
+        ``make_ping(vm, sent_at) -> Ping``.
+    on_connect : callable
+        ``on_connect(vm)`` is called when a connection to a VM is there.
     on_pong : callable
-        ``on_pong(progress, sent_at)`` applies the ``ReadProgress`` of another node,
-        which sent it after ``sent_at``.
+        ``on_pong(vm, progress, sent_at)`` applies the ``ReadProgress`` of the node of a
+        VM, which sent it after ``sent_at``.
+    on_update : callable
+        ``on_update(update)`` applies an ``Update``.
     on_load : callable
         ``on_load(vm, load)`` records the ``Load`` of a VM; None if its process is new.
     log : callable
@@ -82,7 +87,9 @@
 
     ping_interval_s: Callable
     make_ping: Callable
+    on_connect: Callable
     on_pong: Callable
+    on_update: Callable
     on_load: Callable
     log: Callable
 
@@ -302,6 +309,7 @@
                 self._connection_scope = nursery.cancel_scope
                 nursery.start_soon(self._stream.run_writer)
                 self.ping()
+                self._callbacks.on_connect(self.vm.name)
                 await self._receive()
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError) as group:
@@ -338,7 +346,9 @@
             self._callbacks.on_load(self.vm.name, frame.load)
         if isinstance(frame, Pong):
             self._last_round_trip_s = trio.current_time() - frame.sent_at
-            self._callbacks.on_pong(frame.progress, frame.sent_at)
+            self._callbacks.on_pong(self.vm.name, frame.progress, frame.sent_at)
+        if isinstance(frame, Update):
+            self._callbacks.on_update(frame)
         if isinstance(frame, (ForwardReply, StoreCallResult)):
             pending_reply = self._pending.pop(frame.id, None)
             if pending_reply is not None:
@@ -356,23 +366,19 @@
             self._silent_s = trio.current_time() - self.received_at
             self._connection_scope.cancel()
 
-    def ping(self, read_now=False):
-        """Send a ``Ping`` with the read progress, if there is a connection."""
+    def ping(self):
+        """Send a ``Ping``, if there is a connection."""
         if self._stream is None:
             return
         self.pinged_at = now = trio.current_time()
         if self._unanswered_ping_at is None:
             self._unanswered_ping_at = now
-        self._stream.send(self._callbacks.make_ping(self.vm.name, now, read_now))
+        self._stream.send(self._callbacks.make_ping(self.vm.name, now))
 
-    def request_read(self):
-        """Ask the peer to read the membership topic now, for a record about it."""
-        self.ping(read_now=True)
-
-    def report_releases(self, report):
-        """Send a ``ReleaseReport``, unless the link is down."""
+    def send(self, frame):
+        """Send a frame that has no reply, unless the link is down."""
         if self._stream is not None:
-            self._stream.send(report)
+            self._stream.send(frame)
 
     async def forward(self, request):
         """Send a ``ForwardRequest`` and return the ``ForwardReply``.
--- a/packages/router/src/jujuberudder_router/_peer_server.py
+++ b/packages/router/src/jujuberudder_router/_peer_server.py
@@ -1,5 +1,6 @@
 """Server side of peer links: other nodes connect and send their calls."""
 
+import itertools
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -18,6 +19,8 @@
     ReleaseReport,
     StoreCall,
     StoreCallResult,
+    Subscribe,
+    Update,
 )
 from ._peer_link import HELLO_TIMEOUT_S, WrongPeerError, receive_hello
 from ._server import error_location
@@ -40,6 +43,12 @@
         of this node.
     releases : callable
         ``releases(report)`` applies a ``ReleaseReport``.
+    subscribe : callable
+        ``subscribe(number, frame, send)`` applies a ``Subscribe`` frame, or the end of
+        the connection if ``frame`` is None. ``number`` names the connection, and
+        ``send(frame)`` sends on it.
+    update : callable
+        ``update(frame)`` applies an ``Update``.
     """
 
     request: Callable
@@ -47,6 +56,8 @@
     load: Callable
     ping: Callable
     releases: Callable
+    subscribe: Callable
+    update: Callable
 
 
 async def serve_links(address, own_hello, handlers, log):
@@ -61,9 +72,10 @@
     log : callable
     """
     host, port = address
+    numbers = itertools.count()
 
     async def serve(tcp_stream):
-        stream = FrameStream(tcp_stream)
+        stream, number = FrameStream(tcp_stream), next(numbers)
         scopes = {}
 
         async def answer(request, scope):
@@ -116,6 +128,10 @@
                         stream.send(Pong(frame.sent_at, handlers.load(), progress))
                     elif isinstance(frame, ReleaseReport):
                         apply_releases(frame, hello)
+                    elif isinstance(frame, Subscribe):
+                        handlers.subscribe(number, frame, stream.send)
+                    elif isinstance(frame, Update):
+                        handlers.update(frame)
                     elif isinstance(frame, StoreCall):
                         nursery.start_soon(run_store_call, frame)
 
@@ -136,6 +152,7 @@
         ) as group:
             log("peer_connection_lost", reason=str(group.exceptions[0]))
         finally:
+            handlers.subscribe(number, None, None)
             stream.close()
 
     await trio.serve_tcp(serve, port, host=host)
--- a/packages/router/src/jujuberudder_router/_peers.py
+++ b/packages/router/src/jujuberudder_router/_peers.py
@@ -5,11 +5,19 @@
 import trio
 
 from ._frames import NOT_RUN, ForwardReply
-from ._peer_link import RECEIVE_TIMEOUT_S, PeerLink
-from ._subsets import place_of, service_subset, watched_vms
+from ._peer_link import RECEIVE_TIMEOUT_S
+from ._subsets import (
+    place_of,
+    reader_order,
+    readers,
+    record_sources,
+    service_subset,
+    watched_vms,
+)
 
 # Minimum ping interval: on an idle link it is the age of the load by which requests
-# choose a VM.
+# choose a VM. Links to VMs that read the store are always pinged so often, since the
+# age of their reads renews leases.
 MIN_PING_S = 0.5
 # Ping interval per kept link, and its maximum. The interval grows with the number of
 # links, so that all pings together take a fixed share of a processor.
@@ -50,12 +58,16 @@
     make_link : callable
         ``make_link(vm) -> PeerLink`` for a membership entry.
     is_keyed : callable
-        ``is_keyed(service)`` returns whether a service is divided by key.
+        ``is_keyed(service)`` returns whether a service is divided by key, or None if
+        that is not known.
     is_suspected : callable
         ``is_suspected(vm)`` returns whether the key map lists a suspicion against a VM
         of the own service.
     can_choose : callable
-        Returns whether services and VMs are known.
+        Returns whether the VMs are known.
+    on_sources : callable
+        ``on_sources(vms)`` gets the VMs that read the store for this one; none if it
+        reads for others.
 
     Attributes
     ----------
@@ -64,7 +76,7 @@
 
     def __init__(
         self, own_vm, own_zone, own_service, directory, make_link, is_keyed,
-        is_suspected, can_choose,
+        is_suspected, can_choose, on_sources,
     ):  # fmt: skip
         self.links = {}
         self._own_vm, self._own_zone = own_vm, own_zone
@@ -74,6 +86,8 @@
         self._is_keyed = is_keyed
         self._is_suspected = is_suspected
         self._can_choose = can_choose
+        self._on_sources = on_sources
+        self._source_links = set()
         self._nursery = None
         self._scopes = {}
         self._subsets, self._watched = {}, []
@@ -132,25 +146,18 @@
         request.remaining_s -= trio.current_time() - started
         return await link.forward(request)
 
-    def report_releases(self, vm, report):
-        """Send a ``ReleaseReport`` to a VM as soon as there is a connection."""
-        self._send_soon(vm, lambda link: link.report_releases(report))
-
-    def request_read(self, vm):
-        """Ask a VM to read the membership topic now, for a record about it."""
-        self._send_soon(vm, PeerLink.request_read)
-
-    def _send_soon(self, vm, send):
+    def send_soon(self, vm, frame):
+        """Send a frame that has no reply to a VM as soon as there is a connection."""
         link = self.ensure(vm)
         if link is None or self._nursery is None:
             return
         if link.connected:
-            send(link)
+            link.send(frame)
             return
 
         async def connect_and_send():
             if await link.wait_connected(CONNECT_WAIT_S):
-                send(link)
+                link.send(frame)
 
         self._nursery.start_soon(connect_and_send)
 
@@ -215,7 +222,7 @@
         wanted = set()
         self._subsets = {}
         for service in {vm.service for vm in directory.values()}:
-            if self._is_keyed(service):
+            if self._is_keyed(service) is not False:
                 continue
             zones = directory.zones(service)
             for usable in (self._serves, self._usable):
@@ -229,6 +236,7 @@
                 directory.zones(self._own_service), self._own_vm, self._is_suspected
             )
         wanted.update(self._watched)
+        wanted.update(self._choose_sources())
         for vm in wanted:
             self.ensure(vm).keep(True)
         for vm, link in self.links.items():
@@ -236,6 +244,31 @@
                 link.keep(False)
         self.kept_count = len(wanted)
 
+    def _choose_sources(self):
+        """Choose the VMs that read the store for this one, and return those to dial.
+
+        They are the other readers if this VM is one itself.
+        """
+        directory = self._directory
+        order = reader_order(directory.zones(), lambda vm: directory.get(vm).link_mbps)
+        dialed = set()
+        for usable in (lambda vm: True, self._may_read):
+            all_readers = readers(order, self._zone_of, usable)
+            sources = record_sources(all_readers, self._own_vm, self._zone_of)
+            dialed.update(sources or all_readers)
+        dialed.discard(self._own_vm)
+        self._source_links = dialed
+        self._on_sources(sources)
+        return dialed
+
+    def _zone_of(self, vm):
+        entry = self._directory.get(vm)
+        return self._own_zone if entry is None else entry.zone
+
+    def _may_read(self, vm):
+        link = self.links.get(vm)
+        return link is None or not link.lost
+
     def _serves(self, vm):
         entry = self._directory.get(vm)
         return bool(entry.target_incarnation) and not entry.leaving
@@ -254,7 +287,9 @@
             if link.connected and (link.kept or link.in_flight):
                 if link.unanswered_s >= RECEIVE_TIMEOUT_S and not paused:
                     link.close_silent()
-                elif now - link.pinged_at >= interval_s:
+                elif now - link.pinged_at >= interval_s or (
+                    vm in self._source_links and now - link.pinged_at >= MIN_PING_S
+                ):
                     due.append(link)
             elif not link.kept and not link.in_flight:
                 limit_s = IDLE_CLOSE_S if link.connected else GIVE_UP_S
@@ -264,5 +299,6 @@
             self.drop(vm)
         due.sort(key=lambda link: link.pinged_at)
         mean_due = max(1, self.kept_count) * PING_TICK_S / interval_s
+        mean_due += len(self._source_links) * PING_TICK_S / MIN_PING_S
         for link in due[: math.ceil(MAX_TICK_SHARE * mean_due)]:
             link.ping()
--- a/packages/router/src/jujuberudder_router/_subsets.py
+++ b/packages/router/src/jujuberudder_router/_subsets.py
@@ -20,7 +20,8 @@
 # VMs of the own keyed service that a node watches, in different zones where there are
 # several.
 WATCHED_VMS = 4
-# VMs that a node gets records of the store from, in different zones.
+# VMs of which one passes records of the store on to a node, and the next one takes its
+# place, in different zones.
 RECORD_SOURCES = 2
 # Least number of VMs that read the store for others, and VMs for each of them.
 MIN_READERS, VMS_PER_READER = 3, 64
@@ -90,36 +91,63 @@
     return watched
 
 
-def reader_order(zones):
+def reader_order(zones, link_mbps):
     """Return all VMs in the order in which they read the store for others.
 
+    Neighbours are in different availability zones. Those with the largest network links
+    come first, since a reader sends each record to all VMs of its zone.
+
     Parameters
     ----------
     zones : dict of str to list of str
         Names of all VMs in each availability zone.
+    link_mbps : callable
+        ``link_mbps(vm)`` returns the capacity of a VM's network link in Mbit/s.
     """
-    return _alternate([sorted(zones[zone], key=_hash) for zone in sorted(zones)])
 
+    def order(vm):
+        return -link_mbps(vm), _hash(vm)
+
+    return _alternate([sorted(zones[zone], key=order) for zone in sorted(zones)])
 
-def record_sources(order, own_vm, zone_of, usable):
-    """Return the VMs that a node gets records from; empty if it reads for others.
+
+def readers(order, zone_of, usable):
+    """Return the VMs that read the store for others, at least one in each zone.
 
     Parameters
     ----------
     order : list of str
         As returned by ``reader_order``.
-    own_vm : str
     zone_of : callable
         ``zone_of(vm)`` returns the availability zone of a VM.
     usable : callable
         ``usable(vm)`` is false for VMs in place of which the next ones read.
     """
-    count = max(MIN_READERS, ceil(len(order) / VMS_PER_READER))
-    readers = [vm for vm in order if vm == own_vm or usable(vm)][:count]
-    if own_vm in readers or not readers:
+    zones = len({zone_of(vm) for vm in order})
+    count = max(MIN_READERS, zones, ceil(len(order) / VMS_PER_READER))
+    return [vm for vm in order if usable(vm)][:count]
+
+
+def record_sources(all_readers, own_vm, zone_of):
+    """Return the VMs that a node gets records from; empty if it reads for others.
+
+    Parameters
+    ----------
+    all_readers : list of str
+        As returned by ``readers``.
+    own_vm : str
+    zone_of : callable
+        As for ``readers``.
+
+    Returns
+    -------
+    sources : list of str
+        Readers of the own zone come first.
+    """
+    if own_vm in all_readers or not all_readers:
         return []
-    start = _hash(own_vm) % len(readers)
-    rotated = readers[start:] + readers[:start]
+    start = _hash(own_vm) % len(all_readers)
+    rotated = all_readers[start:] + all_readers[:start]
     rotated.sort(key=lambda vm: zone_of(vm) != zone_of(own_vm))
     return rotated[:RECORD_SOURCES]
 
--- a/packages/router/src/jujuberudder_router/_types.py
+++ b/packages/router/src/jujuberudder_router/_types.py
@@ -155,7 +155,8 @@
     ``node_incarnation`` names one process of the node. ``target_incarnation`` names one
     process of the target by id and start, and is empty while none is known. ``leaving``
     is true if the node or the target is about to stop, ``target_leaving`` if the target
-    is: the next process of the node learns it from there.
+    is: the next process of the node learns it from there. ``link_mbps`` is the capacity
+    of the VM's network link in Mbit/s.
     """
 
     name: str
@@ -167,6 +168,7 @@
     slots: int = 0
     leaving: bool = False
     target_leaving: bool = False
+    link_mbps: float = 0.0
 
 
 class KeyRange(msgspec.Struct, array_like=True, frozen=True, order=True):
