Wait for entries of other VMs before a node reads the store alone at its start

Half of the VMs also wrote an entry without a target first.

Change: a node that never had a source reads alone only after 2 s, and writes its first entry when its target has sent a heartbeat, or after 2 s.

--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -13,9 +13,10 @@
 # Seconds between two attempts to write this VM's entry.
 ANNOUNCE_RETRY_S = 0.5
 # Maximum wait for the first heartbeat before the first entry is written, in seconds:
-# heartbeats come every 0.87 s, and an entry without a target is rewritten at once.
-# After a restart the entry names the target of the previous one without a wait.
-FIRST_HEARTBEAT_WAIT_S = 1.0
+# heartbeats come every 0.87 s and may be late, and an entry without a target has to be
+# written again. After a restart the entry names the target of the previous one without
+# a wait.
+FIRST_HEARTBEAT_WAIT_S = 2.0
 
 _vm_encoder = msgspec.msgpack.Encoder()
 _vm_decoder = msgspec.msgpack.Decoder(VM)
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -326,10 +326,11 @@
             if self.is_keyed(self.settings.service):
                 lease_age_s = now - (follower.read_at or 0.0)
         self.sharing.check_active()
+        sharing = self.sharing
         situation = Situation(
-            follower.started, self.sharing.reads_for_others, self.sharing.alone_s(now),
-            self.sharing.sources_failing, follower.behind_s, lease_age_s,
-            now - follower.read_begun_at,
+            follower.started, sharing.reads_for_others, sharing.alone_s(now),
+            sharing.had_source, sharing.sources_failing, follower.behind_s,
+            lease_age_s, now - follower.read_begun_at,
         )  # fmt: skip
         return read_delay(situation, self.jitter())
 
--- a/packages/router/src/jujuberudder_router/_reading.py
+++ b/packages/router/src/jujuberudder_router/_reading.py
@@ -6,9 +6,10 @@
 
 from typing import NamedTuple
 
-# Time for which a node has to be without a source before it reads by itself: while it
-# starts, or after a source has failed, it connects to others.
-ALONE_S = 0.7
+# Time for which a node has to be without a source before it reads by itself: after a
+# source has failed, it connects to another one. While a deployment starts, no VM is
+# known until entries are written, about 1 s after the start.
+ALONE_S, FIRST_ALONE_S = 0.7, 2.0
 # Time within which a record that is known to exist has to arrive from a source.
 BEHIND_S = 0.3
 # Age of the last complete read that is known from which a node with a lease reads by
@@ -30,6 +31,8 @@
         Whether this node is to pass records on.
     alone_s : float
         Seconds for which no source was connected; 0 if one is.
+    had_source : bool
+        Whether a source was ever connected.
     sources_failing : bool
         Whether the reads of all connected sources fail.
     behind_s : float
@@ -43,6 +46,7 @@
     started: bool
     reads_for_others: bool
     alone_s: float
+    had_source: bool
     sources_failing: bool
     behind_s: float
     lease_age_s: float | None
@@ -65,7 +69,7 @@
     if s.behind_s > 0:
         delays.append(BEHIND_S - s.behind_s)
     if s.alone_s > 0:
-        delays.append(ALONE_S - s.alone_s)
+        delays.append((ALONE_S if s.had_source else FIRST_ALONE_S) - s.alone_s)
     elif s.sources_failing:
         low, high = FAILING_INTERVAL_S
         delays.append(low + jitter * (high - low) - s.since_read_s)
--- a/packages/router/src/jujuberudder_router/_sharing.py
+++ b/packages/router/src/jujuberudder_router/_sharing.py
@@ -20,6 +20,8 @@
     sources : list of str
         VMs that read the store for this one. The first one that is connected passes
         records on.
+    had_source : bool
+        Whether a source was ever connected.
     """
 
     def __init__(self, operator_follower, membership_follower, links):
@@ -37,6 +39,7 @@
         # Source that passes records on at present, or None.
         self._active = None
         self._alone_since = trio.current_time()
+        self.had_source = False
 
     @property
     def reads_for_others(self):
@@ -50,7 +53,7 @@
     def alone_s(self, now):
         """Return for how many seconds no source has been connected; 0 if one is."""
         if self._connected_sources():
-            self._alone_since = now
+            self._alone_since, self.had_source = now, True
             return 0.0
         return max(1e-3, now - self._alone_since)
 
--- a/tests/router/test_sharing.py
+++ b/tests/router/test_sharing.py
@@ -13,13 +13,14 @@
 from jujuberudder_router._reading import (
     ALONE_S,
     BEHIND_S,
+    FIRST_ALONE_S,
     LEASE_READ_AGE_S,
     Situation,
     read_delay,
 )
 from jujuberudder_router._sharing import RecordSharing
 
-CALM = Situation(True, False, 0.0, False, 0.0, None, 9.0)
+CALM = Situation(True, False, 0.0, True, False, 0.0, None, 9.0)
 
 
 @pytest.mark.parametrize(
@@ -30,6 +31,7 @@
         ({"reads_for_others": True}, 0.0),
         ({"alone_s": ALONE_S / 2}, ALONE_S / 2),
         ({"alone_s": 9.0}, 0.0),
+        ({"alone_s": 1.0, "had_source": False}, FIRST_ALONE_S - 1.0),
         ({"behind_s": BEHIND_S / 2}, BEHIND_S / 2),
         ({"behind_s": 9.0}, 0.0),
         ({"sources_failing": True, "since_read_s": 0.5}, 3.0),
