--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -29,18 +29,20 @@
 ]  # fmt: skip
 CONTACT_S, DRAIN_S, CONFIG_APPLY_S = 3.0, 2.0, 2.0
 HEARTBEAT_S = 0.87
-_taken_ports = set()
+# Below the range of outgoing connections, so that none of these takes a port meanwhile.
+_PORTS = range(15000, 32000)
+_ports = itertools.cycle([*_PORTS[os.getpid() % 17000 :], *_PORTS])
 
 
 def free_address():
     """Return an unused loopback address."""
-    while True:
+    for port in _ports:
         with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            port = sock.getsockname()[1]
-        if port not in _taken_ports:
-            _taken_ports.add(port)
-            return f"127.0.0.1:{port}"
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
 
 
 def split_address(address):
