--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,8 +12,8 @@
 ZONES = ("dar-a", "dar-b", "dar-c")
 # Seconds from a version to the silence, and from the silence to the next version: by
 # then the machines are in touch again.
-BEFORE_S, AFTER_S = 0.6, s.CONTACT_S + 0.2
-ROUNDS, SAMPLE_S = 5, 3.0
+BEFORE_S, AFTER_S = 0.4, s.CONTACT_S + 0.1
+ROUNDS, SAMPLE_S, REST_S = 7, 2.0, 4.0
 
 
 async def case(record, temporary, nodes):
@@ -52,7 +52,7 @@
         )  # fmt: skip
         if wrong:
             return True
-        await asyncio.sleep(6.0)
+        await asyncio.sleep(REST_S)
     return False
 
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -17,8 +17,8 @@
 LATE_S = 2.5
 # Seconds that a booking takes.
 WORK_S = 0.2
-# Seconds for which the server goes on serving after the acknowledgement.
-SERVES_ON_S = 8.0
+# Seconds from the acknowledgement to the server's exit, and to the end of the traffic.
+SERVES_ON_S, TRAFFIC_S = 4.5, 7.0
 
 
 async def case(record, temporary, nodes):
@@ -52,10 +52,11 @@
     if s.trouble():
         status = await leaving.send("heartbeat", late_body)
         record.show("late_heartbeat", server=leaving.id, status=status)
-    left_s = acknowledged_at + SERVES_ON_S - record.now()
-    await asyncio.sleep(left_s)
+    await asyncio.sleep(acknowledged_at + SERVES_ON_S - record.now())
+    cut = leaving.end()
+    await asyncio.sleep(acknowledged_at + TRAFFIC_S - record.now())
     traffic.cancel()
-    return judge(record, leaving, node, acknowledged_at)
+    return judge(record, leaving, node, acknowledged_at, cut)
 
 
 async def all_ready(nodes):
@@ -85,7 +86,7 @@
     record("request", id=request_id, sent_at=round(sent_at, 3), status=status)
 
 
-def judge(record, leaving, node, acknowledged_at):
+def judge(record, leaving, node, acknowledged_at, cut):
     """Return whether requests reached the server over ``drainS`` after its leaving.
 
     They count once the node beside it has been in touch again for ``contactS``.
@@ -97,6 +98,7 @@
     record.show(
         "reached_after_drain", count=len(late),
         latest_s=round(max(late, default=acknowledged_at) - acknowledged_at, 2),
+        cut_by_its_exit=len(cut),
     )  # fmt: skip
     return len(late) > 0
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -342,16 +342,26 @@
         self.state, self.sequence = "ready", 0
         self.beating = True
         self.runs = []
-        self.running = 0
+        self.running_ids = []
+        self._writers = set()
         self._record = record
 
     async def start(self, control_address):
         self.control_address = control_address
-        await asyncio.start_server(
+        self._listener = await asyncio.start_server(
             self._serve, *split_address(self.address), limit=1 << 20
         )
         self.beats = asyncio.ensure_future(self._send_heartbeats())
 
+    def end(self):
+        """Exit: the listener and all connections close; return what was running."""
+        self.beats.cancel()
+        self._listener.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self._record("server_ended", server=self.id, running=len(self.running_ids))
+        return list(self.running_ids)
+
     def heartbeat_body(self):
         """Return the body of the next heartbeat."""
         self.sequence += 1
@@ -386,14 +396,21 @@
                 )  # fmt: skip
             await asyncio.sleep(HEARTBEAT_S)
 
+    @property
+    def running(self):
+        """Number of requests that run."""
+        return len(self.running_ids)
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while (message := await read_message(reader)) is not None:
                 await self.answer(message, writer)
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, ConnectionError):
+        except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.transport.abort()
 
     def common_headers(self, request_id):
@@ -426,11 +443,11 @@
             writer.write(refusal)
             return
         request_id = self.begin(message)
-        self.running += 1
+        self.running_ids.append(request_id)
         try:
             await asyncio.sleep(self.work_s)
         finally:
-            self.running -= 1
+            self.running_ids.remove(request_id)
         headers = self.common_headers(request_id)
         headers.append(("Jujuberudder-Server-Signature", f"s.{request_id}"))
         writer.write(http_response(200, headers, f"done {request_id}".encode()))
@@ -632,11 +649,13 @@
         async with asyncio.timeout(limit_s):
             return await case(record, temporary, nodes)
 
+    # A script that is stopped ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     with tempfile.TemporaryDirectory() as temporary:
         try:
             broken = asyncio.run(run(temporary))
             code = 1 if broken else 0
-        except (Unable, TimeoutError, OSError) as error:
+        except (Unable, TimeoutError, OSError, SystemExit) as error:
             record.show("could_not_run", reason=repr(error))
             code = 2
         finally:
