Do not take a reset as the end of a response without a length

Cause: the request is sent and the response read by two tasks on one socket. The system reports a reset once. If the sending task gets it, the reading task, which the reset has woken too, reads an end of the stream, which ends a response without a length; the error of the send was dropped. Shown on plain sockets: after a send has failed with ECONNRESET, reads return the data and then an end of the stream. After an orderly shutdown a send fails with EPIPE.

Change: the error of a send is remembered and does not cancel the read. An end of the stream after a reset is a failure. EPIPE is no reset: all bytes of the peer have arrived. Why it works: a read after a failed send never waits, and returns all that had arrived before the end.

--- a/packages/router/src/jujuberudder_router/_http.py
+++ b/packages/router/src/jujuberudder_router/_http.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages on trio streams, parsed by httptools."""
 
+import errno
 import socket
 from http import HTTPStatus
 from typing import NamedTuple
@@ -317,6 +318,8 @@
         self._peer = peer
         self._max_body_bytes = max_body_bytes
         self._body_budget = body_budget
+        # Error of a send that was reset while the response was being read.
+        self._send_error = None
         self.idle_since = trio.current_time()
         self.idle_limit_s = 0.0
 
@@ -377,6 +380,8 @@
     async def _send_while_reading(self, data, message_parser, step, on_data):
         """Send a long request while reading the response.
 
+        A failed send does not end the read: the response may have arrived before.
+
         Returns whether the response was complete before all of the request was sent.
         """
         responded_early = False
@@ -391,12 +396,16 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(read)
-                await self._send(data, step)
-                if not responded_early:
-                    nursery.cancel_scope.cancel()
+                try:
+                    await self._send(data, step)
+                except ExchangeError as error:
+                    if not _peer_shut_down(error):
+                        self._send_error = error
+                else:
+                    if not responded_early:
+                        nursery.cancel_scope.cancel()
         except* ExchangeError as group:
-            if not message_parser.messages:
-                raise group.exceptions[0] from None
+            raise group.exceptions[0] from None
         return responded_early
 
     async def _receive(self, message_parser, step, on_data):
@@ -407,6 +416,10 @@
         if on_data is not None:
             on_data(len(data))
         if not data:
+            # The system reports a reset once: after a send that failed with it, a read
+            # returns an end of the stream.
+            if self._send_error is not None:
+                raise self._send_error
             if not finish_at_eof(message_parser):
                 raise ExchangeError(step, self._peer, "closed before the answer's end")
             return
@@ -420,6 +433,19 @@
             raise ExchangeError(step, self._peer, f"malformed: {error}") from error
 
 
+def _peer_shut_down(error):
+    """Whether a send failed after the peer had shut down its side of the connection.
+
+    Parameters
+    ----------
+    error : ExchangeError
+        Raised by ``Connection._send``. The system reports EPIPE in this case, and the
+        bytes that the peer sent before are complete.
+    """
+    system_error = error.__cause__.__cause__
+    return isinstance(system_error, OSError) and system_error.errno == errno.EPIPE
+
+
 def finish_at_eof(message_parser):
     """Complete a response at the end of its connection.
 
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -8,6 +8,7 @@
 
 from jujuberudder_emulator import free_addresses
 from jujuberudder_router import ConnectionPool, ExchangeError
+from jujuberudder_router._http import Connection, request_bytes
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: t\r\n\r\n"
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
@@ -116,3 +117,92 @@
         except ExchangeError:
             failed += 1
     assert failed == 1
+
+
+class SendFailsFirstStream:
+    """TCP stream on which further reads begin only after a send has failed.
+
+    A reset wakes the tasks that send and read; here the one that sends runs first.
+    ``read_woken`` is whether the reset has woken the read as well, which a cancellation
+    by the task that sends does not stop then.
+    """
+
+    def __init__(self, stream, read_woken):
+        self._stream = stream
+        self._read_woken = read_woken
+        self._reads = 0
+        self._send_failed = trio.Event()
+
+    @property
+    def socket(self):
+        return self._stream.socket
+
+    async def send_all(self, data):
+        try:
+            await self._stream.send_all(data)
+        except trio.BrokenResourceError:
+            self._send_failed.set()
+            raise
+
+    async def receive_some(self, max_bytes):
+        self._reads += 1
+        if self._reads == 1:
+            return await self._stream.receive_some(max_bytes)
+        with trio.CancelScope(shield=self._read_woken):
+            await self._send_failed.wait()
+            return await self._stream.receive_some(max_bytes)
+
+
+@pytest.mark.parametrize(
+    "response, shut_down, body",
+    [
+        (RESPONSE_WITHOUT_LENGTH, False, None),
+        (RESPONSE_WITHOUT_LENGTH, True, b"one"),
+        (RESPONSE[:-1], False, None),
+        (RESPONSE[:-1], True, None),
+        (RESPONSE, False, b"one"),
+    ],
+    ids=[
+        "no length, reset", "no length, shut down, reset", "truncated, reset",
+        "truncated, shut down, reset", "complete, reset",
+    ],
+)  # fmt: skip
+@pytest.mark.parametrize("read_woken", [True, False], ids=["woken", "waiting"])
+async def test_early_response_that_is_reset(
+    nursery, read_woken, response, shut_down, body
+):
+    """Guards against a reset that only the send reports, read as a response's end."""
+    resets = trio.Event()
+
+    async def serve(stream):
+        await stream.receive_some(1000)
+        # All but the last byte, so that a second read is needed for the end.
+        await stream.send_all(response[:-1])
+        await trio.sleep(0.05)
+        await stream.send_all(response[-1:])
+        if shut_down:
+            await stream.send_eof()
+        await trio.sleep(0.05)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        stream.socket.close()
+        resets.set()
+
+    address = free_addresses(1)[0]
+    host, port = address.split(":")
+    await nursery.start(trio.serve_tcp, serve, int(port))
+    stream = SendFailsFirstStream(
+        await trio.open_tcp_stream(host, int(port)), read_woken
+    )
+    connection = Connection(stream, address)
+    upload = request_bytes(b"POST", b"/", [], bytes(8_000_000))
+    received = None
+    with trio.fail_after(5):
+        try:
+            answer = await connection.exchange(upload, "test")
+            received = answer.body
+            assert not answer.keep_alive
+        except ExchangeError as error:
+            assert error.failure.may_have_run
+        await resets.wait()
+    connection.close()
+    assert received == body
