Send a read again on a new connection if the open one is silent

Cause: a read of the configuration waits up to 10 s for a record and 1.2 s more for its response, so a silent connection was noticed up to 11.2 s late. Other nodes shorten that only once one of them has read the version; all readers lose their connections at the same moment.

Change: a read without a byte 0.4 s beyond its wait is also sent on a new connection, the first response counts, and idle connections are closed. Reads of the configuration wait 2 s at most, so that each reader replaces a silent connection within 2.7 s, below the 3 s after which the nodes are in touch again. Connections idle for over 1 s are not reused, as a node that begins to read would wait on one.

--- a/packages/router/src/jujuberudder_router/_connection_pool.py
+++ b/packages/router/src/jujuberudder_router/_connection_pool.py
@@ -43,6 +43,8 @@
     max_connect_timeout_s : float, default=None
         If given, the wait for a connection doubles after each failure, up to this many
         seconds, until one succeeds.
+    max_idle_s : float, default=None
+        If given, connections that were idle for longer are not reused.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         body_budget=None,
         max_connect_timeout_s=None,
         fail_when_stale=False,
+        max_idle_s=None,
     ):
         self.address = address
         self._max_body_bytes = max_body_bytes
@@ -62,6 +65,7 @@
         self._max_connect_timeout_s = max_connect_timeout_s or connect_timeout_s
         self._user_timeout_s = user_timeout_s
         self._fail_when_stale = fail_when_stale
+        self._max_idle_s = float("inf") if max_idle_s is None else max_idle_s
         self._idle = []
         self._reset_limit_s, self._reset_limit_until = 0.0, -1.0
         self.opened = 0
@@ -170,10 +174,68 @@
                 connection.close()
         return response
 
+    async def hedged_exchange(
+        self, data, step, hedge_after_s, on_data=None, on_hedge=None
+    ):
+        """Exchange a request that may be sent twice.
+
+        If no byte of the response has arrived after ``hedge_after_s`` seconds, the
+        request is sent on a new connection as well, and the first response counts. Open
+        connections may have gone silent while new ones work.
+
+        Source: hedged requests in Dean and Barroso, The Tail at Scale, CACM 56 (2013).
+
+        Parameters
+        ----------
+        data : bytes
+        step, on_data
+            As for ``exchange``.
+        hedge_after_s : float
+        on_hedge : callable, default=None
+            ``on_hedge()`` is called when the request is sent again.
+
+        Raises
+        ------
+        ExchangeError
+            No attempt got a response.
+        """
+        responses, errors = [], []
+        # Set when the first attempt gets data or fails.
+        first_progress = trio.Event()
+
+        def observe_data(size):
+            first_progress.set()
+            if on_data is not None:
+                on_data(size)
+
+        async def attempt():
+            try:
+                response = await self.exchange(data, step, on_data=observe_data)
+            except ExchangeError as error:
+                errors.append(error)
+                first_progress.set()
+                return
+            responses.append(response)
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(attempt)
+            with trio.move_on_after(hedge_after_s):
+                await first_progress.wait()
+            if not first_progress.is_set():
+                if on_hedge is not None:
+                    on_hedge()
+                # Idle connections may be silent as well.
+                self.close()
+                await attempt()
+        if not responses:
+            raise errors[-1]
+        return responses[0]
+
     def _return_idle(self, connection, response):
         connection.idle_since = trio.current_time()
         keep_alive_header = find_header(response.headers, b"keep-alive") or b""
-        connection.idle_limit_s = idle_limit(keep_alive_header)
+        connection.idle_limit_s = min(idle_limit(keep_alive_header), self._max_idle_s)
         self._idle.append(connection)
 
 
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -35,8 +35,11 @@
 from ._types import KEY_COUNT, Limits, Settings
 
 # Minimum and maximum time that a read of the configuration topic waits for a record.
-# Peers report their read progress, so a lost response is detected sooner.
-CONFIG_WAIT_S = (3.0, 10.0)
+# All connections to the store may go silent at once, so that no other node notices a
+# version either. The longest wait, the delay between two reads and the time after which
+# the adapter repeats a read are together below the 3 s within which a VM has to be in
+# touch again.
+CONFIG_WAIT_S = (1.2, 2.0)
 # The same for the membership topic: the age of such a read, which begins when it is
 # sent, limits the leases of all nodes.
 MEMBERSHIP_WAIT_S = (0.3, 0.6)
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -12,6 +12,7 @@
     split_records,
 )
 from jujuberudder_platform import make_store
+from jujuberudder_platform._store import HEDGE_AFTER_S, MAX_IDLE_S
 from jujuberudder_router import (
     MEMBERSHIP_TOPIC,
     OPERATOR_TOPIC,
@@ -28,7 +29,10 @@
         self.standin, self.faults = StoreStandin(), Faults()
         address = free_addresses(1)[0]
         nursery.start_soon(self.standin.serve, address, self.faults)
-        self.client = make_store(address)
+        self.events = []
+        self.client = make_store(
+            address, lambda event, **fields: self.events.append(event)
+        )
 
 
 @pytest.fixture
@@ -94,6 +98,61 @@
     assert await store_setup.client.read(OPERATOR_TOPIC, 0, 0.0) == Ok(Truncated(2))
 
 
+@pytest.mark.parametrize("idle_s", [0.0, 0.5])
+@pytest.mark.parametrize(
+    "call", ["waiting read", "read", "newest"], ids=lambda call: call
+)
+async def test_read_on_a_silent_connection(store_setup, call, idle_s):
+    """Guards against a read that waits for its time-out on a silent connection.
+
+    A waiting read was sent before the connection became silent; other calls use an idle
+    connection, or a new one.
+    """
+    client, standin = store_setup.client, store_setup.standin
+    wait_s = 1.0 if call == "waiting read" else 0.0
+    pages = []
+
+    async def read():
+        if call == "newest":
+            result = await client.newest(OPERATOR_TOPIC)
+        else:
+            result = await client.read(OPERATOR_TOPIC, 0, wait_s)
+        pages.append((result, trio.current_time()))
+
+    await trio.sleep(idle_s)
+    started = trio.current_time()
+    async with trio.open_nursery() as inner:
+        if call == "waiting read":
+            inner.start_soon(read)
+            await trio.sleep(0.2)
+        store_setup.faults.silence_connections()
+        standin.put("keyed.op", "k", b"v")
+        if call != "waiting read":
+            inner.start_soon(read)
+    [(result, ended)] = pages
+    assert [record.value for record in result.ok_value.records] == [b"v"]
+    assert ended - started < wait_s + HEDGE_AFTER_S + 0.2
+
+
+async def test_connection_that_was_idle_is_not_reused(store_setup):
+    """Guards against an append on a connection that went silent while it was idle."""
+    client = store_setup.client
+    await client.read(MEMBERSHIP_TOPIC, 0, 0.0)
+    await trio.sleep(MAX_IDLE_S + 0.1)
+    store_setup.faults.silence_connections()
+    result = await client.append(MEMBERSHIP_TOPIC, "k", b"v", None)
+    assert result == Ok(Appended(0))
+
+
+async def test_silent_store_gets_at_most_two_calls_a_read(store_setup):
+    """Guards against a read that is repeated again and again while a store is down."""
+    store_setup.faults.mode = "silent"
+    store_setup.standin.calls.clear()
+    assert isinstance(await store_setup.client.read(OPERATOR_TOPIC, 0, 0.5), Err)
+    assert store_setup.standin.calls["/log-read"] == 2
+    assert store_setup.events == ["store_call_hedged"]
+
+
 @pytest.mark.parametrize("mode", ["busy", "many"])
 async def test_refused_calls_are_failures(store_setup, mode):
     """Guards against a refused call that looks like an empty topic.
--- a/tests/router/test_whole_node.py
+++ b/tests/router/test_whole_node.py
@@ -104,6 +104,34 @@
         assert (await vm.send_request("/old/1")).status == 404
 
 
+async def test_configuration_after_the_connections_to_the_store_went_silent():
+    """Guards against a late configuration when all connections to the store are lost.
+
+    No other node can tell of the version, as none has read it. It has to be in force
+    when the nodes have to be in touch again, 3 s after the connections were lost.
+    """
+    async with run_deployment(*["orders"] * 4) as deployment:
+
+        async def all_serve(path="/orders/1"):
+            responses = [await vm.send_request(path) for vm in deployment.vms.values()]
+            return all(response.status == 200 for response in responses)
+
+        await deployment.wait_until(all_serve)
+        for version in range(2, 5):
+            await trio.sleep(1.0)
+            for vm in deployment.vms.values():
+                vm.faults.silence_connections()
+            silenced_at = trio.current_time()
+            await trio.sleep(0.5)
+            changed = copy.deepcopy(CONFIGURATION)
+            changed["version"] = f"{version:08x}"
+            path = f"/v{version}/"
+            changed["listeners"][0]["ruleSet"][1]["match"]["pathPrefix"] = path
+            deployment.publish(changed)
+            await trio.sleep_until(silenced_at + 3.0)
+            assert await all_serve(f"{path}1")
+
+
 async def test_requests_before_the_first_configuration_get_a_503():
     """Guards against a 404 from a node that has not read its routes yet."""
     async with trio.open_nursery() as nursery:
