Keep a deregistration that comes before the first heartbeat

Cause: the process of the target was known from its heartbeats alone. A deregistration of another process was dropped as that of an earlier one, but answered with 200. Evidence: `deregister_of_another_target` with present="" at the response, `target_life` at the late heartbeat.

Change: a deregistration names a process by id and start as a heartbeat does; one that is not earlier than the known process begins it as leaving. Its heartbeats, and earlier ones, cannot open the queue any more. A call that identifies no process is not acknowledged. The response waits up to 0.5 s until the entry that says so is in the store, and a new process of the node writes its first entry only after it has read the topic, so that a restart does not forget it. (Both are the same loss on a related path: an acknowledged leaving that the next process did not know.)

--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -41,6 +41,8 @@
         self._previous_entry, self._entry_offset = None, None
         self._written_entry = None
         self._entry_changed = trio.Event()
+        # Set, and replaced, whenever ``_written_entry`` is.
+        self._written = trio.Event()
         self.started = trio.current_time()
 
     def hello(self, peer=""):
@@ -83,6 +85,16 @@
         if self.entry() != self._written_entry:
             self._entry_changed.set()
 
+    async def wait_written(self):
+        """Wait until the current entry is the last one written."""
+        while self.entry() != self._written_entry:
+            await self._written.wait()
+
+    def _record_written(self, entry):
+        self._written_entry = entry
+        self._written.set()
+        self._written = trio.Event()
+
     def apply(self, record):
         """Apply a record of the topic: an entry of a VM or a key map."""
         kind, _, name = record.key.partition("/")
@@ -125,7 +137,7 @@
             if self._entry_offset is None:
                 self._entry_offset = record.offset
             # An earlier write that got no answer may take effect after a later one.
-            self._written_entry = vm
+            self._record_written(vm)
             self.announce()
             return
         if previous is not None and previous.address != vm.address:
@@ -136,6 +148,10 @@
         with trio.move_on_after(FIRST_HEARTBEAT_WAIT_S):
             while not self._node.target.id and self._previous_entry is None:
                 await trio.sleep(FIRST_HEARTBEAT_WAIT_S / 20)
+        # The entry of an earlier process may say that the target leaves; the first
+        # entry of this one replaces it.
+        while not self._node.membership_follower.started:
+            await self._node.membership_follower.changed.wait()
         self._entry_changed.set()
         while True:
             await self._entry_changed.wait()
@@ -150,7 +166,7 @@
                 self._entry_changed.set()
                 await trio.sleep(ANNOUNCE_RETRY_S)
                 continue
-            self._written_entry = entry
+            self._record_written(entry)
             self._node.membership_follower.observe_append(
                 result.ok_value.offset, f"vm/{entry.name}", value
             )
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -70,6 +70,9 @@
 # Limits on requests of the target's heartbeats and of readiness probes. A heartbeat
 # lists at most a few key ranges of 30 bytes each.
 CONTROL_LIMITS = Limits(body_bytes=1048576)
+# Longest wait of a deregistration for the write of the membership entry that says so: a
+# target counts a response after 1 s as none.
+LEAVING_WRITE_S = 0.5
 # Interval of the log lines with the times of each route, in seconds, and the maximum
 # number of routes in them: the busiest ones.
 ROUTE_TIMES_INTERVAL_S, MAX_LOGGED_ROUTES = 5.0, 10
@@ -634,8 +637,10 @@
         self.admission.dispatch()
         return grant
 
-    def handle_deregister(self, target_id, started_ms=None):
-        """Mark the target as leaving if the call comes from its present process.
+    async def handle_deregister(self, target_id, started_ms=None):
+        """Mark a target as leaving, and wait a little until that is in the store.
+
+        Otherwise the next process of this node would not know of it.
 
         Parameters
         ----------
@@ -643,15 +648,28 @@
         started_ms : int, default=None
             Unix time of the start of the process that called, if it is known. A target
             may start again under the id that it had, and calls may be late.
+
+        Returns
+        -------
+        acknowledged : bool
+            False if it is not known which process of the target is to get no more
+            requests.
         """
         target = self.target
-        if target_id != target.id or started_ms not in (None, target.started_ms):
+        was_leaving = target.leaving
+        if not target.apply_deregistration(target_id, started_ms):
             self.log(
                 "deregister_of_another_target", target=f"{target_id}@{started_ms}",
                 present=target.incarnation,
             )  # fmt: skip
-            return
-        self._handle_leaving("deregistered")
+            return bool(target.id)
+        if not was_leaving:
+            self._handle_leaving("deregistered")
+        with trio.move_on_after(LEAVING_WRITE_S) as scope:
+            await self.membership.wait_written()
+        if scope.cancelled_caught:
+            self.log("leaving_not_written", target=target.incarnation)
+        return True
 
     def check_leaving(self):
         """Mark the target as leaving if an earlier process of this node knew that."""
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -55,7 +55,8 @@
     Attributes
     ----------
     id, started_ms : str, int
-        Id, and Unix time of the start in ms; the id is empty until the first heartbeat.
+        Id, and Unix time of the start in ms; the id is empty until the first heartbeat
+        or deregistration.
     sequence : int
         Sequence number of the last heartbeat.
     heartbeat_at : float or None
@@ -104,15 +105,7 @@
         change = ""
         if (heartbeat.target, heartbeat.started_ms) != (self.id, self.started_ms):
             change = "life"
-            if self.id:
-                self.held.reset()
-            self.id, self.started_ms, self.sequence = (
-                heartbeat.target,
-                heartbeat.started_ms,
-                -1,
-            )
-            self.leaving = False
-            self.pool.close()
+            self._begin_incarnation(heartbeat.target, heartbeat.started_ms)
         if heartbeat.sequence < self.sequence:
             return "old"
         self.sequence = heartbeat.sequence
@@ -121,6 +114,42 @@
         self.leaving = self.leaving or heartbeat.leaving
         return change
 
+    def apply_deregistration(self, target_id, started_ms):
+        """Mark an incarnation as leaving, also one that has sent no heartbeat yet.
+
+        Its heartbeats may arrive later than this call, above all at a new process of
+        the node.
+
+        Parameters
+        ----------
+        target_id : str
+        started_ms : int or None
+            Unix time of its start in ms; None if it is not known.
+
+        Returns
+        -------
+        applied : bool
+            False if the call is of an earlier incarnation, or of one that neither a
+            heartbeat nor its start identifies.
+        """
+        if started_ms is None:
+            if target_id != self.id:
+                return False
+        elif started_ms < self.started_ms:
+            return False
+        elif (target_id, started_ms) != (self.id, self.started_ms):
+            self._begin_incarnation(target_id, started_ms)
+        self.leaving = True
+        return True
+
+    def _begin_incarnation(self, target_id, started_ms):
+        if self.id:
+            self.held.reset()
+        self.id, self.started_ms, self.sequence = target_id, started_ms, -1
+        self.heartbeat_at = None
+        self.leaving = False
+        self.pool.close()
+
 
 def make_target_handler(
     target, admission, adapter, serve_refusal, on_leaving, on_keys_not_held, log,
--- a/tests/router/test_leaving_response.py
+++ b/tests/router/test_leaving_response.py
@@ -68,12 +68,14 @@
         await deployment.wait_until(serves)
 
 
+@pytest.mark.parametrize("silent_s", [0.0, 0.6])
 @pytest.mark.parametrize("left", [True, False])
-async def test_next_process_of_a_node_knows_that_its_target_leaves(left):
+async def test_next_process_of_a_node_knows_that_its_target_leaves(left, silent_s):
     """Guards against requests to a leaving target after its node has restarted.
 
-    The heartbeats of the target do not say that it leaves. If it does not leave, the
-    restarted node sends requests to it as before.
+    The heartbeats of the target do not say that it leaves. If the store is silent at
+    first, they arrive before the node has read the entry of its earlier process. If the
+    target does not leave, the restarted node sends requests to it as before.
     """
     async with run_deployment("orders") as deployment:
         vm = deployment.vms["vm-0"]
@@ -90,7 +92,10 @@
         vm.stopping.set()
         await trio.sleep(4.0)
         count = len(vm.target.arrivals)
+        vm.faults.mode = "silent" if silent_s else ""
         vm.start_node()
-        await trio.sleep(2.0)
+        await trio.sleep(silent_s)
+        vm.faults.mode = ""
+        await trio.sleep(4.0)
         assert await serves() != left
         assert (len(vm.target.arrivals) == count) == left
--- a/tests/router/test_membership.py
+++ b/tests/router/test_membership.py
@@ -30,6 +30,8 @@
     def newest():
         return msgspec.msgpack.decode(written[-1], type=VM)
 
+    # The topic has been read, and was empty.
+    node.membership_follower.end = 0
     nursery.start_soon(node.membership.run)
     node.target.id, node.target.started_ms = "i", 1
     await trio.sleep(2.0)
