Give the test of inspect grants that outlast the start of the command

test_open_calls_and_held_ranges failed beside busy processes: "(usable,)" had no value. Traced, load 20: the keys stop being usable 2.29 to 2.31 s after the first call without a response, as they should, since the grant lasts 2.4 s; the command, started at 1.5 s, had its answer at 2.46 to 2.67 s. The test depended on the start of a process within 0.8 s.

Its grants last 8 s now, and it looks after the renewal that is due at a third of that. All checks stay.

--- a/tests/adapter/test_inspect.py
+++ b/tests/adapter/test_inspect.py
@@ -7,6 +7,8 @@
 import trio
 
 from jujuberudder_emulator import run_deployment
+from jujuberudder_router import _ownership
+from jujuberudder_router._grant_calls import RENEWAL_SHARE
 
 
 async def inspect(*arguments):
@@ -18,13 +20,21 @@
     return process.returncode, process.stdout.decode(), process.stderr.decode()
 
 
-async def test_open_calls_and_held_ranges():
+# Duration of the grants in a test that starts the command, in seconds: a process may
+# take over a second to start on a busy machine.
+LONG_GRANT_S = 8.0
+
+
+async def test_open_calls_and_held_ranges(monkeypatch):
     """Guards against calls without a response that an operator cannot see."""
+    monkeypatch.setattr(_ownership, "GRANT_TTL_S", LONG_GRANT_S)
     async with run_deployment("sheets") as deployment:
         await deployment.wait_until(deployment.serves_keys)
         vm = deployment.vms["vm-0"]
         vm.target.call_faults.late = 100
-        await trio.sleep(1.5)
+        # The keys are used until the last grant with a response expires; by then the
+        # command has to have run.
+        await trio.sleep(LONG_GRANT_S * RENEWAL_SHARE + 0.5)
         code, output, _ = await inspect(vm.ready_address, "--json")
         state = msgspec.json.decode(output)
         assert code == 0
