Announce a deregistration of a process after that of an earlier one

A target that deregisters while its predecessor, which had deregistered too, is still the known one was kept as leaving, but neither logged nor announced to other VMs: the node compared only whether some target was leaving before the call. Found by reading the change before; it compares the process as well now. test_target_that_deregistered_stays_out_of_use [unknown target after one that left] failed before.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -656,14 +656,14 @@
             requests.
         """
         target = self.target
-        was_leaving = target.leaving
+        known = (target.incarnation, target.leaving)
         if not target.apply_deregistration(target_id, started_ms):
             self.log(
                 "deregister_of_another_target", target=f"{target_id}@{started_ms}",
                 present=target.incarnation,
             )  # fmt: skip
             return bool(target.id)
-        if not was_leaving:
+        if known != (target.incarnation, target.leaving):
             self._handle_leaving("deregistered")
         with trio.move_on_after(LEAVING_WRITE_S) as scope:
             await self.membership.wait_written()
--- a/tests/router/test_deregistration.py
+++ b/tests/router/test_deregistration.py
@@ -38,6 +38,10 @@
             [("heartbeat", "h", 4, 9), ("deregister", "i", 5), ("heartbeat", "i", 5)],
             "i@5", True,
         ),
+        (
+            [("heartbeat", "h", 4, 9), ("deregister", "h", 4), ("deregister", "i", 5)],
+            "i@5", True,
+        ),
         ([("heartbeat", "i", 5, 9), ("deregister", "h", 4)], "i@5", False),
         ([("heartbeat", "i", 5, 9), ("deregister", "i", 4)], "i@5", False),
         ([("deregister", "i", None), ("heartbeat", "i", 5, 9)], "i@5", False),
@@ -45,6 +49,7 @@
     ids=[
         "late heartbeat", "of an earlier start", "of an earlier target",
         "next start", "next target", "unknown target beside a known one",
+        "unknown target after one that left",
         "late call of an earlier target", "late call of an earlier start",
         "start not stated",
     ],
@@ -53,13 +58,20 @@
     autojump_clock, calls, incarnation, leaving
 ):
     """Guards against a late heartbeat that brings back a target that deregistered."""
-    node = make_node("vm-0", None)
+    left = []
+
+    def log(event, **fields):
+        if event == "target_leaves":
+            left.append(fields["target"])
+
+    node = make_node("vm-0", None, log)
     handle = ADAPTER.make_heartbeat_handler(node)
     for verb, target, started_ms, *rest in calls:
         status, _, _ = await handle(call(verb, target, started_ms, *rest))
         # A call that cannot be kept in mind is not acknowledged.
         assert status == (503 if started_ms is None else 200)
     assert (node.target.incarnation, node.target.leaving) == (incarnation, leaving)
+    assert (left[-1:] == [incarnation]) == leaving
     assert bool(node.admission.closed_reason) == leaving
     entry = node.membership.entry()
     assert (entry.target_incarnation, entry.target_leaving) == (incarnation, leaving)
