Let the second read of a silent connection end before the time-out

The second read that is sent on a new connection waited for a record as long as the first one. Without a record it did not end before the time-out of the call (1.2 s after the wait), so that reads of the configuration failed as if the store were lost, and went through a relay first.

The second read asks for no wait. It ends at once, and the next one waits on the connection that has just answered. test_read_without_a_record_on_a_silent_connection failed before.

--- a/packages/router/src/jujuberudder_router/_connection_pool.py
+++ b/packages/router/src/jujuberudder_router/_connection_pool.py
@@ -175,24 +175,25 @@
         return response
 
     async def hedged_exchange(
-        self, data, step, hedge_after_s, on_data=None, on_hedge=None
+        self, data, hedge_data, step, hedge_after_s, on_data=None, on_hedge=None
     ):
         """Exchange a request that may be sent twice.
 
-        If no byte of the response has arrived after ``hedge_after_s`` seconds, the
-        request is sent on a new connection as well, and the first response counts. Open
+        If no byte of the response has arrived after ``hedge_after_s`` seconds, a second
+        request is sent on a new connection, and the first response counts. Open
         connections may have gone silent while new ones work.
 
         Source: hedged requests in Dean and Barroso, The Tail at Scale, CACM 56 (2013).
 
         Parameters
         ----------
-        data : bytes
+        data, hedge_data : bytes
+            The request, and the second one.
         step, on_data
             As for ``exchange``.
         hedge_after_s : float
         on_hedge : callable, default=None
-            ``on_hedge()`` is called when the request is sent again.
+            ``on_hedge()`` is called when the second request is sent.
 
         Raises
         ------
@@ -208,9 +209,9 @@
             if on_data is not None:
                 on_data(size)
 
-        async def attempt():
+        async def attempt(request):
             try:
-                response = await self.exchange(data, step, on_data=observe_data)
+                response = await self.exchange(request, step, on_data=observe_data)
             except ExchangeError as error:
                 errors.append(error)
                 first_progress.set()
@@ -219,7 +220,7 @@
             nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(attempt)
+            nursery.start_soon(attempt, data)
             with trio.move_on_after(hedge_after_s):
                 await first_progress.wait()
             if not first_progress.is_set():
@@ -227,7 +228,7 @@
                     on_hedge()
                 # Idle connections may be silent as well.
                 self.close()
-                await attempt()
+                await attempt(hedge_data)
         if not responses:
             raise errors[-1]
         return responses[0]
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -18,6 +18,7 @@
     OPERATOR_TOPIC,
     Appended,
     Conflict,
+    Page,
     Truncated,
 )
 
@@ -134,6 +135,23 @@
     assert ended - started < wait_s + HEDGE_AFTER_S + 0.2
 
 
+async def test_read_without_a_record_on_a_silent_connection(store_setup):
+    """Guards against a second read that waits beyond the time-out for a record."""
+    wait_s = 2.0
+    results = []
+
+    async def read():
+        results.append(await store_setup.client.read(OPERATOR_TOPIC, 0, wait_s))
+
+    started = trio.current_time()
+    async with trio.open_nursery() as inner:
+        inner.start_soon(read)
+        await trio.sleep(0.2)
+        store_setup.faults.silence_connections()
+    assert results == [Ok(Page([], 0))]
+    assert trio.current_time() - started < wait_s + HEDGE_AFTER_S + 0.2
+
+
 async def test_connection_that_was_idle_is_not_reused(store_setup):
     """Guards against an append on a connection that went silent while it was idle."""
     client = store_setup.client
--- a/tests/router/test_deregistration.py
+++ b/tests/router/test_deregistration.py
@@ -68,7 +68,7 @@
     handle = ADAPTER.make_heartbeat_handler(node)
     for verb, target, started_ms, *rest in calls:
         status, _, _ = await handle(call(verb, target, started_ms, *rest))
-        # A call that cannot be kept in mind is not acknowledged.
+        # A call that identifies no process is not acknowledged.
         assert status == (503 if started_ms is None else 200)
     assert (node.target.incarnation, node.target.leaving) == (incarnation, leaving)
     assert (left[-1:] == [incarnation]) == leaving
