Shorten the waits of reads of the configuration to 1.5 s

Waits of up to 2.0 s left 0.3 s of the bound for the responses, the other nodes and a busy machine.

With 1.0 to 1.5 s a silent connection is replaced within 2.2 s.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -39,7 +39,7 @@
 # version either. The longest wait, the delay between two reads and the time after which
 # the adapter repeats a read are together below the 3 s within which a VM has to be in
 # touch again.
-CONFIG_WAIT_S = (1.2, 2.0)
+CONFIG_WAIT_S = (1.0, 1.5)
 # The same for the membership topic: the age of such a read, which begins when it is
 # sent, limits the leases of all nodes.
 MEMBERSHIP_WAIT_S = (0.3, 0.6)
