--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -2,6 +2,7 @@
 
 import os
 import socket
+import time
 from contextlib import ExitStack
 
 import pytest
@@ -19,12 +20,13 @@
     encode_frame,
 )
 from jujuberudder_router._peer_server import PeerHandlers, serve_links
-from jujuberudder_router._server import STOP_IDLE_S, Server
+from jujuberudder_router._server import STOP_IDLE_S, SWEEP_INTERVAL_S, Server
 
 TWO_LENGTHS = (
     b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+LAST_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
 
 def log_nothing(event, **fields):
@@ -40,9 +42,9 @@
     return 200, [], b"done"
 
 
-async def start_server(nursery, handle):
+async def start_server(nursery, handle, limits=Limits(), log=log_nothing):
     """Start a server and return it with an open connection to it."""
-    server = Server(handle, Limits, log_nothing)
+    server = Server(handle, lambda: limits, log)
     host, port = "127.0.0.1", int(free_addresses(1)[0].split(":")[1])
     nursery.start_soon(server.serve, (host, port))
     with trio.fail_after(5):
@@ -218,6 +220,99 @@
         nursery.cancel_scope.cancel()
 
 
+async def read_responses(stream):
+    """Return the statuses and the last bytes that a client gets until the end."""
+    data = b""
+    with trio.fail_after(5):
+        while received := await stream.receive_some(65536):
+            data += received
+    return [int(part[:3]) for part in data.split(b"HTTP/1.1 ")[1:]], data[-200:]
+
+
+@pytest.mark.parametrize(
+    "later, delay_s, statuses",
+    [
+        (b"\x16\x03\x01nonsense\r\n\r\n", 0.1, [200]),
+        (b"\x16\x03\x01nonsense\r\n\r\n", 0.0, [200]),
+        (b"GET / HTTP/1.1\r\nX: " + b"y" * 200_000, 0.1, [200]),
+        (REQUEST + b"nonsense\r\n\r\n", 0.1, [200, 200]),
+        (REQUEST * 40 + LAST_REQUEST, 0.1, [200] * 42),
+    ],
+    ids=["garbage", "garbage at once", "long header", "after two", "many requests"],
+)  # fmt: skip
+async def test_later_bytes_do_not_end_the_connection_of_a_running_request(
+    later, delay_s, statuses
+):
+    """Guards against requests that run, but whose connection closes unanswered."""
+    async with trio.open_nursery() as nursery:
+
+        async def handle(message):
+            await trio.sleep(0.3 if message.method == b"POST" else 0.0)
+            return 200, [], b"done"
+
+        server, stream = await start_server(nursery, handle)
+        first = b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"
+        if delay_s:
+            await stream.send_all(first)
+            await trio.sleep(delay_s)
+            await stream.send_all(later)
+        else:
+            await stream.send_all(first + later)
+        received, last = await read_responses(stream)
+        assert received == statuses
+        assert b"connection: close" in last
+        nursery.cancel_scope.cancel()
+
+
+async def test_requests_that_arrive_during_a_pause_are_answered():
+    """Guards against requests cut off by an idle time-out that a pause exceeded."""
+    async with trio.open_nursery() as nursery:
+        limits = Limits(idle_timeout_s=SWEEP_INTERVAL_S / 2)
+        server, stream = await start_server(nursery, respond, limits)
+        address = stream.socket.getpeername()
+        with ExitStack() as stack:
+            clients = [
+                stack.enter_context(socket.create_connection(address))
+                for _ in range(20)
+            ]
+            with trio.fail_after(5):
+                while len(server._connections) < 21:
+                    await trio.sleep(0.01)
+            for client in clients:
+                client.sendall(REQUEST)
+            # The sweep and all reads are due at the same time.
+            time.sleep(SWEEP_INTERVAL_S + 0.2)
+            for client in clients:
+                client.settimeout(5.0)
+                response = await trio.to_thread.run_sync(client.recv, 1000)
+                assert response.startswith(b"HTTP/1.1 200")
+        nursery.cancel_scope.cancel()
+
+
+async def test_error_of_one_connection_does_not_end_the_others():
+    """Guards against a process that ends because of one response."""
+    events = []
+    async with trio.open_nursery() as nursery:
+
+        async def handle(message):
+            return (200, [], b"done") if message.method == b"GET" else (200, [], None)
+
+        server, stream = await start_server(
+            nursery, handle, log=lambda event, **fields: events.append((event, fields))
+        )
+        other = await trio.open_tcp_stream(*stream.socket.getpeername())
+        await other.send_all(b"DELETE / HTTP/1.1\r\nHost: a\r\n\r\n")
+        with trio.fail_after(5):
+            assert await other.receive_some(1000) == b""
+        await stream.send_all(REQUEST)
+        with trio.fail_after(5):
+            response = await stream.receive_some(1000)
+        assert response.startswith(b"HTTP/1.1 200")
+        assert [event for event, _ in events] == ["connection_fault"]
+        assert "_http.py" in events[0][1]["where"]
+        nursery.cancel_scope.cancel()
+
+
 async def test_cancel_received_together_with_its_request_takes_effect():
     """Guards against requests that run although their client has disconnected.
 
