Log requests that end without a response, and pauses of the process

Each such request writes a line now, with the cause of the cancellation, whether it was at work (in_doubt), and a counter. Pauses are seen by the task that writes the log, so they cost no further task.

--- a/packages/base/src/jujuberudder_base/_lines.py
+++ b/packages/base/src/jujuberudder_base/_lines.py
@@ -11,6 +11,8 @@
 # every 0.25 s this allows 4,000 lines/s, more than a node logs at full load.
 MAX_BATCH_LINES = 1000
 WRITE_INTERVAL_S = 0.25
+# Delay of a write above which the process is reported as paused.
+PAUSE_S = 0.5
 
 
 def format_value(value):
@@ -74,10 +76,15 @@
         return f"time={timestamp:.3f} event={event} {self._bound} {pairs}"
 
     async def run(self):
-        """Write batches until cancelled."""
+        """Write batches until cancelled, and report pauses of the process."""
+        woken_at = trio.current_time()
         try:
             while True:
                 await trio.sleep(WRITE_INTERVAL_S)
+                now = trio.current_time()
+                if now - woken_at >= WRITE_INTERVAL_S + PAUSE_S:
+                    self("process_paused", late_s=now - woken_at - WRITE_INTERVAL_S)
+                woken_at = now
                 self.flush()
         finally:
             self.flush()
--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -61,6 +61,13 @@
         self.response = None
 
 
+def cancel_reason(error):
+    """Return why a request was cancelled, from the ``Cancelled`` that ended it."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return getattr(error, "reason", None) or repr(error)
+
+
 def make_client_handler(node):
     """Return ``await handle(message) -> (status, headers, body)`` for clients.
 
@@ -79,7 +86,14 @@
             metrics.count("malformed")
             log("malformed", reason=str(error), status=error.status)
             return error.status, [], str(error).encode()
-        response, state, route = await route_request(request, started)
+        state = RequestState()
+        try:
+            response, route = await route_request(request, state, started)
+        except (trio.Cancelled, BaseExceptionGroup) as error:
+            # Other exceptions are answered by the server.
+            if not isinstance(error, Exception):
+                report_unanswered(request, state, started, cancel_reason(error))
+            raise
         took_s = trio.current_time() - started
         metrics.observe("request", took_s, route.name if route else None)
         if response.status >= 500 or route is None:
@@ -93,15 +107,22 @@
             metrics.count("completed")
         return response.status, response.headers, response.body
 
-    async def route_request(request, started):
-        state = RequestState()
+    def report_unanswered(request, state, started, cause):
+        metrics.count("unanswered")
+        log(
+            "unanswered", id=request.id, cause=cause, reason=state.reason,
+            sends=state.sends, in_doubt=state.in_doubt, config=node.config_version,
+            took_s=trio.current_time() - started,
+        )  # fmt: skip
+
+    async def route_request(request, state, started):
         if node.configuration is None:
             state.reason = "no configuration is known yet"
-            return router_response(request, state, NOT_SERVED), state, None
+            return router_response(request, state, NOT_SERVED), None
         route = match_route(node.configuration, request.host, request.path)
         if route is None:
             state.reason = "no route"
-            return router_response(request, state, 404), state, None
+            return router_response(request, state, 404), None
         service = node.splitter.pick(route)
         node.retry_budget.count_request(service, started)
         if not node.is_keyed(service):
@@ -112,7 +133,7 @@
         deadline = started + remaining_s
         if node.drain_deadline is not None and deadline > node.drain_deadline:
             state.reason = OUTLASTS_NODE
-            return router_response(request, state, NOT_SERVED), state, route
+            return router_response(request, state, NOT_SERVED), route
         with trio.CancelScope(deadline=deadline - RESPONSE_MARGIN_S) as scope:
             node.active_scopes.add(scope)
             try:
@@ -122,7 +143,7 @@
         if state.response is None:
             status = TIMED_OUT if state.in_doubt else NOT_SERVED
             state.response = router_response(request, state, status)
-        return state.response, state, route
+        return state.response, route
 
     async def send_until_answered(request, route, service, state, deadline):
         started = trio.current_time()
--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -15,6 +15,7 @@
 EVENTS = {
     "completed": "requests answered with a status below 500",
     "failed": "requests answered with a status of 500 or above, or without a route",
+    "unanswered": "requests whose connection ended before their response",
     "malformed": "malformed requests",
     "own_404": "404 responses of the router itself: no route",
     "own_502": "502 responses of the router itself: the request may have run",
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -754,7 +754,7 @@
         nursery.start_soon(node.membership.run)
         await stopping.wait()
         await _stop(node, client_server)
-        nursery.cancel_scope.cancel()
+        nursery.cancel_scope.cancel("the node has stopped")
     log("stop")
     log.flush()
 
--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -44,12 +44,17 @@
     limits : callable
         Returns the ``Limits`` in force.
     log : callable
+
+    Attributes
+    ----------
+    closing : bool
+        Whether connections close after their next response.
     """
 
     def __init__(self, handle, limits, log):
         self._handle = handle
         self._limits = limits
-        self._log = log
+        self.log = log
         self._connections = set()
         self._accept_scope = trio.CancelScope()
         self.closing = False
@@ -80,7 +85,7 @@
                 except OSError as error:
                     if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS):
                         raise
-                    self._log("accept_failed", reason=str(error))
+                    self.log("accept_failed", reason=str(error))
                     await trio.sleep(SWEEP_INTERVAL_S / 10)
                     continue
                 nursery.start_soon(self._serve_connection, stream)
@@ -89,7 +94,7 @@
             while is_readable(listener.socket):
                 nursery.start_soon(self._serve_connection, await listener.accept())
         except OSError as error:
-            self._log("accept_failed", reason=str(error))
+            self.log("accept_failed", reason=str(error))
         listener.socket.close()
 
     async def _close_expired_periodically(self):
@@ -98,7 +103,7 @@
             now, limits = trio.current_time(), self._limits()
             for connection in list(self._connections):
                 if connection.expired(now, limits):
-                    connection.cancel()
+                    connection.cancel("the idle or header time-out has passed")
 
     async def drain(self, deadline):
         """Stop accepting connections and close the open ones, up to ``deadline``.
@@ -138,7 +143,7 @@
         try:
             return await self._handle(message)
         except Exception as error:
-            self._log("handler_fault", error=repr(error), where=error_location(error))
+            self.log("handler_fault", error=repr(error), where=error_location(error))
             return 502, [], b"internal fault"
 
     def make_parser(self):
@@ -157,6 +162,8 @@
         self._nursery = None
         self._read_scope = trio.CancelScope()
         self._last_used = trio.current_time()
+        # Why no more requests are read.
+        self._end_reason = "the node stops"
         self.busy = False
 
     @property
@@ -164,10 +171,10 @@
         """Whether a request has arrived in part."""
         return self._message_parser.message_begun
 
-    def cancel(self):
+    def cancel(self, reason):
         """Close the connection and cancel its requests."""
         if self._nursery is not None:
-            self._nursery.cancel_scope.cancel()
+            self._nursery.cancel_scope.cancel(reason)
 
     def idle_s(self, now):
         """Seconds since the last request, 0 while one is read or answered."""
@@ -202,22 +209,25 @@
                     break
                 self._read_scope = trio.CancelScope()
             if not (self._read_scope.cancelled_caught and self.busy):
-                nursery.cancel_scope.cancel()
+                self.cancel(self._end_reason)
 
     async def _read(self, nursery):
         while True:
             data = await self._stream.receive_some(READ_BYTES)
             if not data:
+                self._end_reason = "the client closed its connection"
                 return
             was_reading = self.reading
             try:
                 parse(self._message_parser, data)
             except HttpError as error:
+                self._end_reason = f"malformed: {error}"
                 await self._refuse(error)
                 return
             if not was_reading and (self.reading or self._message_parser.messages):
                 self._last_used = trio.current_time()
             if len(self._message_parser.messages) > PIPELINE_LIMIT:
+                self._end_reason = f"over {PIPELINE_LIMIT} requests at once"
                 return
             if self._message_parser.messages and not self.busy:
                 self.busy = True
@@ -243,8 +253,13 @@
                 await self._stream.send_all(
                     response_bytes(status, headers, body, keep_alive)
                 )
-            if scope.cancelled_caught or not keep_alive:
-                self.cancel()
+            if scope.cancelled_caught:
+                reason = f"the client did not take the response in {WRITE_TIMEOUT_S} s"
+                self._server.log("response_not_taken", reason=reason)
+                self.cancel(reason)
+                return
+            if not keep_alive:
+                self.cancel("the connection is not kept open")
                 return
         self._last_used = trio.current_time()
         self.busy = False
--- a/tests/router/test_client_requests.py
+++ b/tests/router/test_client_requests.py
@@ -119,3 +119,31 @@
     response_status, headers, _ = await make_client_handler(node)(MESSAGE)
     assert (response_status, "".join(sent_to)) == (status, expected_vms)
     assert (b"Retry-After" in dict(headers)) == (status == 503)
+
+
+@pytest.mark.parametrize("has_nursery", [False, True])
+async def test_request_that_is_cut_off_is_logged_with_its_cause(
+    autojump_clock, has_nursery
+):
+    """Guards against requests that end without a response and without a log line."""
+    node, _ = make_node({"a": [OK]})
+    lines = []
+    node.log = lambda event, **fields: lines.append((event, fields))
+
+    async def forward(vm, request):
+        async with trio.open_nursery() as nursery:
+            if has_nursery:
+                nursery.start_soon(trio.sleep_forever)
+            await trio.sleep_forever()
+
+    node.peers.forward = forward
+    with trio.CancelScope() as scope:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(make_client_handler(node), MESSAGE)
+            await trio.sleep(0.5)
+            scope.cancel("the client left")
+    ((event, fields),) = lines
+    assert (event, fields["id"], fields["cause"]) == (
+        "unanswered", "q", "the client left"
+    )  # fmt: skip
+    assert fields["in_doubt"] and fields["sends"] == 1
