--- a/packages/base/src/jujuberudder_base/_lines.py
+++ b/packages/base/src/jujuberudder_base/_lines.py
@@ -42,34 +42,46 @@
     Parameters
     ----------
     write : callable
-        ``write(text)``; the text consists of whole lines.
+        ``write(text) -> int or None``; the text consists of whole lines. Returns the
+        number of lines lost since the last call, if that is known. It must not wait.
     **bound : dict
         Fields added to each line, e.g. ``vm="vm-1"``.
+
+    Attributes
+    ----------
+    lost_lines : int
+        Number of lines that were dropped or could not be written so far.
     """
 
     def __init__(self, write, **bound):
         self._write = write
         self._bound = format_pairs(bound.items())
         self._lines = []
-        self._dropped = 0
+        # Lost lines that no line has reported yet.
+        self._unreported = 0
+        self.lost_lines = 0
 
     def __call__(self, event, **fields):
         """Add a line, or drop and count it if the batch is full."""
         if len(self._lines) >= MAX_BATCH_LINES:
-            self._dropped += 1
+            self._count_lost(1)
             return
         self._lines.append((time.time(), event, fields))
 
     def flush(self):
         """Write the buffered lines and the number of dropped lines."""
         lines, self._lines = self._lines, []
-        if self._dropped:
-            lines.append((time.time(), "log_lines_left_out", {"n": self._dropped}))
-            self._dropped = 0
+        if self._unreported:
+            lines.append((time.time(), "log_lines_left_out", {"n": self._unreported}))
+            self._unreported = 0
         if not lines:
             return
         text = [self._format(*line) for line in lines]
-        self._write("\n".join(text) + "\n")
+        self._count_lost(self._write("\n".join(text) + "\n") or 0)
+
+    def _count_lost(self, count):
+        self._unreported += count
+        self.lost_lines += count
 
     def _format(self, timestamp, event, fields):
         pairs = format_pairs(fields.items())
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -867,5 +867,6 @@
             ),
             "links_up": sum(link.up for link in node.links.values()),
             "ready": int(node.ready),
+            "log_lines_lost": node.log.lost_lines,
         }
     )
