Answer the requests that arrived before bytes that are no request

A booking ran and its connection was closed without an answer if a client, or an intermediary, sent bytes that are no request while it was at work; the same with more than 16 pipelined requests. Cause: the task that reads a connection ended at such bytes, and its end cancels the task that answers.

The reader now goes on: it discards what follows a malformed request, so that the end of the connection is still noticed, and waits while 16 requests are unanswered. What arrived before is answered, the last response with "connection: close". A malformed request alone is refused as before, and is logged now.

The case of an upgrade is new: its request was refused, as before, but ended the one before it.

--- a/packages/router/src/jujuberudder_router/_http.py
+++ b/packages/router/src/jujuberudder_router/_http.py
@@ -216,6 +216,10 @@
     try:
         message_parser.parser.feed_data(data)
     except httptools.HttpParserUpgrade:
+        messages = message_parser.messages
+        # The request for an upgrade is complete, but is not to be answered as such.
+        if messages and messages[-1].method:
+            messages.pop()
         raise HttpError(400, "upgrades are not served") from None
     except httptools.HttpParserError as error:
         cause = error.__context__
--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -14,8 +14,8 @@
 BACKLOG = 1024
 # Interval between two checks for connections that are idle or send a header slowly.
 SWEEP_INTERVAL_S = 1.0
-# Maximum pipelined requests read ahead on one connection; clients of these deployments
-# do not pipeline.
+# Number of pipelined requests read ahead on one connection, beyond which it is read no
+# further until one is answered; clients of these deployments do not pipeline.
 PIPELINE_LIMIT = 16
 # Time within which a client must receive a response.
 WRITE_TIMEOUT_S = 30.0
@@ -164,6 +164,9 @@
         self._last_used = trio.current_time()
         # Why no more requests are read.
         self._end_reason = "the node stops"
+        # Error of the first bytes that are no request.
+        self._malformed = None
+        self._message_taken = trio.Event()
         self.busy = False
 
     @property
@@ -212,54 +215,69 @@
                 self.cancel(self._end_reason)
 
     async def _read(self, nursery):
+        messages = self._message_parser.messages
         while True:
             data = await self._stream.receive_some(READ_BYTES)
             if not data:
                 self._end_reason = "the client closed its connection"
                 return
-            was_reading = self.reading
-            try:
-                parse(self._message_parser, data)
-            except HttpError as error:
-                self._end_reason = f"malformed: {error}"
-                await self._refuse(error)
-                return
-            if not was_reading and (self.reading or self._message_parser.messages):
-                self._last_used = trio.current_time()
-            if len(self._message_parser.messages) > PIPELINE_LIMIT:
-                self._end_reason = f"over {PIPELINE_LIMIT} requests at once"
-                return
-            if self._message_parser.messages and not self.busy:
+            # What follows a malformed request cannot be read. It is discarded, so that
+            # the end of the connection is still noticed.
+            if self._malformed is None:
+                self._parse(data)
+            if (messages or self._malformed is not None) and not self.busy:
                 self.busy = True
                 nursery.start_soon(self._answer_all)
+            while len(messages) > PIPELINE_LIMIT:
+                self._message_taken = trio.Event()
+                await self._message_taken.wait()
 
-    async def _refuse(self, error):
-        if not self.busy:
-            body = str(error).encode()
-            with trio.move_on_after(1.0):
-                await self._stream.send_all(
-                    response_bytes(error.status, [], body, keep_alive=False)
-                )
+    def _parse(self, data):
+        was_reading = self.reading
+        try:
+            parse(self._message_parser, data)
+        except HttpError as error:
+            self._malformed = error
+            self._server.log("malformed", reason=str(error), status=error.status)
+        if not was_reading and (self.reading or self._message_parser.messages):
+            self._last_used = trio.current_time()
 
     async def _answer_all(self):
+        """Answer all requests read so far, and refuse a malformed one after them.
+
+        If bytes that are no request arrive before a response is sent, the connection
+        closes after it: which request a refusal belongs to would not be clear.
+        """
         messages = self._message_parser.messages
         while messages:
             message = messages.pop(0)
+            self._message_taken.set()
             status, headers, body = await self._server.answer(message)
             keep_alive = message.keep_alive and not self._server.closing
+            if self._malformed is not None and not messages:
+                keep_alive = False
             if message.method == b"HEAD":
                 body = b""
-            with trio.move_on_after(WRITE_TIMEOUT_S) as scope:
-                await self._stream.send_all(
-                    response_bytes(status, headers, body, keep_alive)
-                )
-            if scope.cancelled_caught:
-                reason = f"the client did not take the response in {WRITE_TIMEOUT_S} s"
-                self._server.log("response_not_taken", reason=reason)
-                self.cancel(reason)
+            data = response_bytes(status, headers, body, keep_alive)
+            if not await self._send(data):
                 return
             if not keep_alive:
                 self.cancel("the connection is not kept open")
                 return
+        if self._malformed is not None:
+            status, body = self._malformed.status, str(self._malformed).encode()
+            await self._send(response_bytes(status, [], body, keep_alive=False))
+            self.cancel("malformed")
+            return
         self._last_used = trio.current_time()
         self.busy = False
+
+    async def _send(self, data):
+        """Send a response; close the connection and return False if it is not read."""
+        with trio.move_on_after(WRITE_TIMEOUT_S) as scope:
+            await self._stream.send_all(data)
+        if scope.cancelled_caught:
+            reason = f"the client did not read the response in {WRITE_TIMEOUT_S} s"
+            self._server.log("response_not_read", reason=reason)
+            self.cancel(reason)
+        return not scope.cancelled_caught
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -26,6 +26,7 @@
     b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+UPGRADE = b"GET / HTTP/1.1\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n"
 LAST_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
 
@@ -195,7 +196,7 @@
         (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 20000 + b"\r\n\r\n", b"431"),
         (b"POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n" + b"x", None),
         (b"nonsense\r\n\r\n", b"400"),
-        (b"GET / HTTP/1.1\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n", b"400"),
+        (UPGRADE, b"400"),
         (TWO_LENGTHS, b"400"),
     ],
     ids=[
@@ -236,9 +237,13 @@
         (b"\x16\x03\x01nonsense\r\n\r\n", 0.0, [200]),
         (b"GET / HTTP/1.1\r\nX: " + b"y" * 200_000, 0.1, [200]),
         (REQUEST + b"nonsense\r\n\r\n", 0.1, [200, 200]),
+        (UPGRADE, 0.1, [200]),
         (REQUEST * 40 + LAST_REQUEST, 0.1, [200] * 42),
     ],
-    ids=["garbage", "garbage at once", "long header", "after two", "many requests"],
+    ids=[
+        "garbage", "garbage at once", "long header", "after two", "upgrade",
+        "many requests",
+    ],
 )  # fmt: skip
 async def test_later_bytes_do_not_end_the_connection_of_a_running_request(
     later, delay_s, statuses
