--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -102,7 +102,8 @@
             await trio.sleep(SWEEP_INTERVAL_S)
             now, limits = trio.current_time(), self._limits()
             for connection in list(self._connections):
-                if connection.expired(now, limits):
+                # After a pause of the process, requests may wait to be read.
+                if connection.expired(now, limits) and not connection.has_data():
                     connection.cancel("the idle or header time-out has passed")
 
     async def drain(self, deadline):
