Keep an error of one client connection from ending the process

An error in the task of a connection, outside of the handler of its request, cancelled all tasks of the node: every caller lost its answer. Only errors of broken connections were caught. Any other one now closes its connection and is logged with its place (connection_fault). A lack of memory in accept is one that passes, as a lack of descriptors is.

--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -8,6 +8,7 @@
 from ._http import HttpError
 from ._keymap import locate
 from ._routes import match_route
+from ._server import leaf_exception
 from ._types import Response
 
 # Time until the deadline below which a request is not sent.
@@ -63,8 +64,7 @@
 
 def cancel_reason(error):
     """Return why a request was cancelled, from the ``Cancelled`` that ended it."""
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
+    error = leaf_exception(error)
     return getattr(error, "reason", None) or repr(error)
 
 
--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -12,6 +12,8 @@
 # Listen backlog: holds a burst of new connections from the clients of one availability
 # zone.
 BACKLOG = 1024
+# Errors of ``accept`` that pass once connections are closed or memory is free.
+TEMPORARY_ACCEPT_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # Interval between two checks for connections that are idle or send a header slowly.
 SWEEP_INTERVAL_S = 1.0
 # Number of pipelined requests read ahead on one connection, beyond which it is read no
@@ -33,6 +35,13 @@
     return f"{frame.filename.rpartition('/')[2]}:{frame.lineno}"
 
 
+def leaf_exception(group):
+    """Return the first exception in nested exception groups."""
+    while isinstance(group, BaseExceptionGroup):
+        group = group.exceptions[0]
+    return group
+
+
 class Server:
     """HTTP/1.1 server for the connections of clients.
 
@@ -83,7 +92,7 @@
                 try:
                     stream = await listener.accept()
                 except OSError as error:
-                    if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS):
+                    if error.errno not in TEMPORARY_ACCEPT_ERRORS:
                         raise
                     self.log("accept_failed", reason=str(error))
                     await trio.sleep(SWEEP_INTERVAL_S / 10)
@@ -135,6 +144,10 @@
             await connection.run()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass  # The client disconnected; its request was cancelled with the nursery.
+        except* Exception as group:
+            # An error of one connection must not end the others and the process.
+            error = leaf_exception(group)
+            self.log("connection_fault", error=repr(error), where=error_location(error))
         finally:
             self._connections.discard(connection)
             stream.socket.close()
