Send replies to other nodes before a stopping process ends

Callers of a node that was stopping as well got 502 for requests that had run: the node beside the target ended while its reply was still queued on the link.

Cause: a stop waited for the target's runs, not for the replies, which are queued if the socket is full.

--- a/packages/router/src/jujuberudder_router/_frame_stream.py
+++ b/packages/router/src/jujuberudder_router/_frame_stream.py
@@ -29,9 +29,14 @@
         self._socket.setblocking(False)
         self._frames = FrameBuffer()
         self._unsent = bytearray()
-        self._has_unsent = trio.Event()
+        self._unsent_event = trio.Event()
         self._send_error = None
 
+    @property
+    def has_unsent(self):
+        """Whether queued frames wait to be sent, and the connection is not broken."""
+        return bool(self._unsent) and self._send_error is None
+
     def send(self, frame):
         """Send or queue a frame; never waits.
 
@@ -41,7 +46,7 @@
         sent_bytes = 0 if self._unsent else self._send_some(data)
         if sent_bytes < len(data):
             self._unsent += data[sent_bytes:]
-            self._has_unsent.set()
+            self._unsent_event.set()
 
     def _send_some(self, data):
         """Send without waiting and return the number of bytes sent."""
@@ -61,8 +66,8 @@
         trio.BrokenResourceError
         """
         while True:
-            await self._has_unsent.wait()
-            self._has_unsent = trio.Event()
+            await self._unsent_event.wait()
+            self._unsent_event = trio.Event()
             while self._unsent:
                 self._raise_send_error()
                 await trio.lowlevel.wait_writable(self._socket)
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -143,6 +143,8 @@
         Store whose calls may be relayed through another node, and without relays.
     active_scopes : set of trio.CancelScope
         Scopes of the client requests in progress.
+    peer_streams : set of FrameStream
+        Open connections of other nodes to this one.
     stopping : bool
         Whether SIGTERM was received, so that the node reports that it is not ready.
     draining : bool
@@ -212,6 +214,7 @@
         # VM to its number of consecutive failures and the time of the last one.
         self._failures = {}
         self.active_scopes = set()
+        self.peer_streams = set()
         self.draining = False
         self.drain_deadline = None
 
@@ -347,6 +350,11 @@
             return self.membership_follower.failing_since is not None
         return self.sharing.sources_failing
 
+    @property
+    def replies_unsent(self):
+        """Whether a reply to another node is still to be sent."""
+        return any(stream.has_unsent for stream in self.peer_streams)
+
     @property
     def node_incarnation(self):
         """Name of this process in the membership topic."""
@@ -742,7 +750,7 @@
         )  # fmt: skip
         nursery.start_soon(
             serve_links, parse_address(settings.peer_address), node.membership.hello(),
-            handlers, log,
+            handlers, log, node.peer_streams,
         )  # fmt: skip
         nursery.start_soon(node.peers.run)
         nursery.start_soon(node.configuration_follower.run)
@@ -786,7 +794,9 @@
     node.membership.announce()
     await _poll_until(
         deadline,
-        lambda: not (client_server.busy or node.admission.running),
+        lambda: (
+            not (client_server.busy or node.admission.running or node.replies_unsent)
+        ),
         client_server.close_idle,
     )
     await client_server.drain(deadline)
@@ -794,7 +804,7 @@
     for scope in list(node.active_scopes):
         scope.cancel()
     with trio.move_on_after(STOP_FINAL_RESPONSE_S / 2):
-        while client_server.busy:
+        while client_server.busy or node.replies_unsent:
             await trio.sleep(STOP_POLL_S)
 
 
--- a/packages/router/src/jujuberudder_router/_peer_server.py
+++ b/packages/router/src/jujuberudder_router/_peer_server.py
@@ -60,7 +60,7 @@
     update: Callable
 
 
-async def serve_links(address, own_hello, handlers, log):
+async def serve_links(address, own_hello, handlers, log, streams=None):
     """Accept connections of other nodes until cancelled.
 
     Parameters
@@ -70,12 +70,16 @@
         Names this node. Connections that are meant for another VM are closed.
     handlers : PeerHandlers
     log : callable
+    streams : set of FrameStream, default=None
+        Gets the stream of each open connection.
     """
+    streams = set() if streams is None else streams
     host, port = address
     numbers = itertools.count()
 
     async def serve(tcp_stream):
         stream, number = FrameStream(tcp_stream), next(numbers)
+        streams.add(stream)
         scopes = {}
 
         async def answer(request, scope):
@@ -153,6 +157,7 @@
             log("peer_connection_lost", reason=str(group.exceptions[0]))
         finally:
             handlers.subscribe(number, None, None)
+            streams.discard(stream)
             stream.close()
 
     await trio.serve_tcp(serve, port, host=host)
