Refuse requests that may outlast the target's node from SIGTERM on

Cause: the admission queue knew only after 2.4 s when its node would end, so that requests that came before were taken although they could not complete. It knows from SIGTERM on now, and refuses what may not complete in the time of eight mean requests of its route; the caller's node sends it to another VM. Requests of clients at the stopping node itself are taken as before.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -778,10 +778,13 @@
     log("stopping", busy=client_server.busy, running=node.admission.running)
     node.stopping = True
     started = trio.current_time()
+    deadline = started + settings.grace_s - STOP_FINAL_RESPONSE_S
+    # From the start: a node that stops later than this one would break off what it has
+    # sent here, and another VM may serve it.
+    node.admission.drain_deadline = deadline
     await trio.sleep(min(STOP_ACCEPTING_S, settings.grace_s / 2))
     client_server.closing = True
-    node.drain_deadline = deadline = started + settings.grace_s - STOP_FINAL_RESPONSE_S
-    node.admission.drain_deadline = deadline
+    node.drain_deadline = deadline
     await _poll_until(
         deadline - STOP_TARGET_MARGIN_S,
         lambda: not client_server.busy,
--- a/tests/router/test_stopping_node.py
+++ b/tests/router/test_stopping_node.py
@@ -60,3 +60,39 @@
                 replies = [f for f in frames if isinstance(f, ForwardReply)]
         stream.close()
         assert [(r.outcome, len(r.body)) for r in replies] == [(ANSWERED, body_bytes)]
+
+
+async def test_requests_complete_when_nodes_stop_one_after_the_other():
+    """Guards against requests that a stopping node takes and breaks off at its end.
+
+    The node that took them from the client stops 0.8 s later, and answers 502 at 1.6 of
+    its 3 s, while the target is at work. Another VM has room.
+    """
+    async with run_deployment("jobs", "orders", "orders") as deployment:
+        entry, first, other = deployment.vms.values()
+        for vm in (first, other):
+            vm.target_scope.cancel()
+            vm.start_target(work_s=1.9, slots=16)
+
+        async def send(count):
+            statuses = []
+
+            async def send_one():
+                response = await entry.send_request("/orders/1", method=b"POST")
+                statuses.append(response.status)
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(count):
+                    nursery.start_soon(send_one)
+            return statuses
+
+        async def both_served():
+            await send(4)
+            targets = {run.target for run in deployment.runs if run.ended}
+            return {first.target.id, other.target.id} <= targets
+
+        await deployment.wait_until(both_served)
+        first.stopping.set()
+        await trio.sleep(0.8)
+        entry.stopping.set()
+        assert await send(8) == [200] * 8
