Answer an unreadable store call of a peer, and go on

Callers saw their connections end: a store call of another node that could not be made (no name, wrong number or types of arguments, an unknown topic, a wait that is no number, a key over 255 bytes) ended the whole node with all its requests.

Cause: the relay handler passed the decoded list on to the store client as it was, and an exception there ended the task of the link, the server and the node.

The call is now decoded with its types and bounds, and one that does not fit is logged and answered with a reason, as a call that failed.

--- a/packages/router/src/jujuberudder_router/_relay.py
+++ b/packages/router/src/jujuberudder_router/_relay.py
@@ -4,6 +4,8 @@
 longer than a lease renewed by a direct read.
 """
 
+from typing import Annotated, Literal
+
 import msgspec
 import trio
 from result import Err, Ok
@@ -11,7 +13,16 @@
 from jujuberudder_base import Failure
 
 from ._frames import StoreCallResult
-from ._store import Appended, Conflict, Page, Record, Store, Truncated
+from ._store import (
+    MEMBERSHIP_TOPIC,
+    OPERATOR_TOPIC,
+    Appended,
+    Conflict,
+    Page,
+    Record,
+    Store,
+    Truncated,
+)
 
 # Time-out of a relayed call, in addition to the wait that a read requests, and a number
 # of round trips that is added: those of a link that bodies fill take seconds.
@@ -25,6 +36,29 @@
 _encoder = msgspec.msgpack.Encoder()
 _call_decoder = msgspec.msgpack.Decoder(list)
 
+_Topic = Literal[OPERATOR_TOPIC, MEMBERSHIP_TOPIC]
+_Offset = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
+class _AppendCall(msgspec.Struct, array_like=True, tag="append"):
+    topic: _Topic
+    key: Annotated[str, msgspec.Meta(max_length=255)]
+    value: bytes
+    expected_end: _Offset | None
+
+
+class _ReadCall(msgspec.Struct, array_like=True, tag="read"):
+    topic: _Topic
+    start: _Offset
+    wait_s: Annotated[float, msgspec.Meta(ge=0, le=30)]
+
+
+class _NewestCall(msgspec.Struct, array_like=True, tag="newest"):
+    topic: _Topic
+
+
+_store_call_decoder = msgspec.msgpack.Decoder(_AppendCall | _ReadCall | _NewestCall)
+
 
 def encode_result(value):
     """Encode the result of a store call."""
@@ -46,10 +80,13 @@
     """Return ``await handle(payload) -> (result, reason)`` for calls of other nodes."""
 
     async def handle(payload):
-        name, *arguments = _call_decoder.decode(payload)
-        if name not in Store._fields:
-            return b"", f"no call {name}"
-        result = await getattr(node.direct_store, name)(*arguments)
+        try:
+            call = _store_call_decoder.decode(payload)
+        except msgspec.MsgspecError as error:
+            node.log("relay_call_unreadable", reason=str(error))
+            return b"", f"unreadable call: {error}"
+        name = call.__struct_config__.tag
+        result = await getattr(node.direct_store, name)(*msgspec.structs.astuple(call))
         match result:
             case Ok(value):
                 node.metrics.count("store_relays")
