Treat an unreadable result of a relayed store call as a failed call

Callers saw their connections end: a result of another node that is no result (missing parts, other types, offsets that are no counts) raised in the task that follows a topic, which ended the node, or set the end of the topic to a value that is no number.

Cause: decode_result unpacked a decoded list without a check.

The result is now decoded with its types; what does not fit is logged as relay_failed and is a failed call that may have run, like one without an answer.

Evidence: all 11 results in the test failed before, by an exception or an odd value; they pass now, as do the tests of valid relayed calls.

--- a/packages/router/src/jujuberudder_router/_relay.py
+++ b/packages/router/src/jujuberudder_router/_relay.py
@@ -34,7 +34,6 @@
 
 _RESULT_TYPES = {"appended": Appended, "conflict": Conflict, "forgotten": Truncated}
 _encoder = msgspec.msgpack.Encoder()
-_call_decoder = msgspec.msgpack.Decoder(list)
 
 _Topic = Literal[OPERATOR_TOPIC, MEMBERSHIP_TOPIC]
 _Offset = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -60,6 +59,28 @@
 _store_call_decoder = msgspec.msgpack.Decoder(_AppendCall | _ReadCall | _NewestCall)
 
 
+class _PageResult(msgspec.Struct, array_like=True, tag="page"):
+    end: _Offset
+    records: list[tuple[_Offset, str, bytes]]
+
+
+class _AppendedResult(msgspec.Struct, array_like=True, tag="appended"):
+    offset: _Offset
+
+
+class _ConflictResult(msgspec.Struct, array_like=True, tag="conflict"):
+    end: _Offset
+
+
+class _TruncatedResult(msgspec.Struct, array_like=True, tag="forgotten"):
+    first_offset: _Offset
+
+
+_result_decoder = msgspec.msgpack.Decoder(
+    _PageResult | _AppendedResult | _ConflictResult | _TruncatedResult
+)
+
+
 def encode_result(value):
     """Encode the result of a store call."""
     if isinstance(value, Page):
@@ -69,11 +90,22 @@
 
 
 def decode_result(data):
-    """Decode the result that ``encode_result`` encoded."""
-    name, offset, *rest = _call_decoder.decode(data)
-    if name == "page":
-        return Page([Record(*record) for record in rest[0]], offset)
-    return _RESULT_TYPES[name](offset)
+    """Decode the result that ``encode_result`` encoded.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        The result is malformed.
+    """
+    match _result_decoder.decode(data):
+        case _PageResult(end, records):
+            return Page([Record(*record) for record in records], end)
+        case _AppendedResult(offset):
+            return Appended(offset)
+        case _ConflictResult(end):
+            return Conflict(end)
+        case _TruncatedResult(first_offset):
+            return Truncated(first_offset)
 
 
 def make_relay_handler(node):
@@ -142,9 +174,12 @@
                 payload = _encoder.encode([name, *arguments])
                 frame = await node.links[vm].call_store(payload)
                 if isinstance(frame, StoreCallResult) and frame.result:
+                    result = Ok(decode_result(frame.result))
                     reason = last_failed_vm = None
-                    return Ok(decode_result(frame.result))
+                    return result
                 reason = frame.reason
+        except msgspec.MsgspecError as error:
+            reason = f"unreadable result: {error}"
         finally:
             if reason is not None:
                 _log_failure("relay_failed", sent_at, call=name, peer=vm, reason=reason)
--- a/tests/router/test_odd_frames.py
+++ b/tests/router/test_odd_frames.py
@@ -1,12 +1,18 @@
 """Frames of other nodes that can be decoded, but hold unexpected values."""
 
+from types import SimpleNamespace
+
 import msgspec
 import pytest
 import trio
+from result import Err
 
+from jujuberudder_base import Failure
 from jujuberudder_emulator import run_deployment
-from jujuberudder_router import parse_address
-from jujuberudder_router._frames import Hello, StoreCall, encode_frame
+from jujuberudder_router import Store, parse_address
+from jujuberudder_router._frames import Hello, StoreCall, StoreCallResult, encode_frame
+
+from .test_store_out_of_reach import make_node
 
 
 @pytest.mark.parametrize(
@@ -34,3 +40,36 @@
         with trio.move_on_after(3):
             await stream.receive_some()
         assert await serves()
+
+
+@pytest.mark.parametrize(
+    "result",
+    [
+        [], ["page"], ["page", 1], ["page", "1", []], ["page", 1, [[1]]],
+        ["page", 1, [[1, "k", None]]], ["page", 2**63, []], ["page", -1, []],
+        ["conflict", None], ["newest", 1], 7,
+    ],
+    ids=repr,
+)  # fmt: skip
+async def test_odd_result_of_a_relayed_call_is_a_failed_call(result):
+    """Guards against a peer's result of a store call that ends the node.
+
+    An exception out of the call ends the task that reads the topic.
+    """
+    events = []
+
+    async def fail(*arguments, **callbacks):
+        return Err(Failure("newest", "store", "status 503"))
+
+    async def call_store(payload):
+        return StoreCallResult(1, msgspec.msgpack.encode(result))
+
+    node = make_node(
+        "vm-0", Store(fail, fail, fail), lambda event, **fields: events.append(event)
+    )
+    node.links["vm-1"] = SimpleNamespace(
+        up=True, lost=False, round_trip_s=0.0, call_store=call_store
+    )
+    await node.store.newest("fleet")
+    assert isinstance(await node.store.newest("fleet"), Err)
+    assert "relay_failed" in events
