Ignore a pong that repeats no time of a ping

Callers saw their connections end: a pong whose time is no number made the round trip of the link no number, and the time-out of the next relayed store call raised ValueError, which ended the node. One from the future moved the age of a read, and so the lease, into the future.

Cause: the time in a pong was used without a check.

A pong with a time that this node cannot have sent is logged and ignored.

--- a/packages/router/src/jujuberudder_router/_peer_link.py
+++ b/packages/router/src/jujuberudder_router/_peer_link.py
@@ -345,6 +345,9 @@
             self.load_at = trio.current_time()
             self._callbacks.on_load(self.vm.name, frame.load)
         if isinstance(frame, Pong):
+            if not 0 <= frame.sent_at <= trio.current_time():
+                self._log("pong_unreadable", peer=self.vm.name, sent_at=frame.sent_at)
+                return
             self._last_round_trip_s = trio.current_time() - frame.sent_at
             self._callbacks.on_pong(self.vm.name, frame.progress, frame.sent_at)
         if isinstance(frame, Update):
--- a/tests/router/test_odd_frames.py
+++ b/tests/router/test_odd_frames.py
@@ -9,8 +9,15 @@
 
 from jujuberudder_base import Failure
 from jujuberudder_emulator import run_deployment
-from jujuberudder_router import Store, parse_address
-from jujuberudder_router._frames import Hello, StoreCall, StoreCallResult, encode_frame
+from jujuberudder_router import VM, Store, parse_address
+from jujuberudder_router._frames import (
+    Hello,
+    Pong,
+    StoreCall,
+    StoreCallResult,
+    encode_frame,
+)
+from jujuberudder_router._peer_link import LinkCallbacks, PeerLink
 
 from .test_store_out_of_reach import make_node
 
@@ -73,3 +80,22 @@
     await node.store.newest("fleet")
     assert isinstance(await node.store.newest("fleet"), Err)
     assert "relay_failed" in events
+
+
+@pytest.mark.parametrize("sent_at", [float("nan"), float("inf"), -1.0, 1e300])
+async def test_pong_to_no_ping_is_ignored(sent_at):
+    """Guards against a pong that ends the node by a time-out that is no number.
+
+    One from the future would also renew leases by a read that was not sent yet.
+    """
+    events, progress = [], []
+    callbacks = LinkCallbacks(
+        lambda: 0.5, None, None, lambda *values: progress.append(values), None,
+        lambda vm, load: None, lambda event, **fields: events.append(event),
+    )  # fmt: skip
+    vm = VM("vm-1", "1", "127.0.0.1:1", "z", "orders")
+    link = PeerLink(vm, Hello("vm-0", "1", "vm-1"), callbacks)
+    link._handle_frame(Pong(sent_at))
+    assert (link.round_trip_s, progress, events) == (0.0, [], ["pong_unreadable"])
+    link._handle_frame(Pong(trio.current_time()))
+    assert len(progress) == 1
