Treat an address that is none as a failed connection

Callers saw their connections end: a membership entry whose address has no port, a port out of range or a host that no name can be ended each node that dialed it.

Cause: dial raised ValueError, UnicodeError or OverflowError for such an address, where its callers expect OSError; in a link that ended the task of the links and the node.

dial now raises OSError, so that the link logs peer_connect_failed and tries again.

--- a/packages/router/src/jujuberudder_router/_http.py
+++ b/packages/router/src/jujuberudder_router/_http.py
@@ -283,8 +283,16 @@
     Raises
     ------
     OSError
-        The connection was refused, reset or timed out.
+        The connection was refused, reset or timed out, or the address is none.
     """
+    try:
+        host, port = parse_address(address)
+        # A name would be looked up by the system, which may take seconds.
+        socket.inet_aton(host)
+    except (OSError, ValueError) as error:
+        raise OSError(f"{address!r} is no address: {error}") from error
+    if not 0 < port < 65536:
+        raise OSError(f"{address!r} is no address")
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -292,7 +300,7 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(user_timeout_s * 1000)
         )
         with trio.move_on_after(timeout_s) as scope:
-            await sock.connect(parse_address(address))
+            await sock.connect((host, port))
         if scope.cancelled_caught:
             raise TimeoutError(f"no connection after {timeout_s} s")
     except BaseException:
