Do not apply a key map whose ranges or fences are impossible

Callers saw their connections end: a key map with a next fence of 2^64 - 1 ended each node of its service at its next change of the map. One with overlapping ranges gave a key two owners.

Cause: only the types of a key map were checked. A fence above the greatest integer that can be written raised OverflowError in the task that changes the key map.

A key map now has to list disjoint ranges of existing keys in their order, under fences below the next one, and a next fence that can be raised. Any other one is logged as record_unreadable, and the previous one stays.

--- a/packages/router/src/jujuberudder_router/_keymap.py
+++ b/packages/router/src/jujuberudder_router/_keymap.py
@@ -12,6 +12,9 @@
 
 from ._types import KEY_COUNT, KeyMap, KeyRange
 
+# Greatest fence, so that it can be raised further and still be written.
+MAX_FENCE = 2**62
+
 
 class Owner(NamedTuple):
     """A VM that may own keys, with the incarnation of its target."""
@@ -21,6 +24,25 @@
     weight: float = 1.0
 
 
+def check_keymap(keymap):
+    """Check that a key map assigns each key to one owner at most, under valid fences.
+
+    Raises
+    ------
+    ValueError
+        The message names the range or the fence that is invalid.
+    """
+    if not 0 <= keymap.next_fence <= MAX_FENCE:
+        raise ValueError(f"next fence {keymap.next_fence}")
+    next_key = 0
+    for r in keymap.ranges:
+        if not next_key <= r.start <= r.end < KEY_COUNT:
+            raise ValueError(f"keys {r.start} to {r.end} after {next_key - 1}")
+        if not 0 <= r.fence < keymap.next_fence:
+            raise ValueError(f"fence {r.fence}, the next one is {keymap.next_fence}")
+        next_key = r.end + 1
+
+
 def locate(keymap, key):
     """Return the key range that contains a key, or None if it has no owner."""
     key_ranges = keymap.ranges
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from ._frames import Hello
+from ._keymap import check_keymap
 from ._store import MEMBERSHIP_TOPIC
 from ._types import VM, KeyMap
 
@@ -103,7 +104,7 @@
                 self._apply_vm(name, record)
             elif kind == "keys" and record.value:
                 self._apply_keymap(name, record)
-        except msgspec.MsgspecError as error:
+        except ValueError as error:
             self._node.log(
                 "record_unreadable", key=record.key, offset=record.offset,
                 reason=str(error),
@@ -111,6 +112,7 @@
 
     def _apply_keymap(self, service, record):
         keymap = _keymap_decoder.decode(record.value)
+        check_keymap(keymap)
         self._node.keymaps[service] = keymap
         self._node.log(
             "key_map", service=service, offset=record.offset, rows=len(keymap.ranges),
--- a/tests/router/test_odd_records.py
+++ b/tests/router/test_odd_records.py
@@ -5,7 +5,9 @@
 import trio
 
 from jujuberudder_emulator import run_deployment
-from jujuberudder_router import VM
+from jujuberudder_router import VM, KeyMap, KeyRange, Record
+
+from .test_store_out_of_reach import make_node
 
 
 @pytest.mark.parametrize(
@@ -32,3 +34,42 @@
             while not any("peer_connect_failed" in line for line in vm.lines):
                 await trio.sleep(0.05)
         assert await serves()
+
+
+def key_map(*ranges, next_fence=2):
+    """Return a key map of ranges (start, end, fence) of two VMs."""
+    key_ranges = [KeyRange(*r, f"vm-{n}", f"t{n}@1") for n, r in enumerate(ranges)]
+    return KeyMap("orders", next_fence, tuple(key_ranges))
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        key_map(next_fence=2**64 - 1),
+        key_map(next_fence=-1),
+        key_map((0, 9, 5)),
+        key_map((0, 9, -1)),
+        key_map((-1, 9, 1)),
+        key_map((0, 65536, 1)),
+        key_map((9, 0, 1)),
+        key_map((5, 9, 1), (0, 4, 1)),
+        key_map((0, 9, 1), (9, 12, 1)),
+    ],
+    ids=repr,
+)
+def test_odd_key_map_is_not_applied(odd):
+    """Guards against a key map that ends all nodes of its service, or has two owners.
+
+    A fence that cannot be raised and written ends the task that changes the key map.
+    """
+    events = []
+
+    async def apply():
+        node = make_node("vm-0", None, lambda event, **fields: events.append(event))
+        for offset, keymap in enumerate((key_map((0, 9, 1)), odd)):
+            value = msgspec.msgpack.encode(keymap)
+            node.membership.apply(Record(offset, "keys/orders", value))
+        assert node.keymaps["orders"] == key_map((0, 9, 1))
+
+    trio.run(apply)
+    assert events == ["key_map", "record_unreadable"]
