Refuse a heartbeat with counts that cannot be written, or tokens that are no text

Callers saw their connections end: a heartbeat of another writer with more slots than 64 bits hold ended the node beside the target, with all its requests.

Cause: the slots go into the membership entry and the loads for other nodes, where such a number raised OverflowError in a task of the node. The third column of 'holds' and 'freed' was not checked at all: a handover token that is no text would have gone into the key map, which no node could then read. A row that is too short was answered with 502 in place of a log line that says what is wrong.

--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -302,7 +302,16 @@
         changed_heartbeat("info.slots", -1),
         changed_heartbeat("holds", [["a", 1, 2]]),
         changed_heartbeat("born", True),
+        changed_heartbeat("born", 2**64),
+        changed_heartbeat("info.slots", 10**30),
+        changed_heartbeat("status.sequence", 1.5),
+        changed_heartbeat("holds", [[0, 9, "x"]]),
+        changed_heartbeat("holds", [[0, 9]]),
+        changed_heartbeat("freed", [[0, 9, None]]),
+        changed_heartbeat("freed", [[0, 9, ["x"]]]),
+        b'{"info":' + b"[" * 5000,
     ],
+    ids=lambda body: repr(body)[-60:],
 )
 def test_invalid_heartbeats_are_rejected(body):
     """Guards against malformed heartbeats that make a target usable."""
--- a/tests/router/test_odd_records.py
+++ b/tests/router/test_odd_records.py
@@ -1,11 +1,13 @@
 """Records of the store that can be decoded, but hold unexpected values."""
 
+import json
+
 import msgspec
 import pytest
 import trio
 
 from jujuberudder_emulator import run_deployment
-from jujuberudder_router import VM, KeyMap, KeyRange, Record
+from jujuberudder_router import VM, ConnectionPool, KeyMap, KeyRange, Record
 
 from .test_store_out_of_reach import make_node
 
@@ -73,3 +75,35 @@
 
     trio.run(apply)
     assert events == ["key_map", "record_unreadable"]
+
+
+@pytest.mark.parametrize("field", ["slots", "sequence"])
+async def test_odd_count_in_a_heartbeat_does_not_end_the_node(field):
+    """Guards against a heartbeat of another writer that ends the node beside it.
+
+    Its slots go into the membership entry and into the loads for other nodes, where a
+    number of more than 64 bits cannot be written.
+    """
+    async with run_deployment("orders") as deployment:
+        vm = deployment.vms["vm-0"]
+
+        async def serves():
+            return (await vm.send_request("/orders/1")).status == 200
+
+        await deployment.wait_until(serves)
+        counts = {"slots": 4, "sequence": 1000} | {field: 10**30}
+        body = json.dumps(
+            {
+                "born": vm.target.started_ms,
+                "info": {"service": "orders", "zone": "z", "slots": counts["slots"]},
+                "status": {"state": "ready", "sequence": counts["sequence"]},
+            }
+        ).encode()
+        pool = ConnectionPool(vm.heartbeat_address, 1.0, 1.0)
+        await pool.exchange(
+            b"POST /instances/%s/heartbeat HTTP/1.1\r\ncontent-length: %d\r\n\r\n%s"
+            % (vm.target.id.encode(), len(body), body),
+            "beat",
+        )
+        await trio.sleep(0.5)
+        assert await serves()
