--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -381,6 +381,33 @@
         parse_configuration(value)
 
 
+@pytest.mark.parametrize(
+    "old, new",
+    [
+        ('"r-1"', "7"),
+        ('"/upload/"', "7"),
+        ('"targetLatencyS": 0.5', '"targetLatencyS": "nan"'),
+        ('"idleTimeoutS": 2.5', '"idleTimeoutS": "inf"'),
+        ('"idleTimeoutS": 2.5', '"idleTimeoutS": -1'),
+        ('"idleTimeoutS": 2.5', f'"idleTimeoutS": {"9" * 400}'),
+        ('"maxHeaderBytes": 100', '"maxHeaderBytes": ' + "[" * 5000),
+        ('"priority": 2', f'"priority": {"9" * 30}'),
+        ('"service": "s-1"', '"service": ["s-1"]'),
+    ],
+    ids=lambda text: text[:30],
+)
+def test_configuration_with_an_odd_value_is_rejected(old, new):
+    """Guards against a configuration that ends the nodes or makes all requests fail.
+
+    ``parse_configuration`` raised other errors than those that its caller expects, or
+    requests met values that cannot be compared, hashed or sent to other nodes.
+    """
+    text = json.dumps(CONFIGURATION)
+    assert old in text and parse_configuration(text.encode())
+    with pytest.raises(ValueError):
+        parse_configuration(text.replace(old, new).encode())
+
+
 @pytest.mark.parametrize(
     "grants, expected", [(None, None), ("call", True), ("heartbeat", False)]
 )
