Read numbers of any length in a response's headers

Callers got 502 in place of a response that their target had made: with a Keep-Alive time-out or a load of over 4,300 digits, the response of the target was discarded.

Cause: int() refuses longer numbers with ValueError, which is no failed exchange to the callers of the connection pool.

--- a/packages/router/src/jujuberudder_router/_connection_pool.py
+++ b/packages/router/src/jujuberudder_router/_connection_pool.py
@@ -245,5 +245,5 @@
     for part in keep_alive_header.split(b","):
         name, _, value = part.strip().partition(b"=")
         if name.lower() == b"timeout" and value.strip().isdigit():
-            return max(0.0, int(value) - IDLE_MARGIN_S)
+            return max(0.0, float(value) - IDLE_MARGIN_S)
     return DEFAULT_IDLE_LIMIT_S
