Log a failed accept of a peer's connection, and try again

Callers got no answer at all: with no descriptor left, each connection of another node wrote 1 KB to stderr ten times a second; if that is a pipe that nobody reads, the whole node stood still once it was full. An error of accept that trio does not list ended the node (EINVAL in the test).

Cause: trio.serve_tcp logs such errors with their traceback through the logging module, whose last resort is a write to stderr that blocks, and raises all others.

Links are now accepted by a loop like that of the client server, which logs each failure as accept_failed and tries again after 0.1 s.

Evidence: a real node with 4 descriptors left, 12 connections to its peer port and stderr a pipe: last answer after 8.1 s of 14 s, none for the rest; now all 113 requests are answered up to 14.0 s, with 90 lines accept_failed. The 4 tests failed before.

--- a/packages/router/src/jujuberudder_router/_peer_server.py
+++ b/packages/router/src/jujuberudder_router/_peer_server.py
@@ -25,6 +25,9 @@
 from ._peer_link import HELLO_TIMEOUT_S, WrongPeerError, receive_hello
 from ._server import error_location
 
+# Pause after an accept that failed, in seconds: descriptors may be free again by then.
+ACCEPT_PAUSE_S = 0.1
+
 
 class PeerHandlers(NamedTuple):
     """Functions that handle the frames of other nodes.
@@ -160,4 +163,23 @@
             streams.discard(stream)
             stream.close()
 
-    await trio.serve_tcp(serve, port, host=host)
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    async with trio.open_nursery() as nursery:
+        for listener in listeners:
+            nursery.start_soon(_accept_connections, listener, serve, nursery, log)
+
+
+async def _accept_connections(listener, serve, nursery, log):
+    """Serve the connections of a listener until cancelled, whatever accept reports.
+
+    trio's own loop ends by some errors, and writes others to stderr, which may block.
+    """
+    async with listener:
+        while True:
+            try:
+                tcp_stream = await listener.accept()
+            except OSError as error:
+                log("accept_failed", reason=str(error))
+                await trio.sleep(ACCEPT_PAUSE_S)
+            else:
+                nursery.start_soon(serve, tcp_stream)
--- a/tests/router/test_peer_identity.py
+++ b/tests/router/test_peer_identity.py
@@ -1,5 +1,7 @@
 """Who is at the other end of a connection between nodes, by VM and process."""
 
+import errno
+import os
 from contextlib import asynccontextmanager
 
 import pytest
@@ -212,3 +214,28 @@
     assert [type(f) for f in await stream.receive()] == [Pong]
     assert (report in recorder.frames) == accepted
     stream.close()
+
+
+@pytest.mark.parametrize("number", ["EMFILE", "ENOMEM", "ENOBUFS", "EINVAL"])
+async def test_failed_accept_of_a_peer_is_logged_and_tried_again(
+    number, monkeypatch, capfd, nursery
+):
+    """Guards against a failed accept that ends the node, or blocks it by a message.
+
+    Nobody may read stderr, so that a pipe of it becomes full.
+    """
+    error, accept, failures = getattr(errno, number), trio.SocketListener.accept, []
+
+    async def fail_first(listener):
+        if len(failures) < 3:
+            failures.append(error)
+            raise OSError(error, os.strerror(error))
+        return await accept(listener)
+
+    monkeypatch.setattr(trio.SocketListener, "accept", fail_first)
+    address, server, recorder = free_addresses(1)[0], Recorder(), Recorder()
+    nursery.start_soon(server.serve, address, Hello("b", "1"))
+    async with run_link(address, recorder) as link:
+        await wait_until(lambda: link.up)
+    assert len(server.reasons("accept_failed")) == 3
+    assert capfd.readouterr().err == ""
