--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -69,10 +69,17 @@
         ("appAddr", "other", "appAddr is missing"),
         ("nodeName =", "nodeName", "line 2"),
         ('["holdMaxS=8"', '["holdMaxS=fast"', "fast"),
+        ("memoryMb = 300", "memoryMb = inf", "infinity"),
+        ("heartbeatS = 0.87", "heartbeatS = " + "9" * 400, "too large"),
+        ("heartbeatS = 0.87", "heartbeatS = " + "[" * 2000, "recursion"),
     ],
+    ids=lambda text: text[:20],
 )
 def test_invalid_settings_are_rejected(tmp_path, old, new, message):
-    """Guards against a node that starts with missing or malformed settings."""
+    """Guards against a node that starts with missing or malformed settings.
+
+    A running node that reads them again would end by any other error.
+    """
     path = tmp_path / "local.toml"
     path.write_text(SETTINGS.replace(old, new))
     with pytest.raises(UserError, match=message):
