Take a status below 200 for a malformed response of the target

Callers could not read their response: a status line such as HTTP/1.1 000 or 099 of a faulty target was passed on with that status, which a client takes for bytes that are no response.

Cause: check_response did not look at the range of the status.

Such a response is now malformed, so that the request gets 502, or is sent to another target if it may be repeated.

--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -179,12 +179,14 @@
         (response(503, not_run=b"1"), True, False),
         (response(421), True, False),
         (response(503, id=b"q2", not_run=b"1"), True, True),
+        (response(99, id=b"q1", signature=b"s"), False, True),
+        (response(0, id=b"q1", not_run=b"1"), True, True),
     ],
     ids=[
         "success", "no signature", "no id", "id of another request", "encoded",
         "failure", "503 without the not-run header", "shed",
         "shed before the id was read", "another target",
-        "refusal with the id of another request",
+        "refusal with the id of another request", "status 99", "status 0",
     ],
 )  # fmt: skip
 def test_response_check(message, not_run, invalid):
