Send no key map while all records of the topic are read again

Callers of keyed services could get 502: if the store removed records that a node was to read next while the node wrote a change of the key map, the node sent an update without an end to the owners, which cannot be decoded. They closed the link, and with it ended the requests that they ran for this node.

Cause: the end of a follower is None from a 410 until the next read of all records.

The owners are then not informed; they read the change themselves.

--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -748,6 +748,8 @@
 
     def _inform(self, before, after, offset):
         """Send the key map at an offset to the VMs that got keys or lost some."""
+        if self._follower.end is None:
+            return  # Older records were removed meanwhile, so that all are read again.
         update = self._node.sharing.update_since(MEMBERSHIP_TOPIC, offset)
         for vm in {
             key_range.vm for key_range in set(after.ranges) ^ set(before.ranges)
--- a/tests/router/test_odd_records.py
+++ b/tests/router/test_odd_records.py
@@ -8,6 +8,7 @@
 
 from jujuberudder_emulator import run_deployment
 from jujuberudder_router import VM, ConnectionPool, KeyMap, KeyRange, Record
+from jujuberudder_router._frames import FrameBuffer, encode_frame
 
 from .test_store_out_of_reach import make_node
 
@@ -107,3 +108,16 @@
         )
         await trio.sleep(0.5)
         assert await serves()
+
+
+async def test_key_map_is_not_sent_while_all_records_are_read_again():
+    """Guards against a frame that no node can decode, so that it closes the link.
+
+    Older records may be removed while a change of the key map is being written.
+    """
+    node, sent = make_node("vm-0", None), []
+    node.peers.send_soon = lambda vm, frame: sent.append(frame)
+    node.membership_follower.end = None
+    node.ownership._inform(KeyMap("orders"), key_map((0, 9, 1), (10, 19, 1)), 5)
+    for frame in sent:
+        FrameBuffer().feed(encode_frame(frame))
