--- a/packages/standins/src/jujuberudder_standins/_proxy.py
+++ b/packages/standins/src/jujuberudder_standins/_proxy.py
@@ -33,6 +33,8 @@
         chunk is lost.
     forwarded_bytes : int
         Number of bytes forwarded so far.
+    silences : int
+        Number of calls of ``silence`` so far.
     """
 
     def __init__(self, rng):
@@ -46,6 +48,11 @@
         self.reset_share = 0.0
         self.pending_resets = 0
         self.forwarded_bytes = 0
+        self.silences = 0
+
+    def silence(self):
+        """Hold back all bytes of the connections that are open now, for good."""
+        self.silences += 1
 
     def cut(self):
         """Hold back all bytes, as TCP does while it retransmits over a cut link."""
@@ -168,9 +175,10 @@
 async def _pump(source, destination, path):
     """Forward one direction; reading continues while earlier chunks are delayed."""
     send, receive = trio.open_memory_channel(MAX_QUEUED_CHUNKS)
+    silences = path.silences
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_read_chunks, source, send, path)
-        nursery.start_soon(_write_chunks, receive, destination, path)
+        nursery.start_soon(_write_chunks, receive, destination, path, silences)
 
 
 async def _read_chunks(source, send, path):
@@ -179,20 +187,27 @@
             await send.send((trio.current_time() + path.draw_delay_s(), data))
 
 
-async def _write_chunks(receive, destination, path):
+async def _write_chunks(receive, destination, path, silences):
     async for due, data in receive:
         await trio.sleep_until(due)
-        await path.wait_open()
+        await _wait_forwarding(path, silences)
         if path.should_reset():
             raise _Reset
         if path.bytes_per_s:
             await trio.sleep(len(data) / path.bytes_per_s)
         path.forwarded_bytes += len(data)
         await destination.send_all(data)
-    await path.wait_open()
+    await _wait_forwarding(path, silences)
     await destination.send_eof()
 
 
+async def _wait_forwarding(path, silences):
+    """Wait while the path is cut, or for ever if the connection is silenced."""
+    await path.wait_open()
+    if path.silences != silences:
+        await trio.sleep_forever()
+
+
 _network_numbers = count(random.SystemRandom().randrange(1 << 16))
 
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -76,6 +76,21 @@
         assert await stream.receive_some() == b"x"
 
 
+@pytest.mark.parametrize("silenced", [("a", "b"), ("b", "a")])
+async def test_silence_holds_back_the_bytes_of_open_connections(network, silenced):
+    """Guards against a silence that passes bytes or the end on, or lasts for others."""
+    async with await connect(network) as stream:
+        assert await exchange(stream) == b"x"
+        network.path(*silenced).silence()
+        assert await exchange(stream) is None
+        await stream.send_eof()
+        with trio.move_on_after(0.5) as waiting:
+            await stream.receive_some()
+        assert waiting.cancelled_caught
+    async with await connect(network) as stream:
+        assert await exchange(stream) == b"x"
+
+
 async def test_answer_is_lost_after_the_request_has_arrived(network):
     """Guards against a fault that loses the request along with its answer."""
     network.path("b", "a").pending_resets = 1
