Soak clients use a connection until the node closes it

The load of the soak used a pool that opens a new connection when the node closes, and requests beside a fault on their VM were not looked at. Three clients of each VM now keep one connection each, and the check "lost" finds requests on them that ran, or were sent over 0.2 s before, when their connection ended without an answer; only unplanned faults of the VM and its links excuse that. "unanswered" is a request whose client gave up 2 s after its deadline.

--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -5,12 +5,25 @@
 import socket
 import subprocess
 import sys
+from typing import NamedTuple
 
 import pytest
 import trio
 
-from jujuberudder_emulator import Deployment, Response, Run, free_addresses
-from jujuberudder_emulator._checks import contradicted_responses, overlapping_owners
+from jujuberudder_emulator import (
+    Deployment,
+    Response,
+    Run,
+    _soak_clients,
+    free_addresses,
+)
+from jujuberudder_emulator._checks import (
+    Disturbance,
+    contradicted_responses,
+    lost_requests,
+    overlapping_owners,
+)
+from jujuberudder_emulator._soak_clients import Attempt, KeptClient
 from jujuberudder_emulator._soak_faults import FAULTS, make_schedule
 from jujuberudder_emulator.soak import has_handler, run
 
@@ -21,6 +34,13 @@
 ]
 
 
+class VM(NamedTuple):
+    """The part of a VM that a client needs."""
+
+    name: str
+    client_address: str
+
+
 def make_run(target, started, ended, fence, key=7, request_id="q1", body=b""):
     return Run(target, request_id, key, fence, started, ended, body)
 
@@ -78,6 +98,106 @@
     assert [kind for kind, _ in result] == kinds
 
 
+def make_attempt(end="closed", sent=10.1, ended=11.0):
+    return Attempt("vm-0", "q1", 10.0, sent, ended, end)
+
+
+RUN = make_run("a", 10.2, 10.3, None, None)
+OTHER_RUN = make_run("a", 10.2, 10.3, None, None, request_id="q2")
+
+
+@pytest.mark.parametrize(
+    "attempt, runs, kinds",
+    [
+        (make_attempt("answered"), [RUN], []),
+        (make_attempt(), [RUN], ["lost"]),
+        (make_attempt(), [], ["lost"]),
+        (make_attempt(ended=10.2), [RUN], ["lost"]),
+        (make_attempt(ended=10.2), [OTHER_RUN], []),
+        (make_attempt(ended=10.29), [], []),
+        (make_attempt(ended=10.31), [], ["lost"]),
+        (make_attempt(sent=None), [], []),
+        (make_attempt(sent=None), [RUN], ["lost"]),
+        (make_attempt("given up", ended=14.0), [], ["unanswered"]),
+        (make_attempt("given up", ended=14.0), [RUN], ["unanswered"]),
+        (make_attempt("given up", sent=None, ended=14.0), [], ["unanswered"]),
+    ],
+)
+def test_lost_requests(attempt, runs, kinds):
+    """Guards against a check that misses a request left without an answer."""
+    assert [kind for kind, _ in lost_requests([attempt], runs, [])] == kinds
+
+
+@pytest.mark.parametrize(
+    "disturbance, excused",
+    [
+        (Disturbance("vm-0", 10.5, 10.5), True),
+        (Disturbance("vm-0", 1.0, float("inf")), True),
+        (Disturbance("vm-0", 1.0, 7.1), True),
+        (Disturbance("vm-0", 1.0, 6.9), False),
+        (Disturbance("vm-0", 11.1, 12.0), False),
+        (Disturbance("vm-1", 10.5, 10.5), False),
+    ],
+)
+def test_only_disturbances_of_its_vm_excuse_a_lost_request(disturbance, excused):
+    """Guards against a lost request that a fault elsewhere or long ago excuses."""
+    calm = Disturbance("vm-0", 1.0, 2.0)
+    found = lost_requests([make_attempt()], [RUN], [calm, disturbance])
+    assert bool(found) != excused
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+
+
+@pytest.mark.parametrize(
+    "response, closes, ends, used",
+    [
+        (HEAD + b"\r\ndone", False, ["answered"] * 3, [0, 0, 0]),
+        (HEAD + b"Connection: close\r\n\r\ndone", False, ["answered"] * 3, [0, 1, 2]),
+        (HEAD + b"\r\ndone", True, ["answered", "closed"] * 2, [0, 1]),
+        (HEAD + b"\r\ndon", True, ["closed"] * 2, [0, 1]),
+        (HEAD + b"\r\ndon", False, ["given up"] * 2, [0, 1]),
+        (b"", True, ["closed"] * 2, [0, 1]),
+        (b"", False, ["given up"] * 2, [0, 1]),
+        (b"no response\r\n\r\n", False, ["closed"] * 2, [0, 1]),
+    ],
+)
+async def test_kept_client_records_how_a_request_ended(
+    response, closes, ends, used, nursery, monkeypatch
+):
+    """Guards against clients that leave early, or take part of an answer for all."""
+    monkeypatch.setattr(_soak_clients, "DEADLINE_S", 0.1)
+    monkeypatch.setattr(_soak_clients, "PATIENCE_S", 0.2)
+    monkeypatch.setattr(_soak_clients, "MEAN_PAUSE_S", 0.01)
+    monkeypatch.setattr(_soak_clients, "BOOKING_SHARE", 0.0)
+    streams, arrivals, attempts, told = [], [], [], []
+
+    async def serve(stream):
+        streams.append(stream)
+        async for _ in stream:
+            arrivals.append(streams.index(stream))
+            await stream.send_all(response)
+            if closes:
+                return
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+    vm = VM("vm-0", f"127.0.0.1:{listeners[0].socket.getsockname()[1]}")
+    client = KeptClient(
+        vm, random.Random(1), lambda: f"q{len(attempts)}", ["/jobs/x"], [7], attempts,
+        lambda *record: told.append(record),
+    )  # fmt: skip
+    nursery.start_soon(client.run)
+    with trio.fail_after(5):
+        while len(attempts) < len(ends) or len(arrivals) < len(used):
+            await trio.sleep(0.01)
+    nursery.cancel_scope.cancel()
+    assert [attempt.end for attempt in attempts[: len(ends)]] == ends
+    assert arrivals[: len(used)] == used
+    if ends[0] == "answered":
+        assert told[0] == ("q0", 200, b"done", b"")
+
+
 def test_schedule_is_reproducible_and_draws_all_faults():
     """Guards against schedules that differ under one seed, and faults never drawn."""
     names = ["a", "b", "c"]
