--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -1,5 +1,6 @@
 """The soak: its checks, its schedule, and short runs of it."""
 
+import os
 import random
 import signal
 import socket
@@ -9,6 +10,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from jujuberudder_emulator import (
     Deployment,
@@ -25,6 +27,7 @@
 )
 from jujuberudder_emulator._soak_clients import Attempt, KeptClient
 from jujuberudder_emulator._soak_faults import FAULTS, make_schedule
+from jujuberudder_emulator._soak_log import LogPipe
 from jujuberudder_emulator.soak import has_handler, run
 
 # Seed, seconds and number of VMs of a run, and its purpose. A seed that failed stays
@@ -198,6 +201,22 @@
         assert told[0] == ("q0", 200, b"done", b"")
 
 
+async def test_blocked_log_stops_a_writer_and_loses_nothing(nursery, tmp_path):
+    """Guards against a block that a writer does not notice, or that lasts."""
+    pipe, path = LogPipe(tmp_path / "log"), tmp_path / "log"
+    with pipe.open(nursery) as output:
+        os.write(output.fileno(), b"before\n")
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.start_soon(pipe.block, 0.5)
+        await trio.testing.wait_all_tasks_blocked()
+        started = trio.current_time()
+        await trio.to_thread.run_sync(os.write, output.fileno(), b"after\n")
+        assert 0.4 < trio.current_time() - started < 3.0
+    with trio.fail_after(5):
+        while not path.exists() or path.read_bytes() != b"before\nafter\n":
+            await trio.sleep(0.01)
+
+
 def test_schedule_is_reproducible_and_draws_all_faults():
     """Guards against schedules that differ under one seed, and faults never drawn."""
     names = ["a", "b", "c"]
