--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -79,13 +79,13 @@
 @pytest.mark.parametrize("silenced", [("a", "b"), ("b", "a")])
 async def test_silence_holds_back_the_bytes_of_open_connections(network, silenced):
     """Guards against a silence that passes bytes or the end on, or lasts for others."""
-    async with await connect(network) as stream:
-        assert await exchange(stream) == b"x"
+    async with await connect(network) as stream, await connect(network) as ended:
+        assert await exchange(stream) == await exchange(ended) == b"x"
         network.path(*silenced).silence()
         assert await exchange(stream) is None
-        await stream.send_eof()
+        await ended.send_eof()
         with trio.move_on_after(0.5) as waiting:
-            await stream.receive_some()
+            await ended.receive_some()
         assert waiting.cancelled_caught
     async with await connect(network) as stream:
         assert await exchange(stream) == b"x"
