--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -34,6 +34,8 @@
 # here with its cause.
 RUNS = [
     (1, 8.0, 4, "the usual faults in sequence"),
+    # A node whose log pipe was full stood still in the write of a log line.
+    (37029, 10.0, 6, "a log that is not read for 6 s stops no request"),
 ]
 
 
