--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -270,6 +270,34 @@
     assert b"event=stop " in (tmp_path / "out").read_bytes()
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_signals_at_the_end_of_a_stop(number, tmp_path):
+    """Guards against a stopped node that a later signal ends (seed 37011, 10 s)."""
+    output_path = tmp_path / "out"
+
+    async def send_signals():
+        async with trio.open_nursery() as nursery:
+            vm = Deployment(nursery).add("vm-0", "jobs")
+            with open(output_path, "wb") as output:
+                process = vm.start_process(tmp_path, output)
+            try:
+                with trio.fail_after(30):
+                    while not has_handler(process.pid, signal.SIGHUP):
+                        await trio.sleep(0.001)
+                    process.send_signal(signal.SIGTERM)
+                    while b"event=stop " not in output_path.read_bytes():
+                        await trio.sleep(0.001)
+                    while process.poll() is None:
+                        process.send_signal(number)
+                        await trio.sleep(0.002)
+            finally:
+                process.kill()
+            nursery.cancel_scope.cancel()
+            return process.wait()
+
+    assert trio.run(send_signals) == 0
+
+
 @pytest.mark.parametrize("seed, seconds, vms, purpose", RUNS)
 def test_soak_run(seed, seconds, vms, purpose, tmp_path):
     """Guards against violations by real node processes under faults from outside."""
