Cut long values in log lines

One message with a field of 1 MB made a log line of 1 MB (measured): the number of lines was bounded, not their length. Values over 500 characters are cut, and the line states how long they were.

--- a/packages/base/src/jujuberudder_base/_lines.py
+++ b/packages/base/src/jujuberudder_base/_lines.py
@@ -7,6 +7,8 @@
 
 _UNQUOTED = re.compile(r"[\w.:/@+,*%-]+\Z")
 
+# Maximum characters of a value. A reason may quote a message of any length.
+MAX_VALUE_CHARS = 500
 # Lines buffered between two writes; further lines are dropped and counted. With a write
 # every 0.25 s this allows 4,000 lines/s, more than a node logs at full load.
 MAX_BATCH_LINES = 1000
@@ -16,8 +18,10 @@
 
 
 def format_value(value):
-    """Return a value as text on one line, quoted and escaped where needed."""
+    """Return a value as text on one line, cut, quoted and escaped where needed."""
     text = f"{value:.4f}" if isinstance(value, float) else str(value)
+    if len(text) > MAX_VALUE_CHARS:
+        text = f"{text[:MAX_VALUE_CHARS]}... ({len(text)} characters)"
     if _UNQUOTED.match(text):
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"')
--- a/tests/test_output.py
+++ b/tests/test_output.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from jujuberudder_base import LineLog, OutputThread
+from jujuberudder_base import LineLog, OutputThread, format_value
 from jujuberudder_base._output import MAX_PENDING_BYTES
 
 LINE = "x" * 999 + "\n"
@@ -54,3 +54,11 @@
     assert [text.count("\n") for text in written] == [1, 2, 1]
     assert "event=log_lines_left_out vm=a n=2" in written[1]
     assert log.lost_lines == 2
+
+
+@pytest.mark.parametrize("character", ["x", " ", "\n"], ids=ascii)
+def test_long_value_is_cut(character):
+    """Guards against log lines as long as the message that they quote."""
+    text = format_value(character * 1_000_000)
+    assert len(text) < 1100
+    assert text.endswith('... (1000000 characters)"')
