Wait for the listener to close before a stopping node ends

Requests that had just been accepted by the system were reset during a planned stop under load. drain() only cancels the task that accepts, and returned at once if no connection was open at that moment; the process then ended, and what waited in the listen queue, or was accepted but not started, was reset.

drain() waits until the listener is closed, and a connection counts as open as soon as it is accepted.

test_stop_without_open_connections_answers_those_that_wait failed before and passes.

--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -66,6 +66,7 @@
         self._limits = limits
         self.log = log
         self._connections = set()
+        self._open_listeners = 0
         self._accept_scope = trio.CancelScope()
         self.closing = False
 
@@ -81,6 +82,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._close_expired_periodically)
             for listener in listeners:
+                self._open_listeners += 1
                 nursery.start_soon(self._accept_connections, listener, nursery)
 
     def stop_accepting(self):
@@ -98,9 +100,15 @@
                     self.log("accept_failed", reason=str(error))
                     await trio.sleep(SWEEP_INTERVAL_S / 10)
                     continue
-                nursery.start_soon(self._serve_connection, stream)
+                self._start_connection(stream, nursery)
         for stream in self._accept_waiting(listener):
-            nursery.start_soon(self._serve_connection, stream)
+            self._start_connection(stream, nursery)
+        self._open_listeners -= 1
+
+    def _start_connection(self, stream, nursery):
+        connection = _Connection(stream, self)
+        self._connections.add(connection)
+        nursery.start_soon(self._serve_connection, connection, stream)
 
     def _accept_waiting(self, listener):
         """Close a listener and return the connections that waited to be accepted.
@@ -139,7 +147,10 @@
         """
         self.closing = True
         self.stop_accepting()
-        while self._connections and trio.current_time() < deadline:
+        # The listeners close in tasks of their own, which accept what waits until then.
+        while (
+            self._connections or self._open_listeners
+        ) and trio.current_time() < deadline:
             self.close_idle()
             await trio.sleep(STOP_POLL_S)
 
@@ -153,9 +164,7 @@
             if connection.idle_s(now) >= STOP_IDLE_S and not connection.has_data():
                 connection.stop_reading()
 
-    async def _serve_connection(self, stream):
-        connection = _Connection(stream, self)
-        self._connections.add(connection)
+    async def _serve_connection(self, connection, stream):
         try:
             await connection.run()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -125,6 +125,30 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_stop_without_open_connections_answers_those_that_wait():
+    """Guards against a process that ends before it has accepted the last requests."""
+    async with trio.open_nursery() as nursery:
+        server, stream = await start_server(nursery, respond)
+        address = stream.socket.getpeername()
+        await stream.aclose()
+        with trio.fail_after(5):
+            while server._connections:
+                await trio.sleep(0.01)
+        with ExitStack() as stack:
+            # Opened without a checkpoint, so that the server cannot accept them before.
+            clients = [
+                stack.enter_context(socket.create_connection(address)) for _ in range(3)
+            ]
+            for client in clients:
+                client.sendall(REQUEST)
+            with trio.fail_after(5):
+                await server.drain(trio.current_time() + 3.0)
+            nursery.cancel_scope.cancel()
+            for client in clients:
+                client.settimeout(5.0)
+                assert client.recv(1000).startswith(b"HTTP/1.1 200")
+
+
 @pytest.mark.parametrize("clients", [1, 8, 64])
 async def test_listener_closes_although_clients_connect_again_at_once(clients):
     """Guards against a stopping node that accepts requests until its process ends.
