Read the replies that arrived before a send on a link failed

A caller got 502 for a request whose reply was in the socket buffer of its node: the process beside the target had ended after its reply, a ping on the link failed, and the task that sends ended the link before the one that reads had read all. The class is that of the reset response: an error seen by one task that another one needed.

After a failed send the writer ends, and the reader gets what has arrived, then the error. test_replies_that_arrived_before_a_failed_send_are_used failed before (the writer raised) and passes. test_broken_connection_ends_both_tasks asked for an error of the writer; it asks now that the writer ends and the reader raises, which ends the link as before.

--- a/packages/router/src/jujuberudder_router/_frame_stream.py
+++ b/packages/router/src/jujuberudder_router/_frame_stream.py
@@ -1,5 +1,6 @@
 """Frames on a TCP connection between two nodes."""
 
+import contextlib
 import socket
 
 import trio
@@ -40,8 +41,11 @@
     def send(self, frame):
         """Send or queue a frame; never waits.
 
-        If the connection is broken, `receive` and `run_writer` raise.
+        If the connection is broken, the frame is dropped, and `receive` raises after
+        the frames that have arrived.
         """
+        if self._send_error is not None:
+            return
         data = encode_frame(frame)
         sent_bytes = 0 if self._unsent else self._send_some(data)
         if sent_bytes < len(data):
@@ -59,21 +63,18 @@
             return 0
 
     async def run_writer(self):
-        """Send queued frames until cancelled.
-
-        Raises
-        ------
-        trio.BrokenResourceError
-        """
-        while True:
+        """Send queued frames until cancelled or until a send fails."""
+        while self._send_error is None:
             await self._unsent_event.wait()
             self._unsent_event = trio.Event()
-            while self._unsent:
-                self._raise_send_error()
+            while self._unsent and self._send_error is None:
                 await trio.lowlevel.wait_writable(self._socket)
                 with memoryview(self._unsent)[:WRITE_BYTES] as data:
                     sent_bytes = self._send_some(data)
                 del self._unsent[:sent_bytes]
+        # What has arrived is still read, and then the end.
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RD)
 
     async def receive(self):
         """Wait for bytes and return the frames that are then complete.
@@ -99,12 +100,9 @@
             return self._frames.feed(data)
         # The system reports an error once, so that a read after a failed send sees an
         # end of the stream.
-        self._raise_send_error()
-        return None
-
-    def _raise_send_error(self):
         if self._send_error is not None:
             raise _broken(self._send_error) from self._send_error
+        return None
 
     def close(self):
         """Close the connection without waiting for queued frames."""
