Serve the keys of a stopping node until they move

The change for requests that may outlast a stopping node, from SIGTERM on, also refused requests with keys: no other VM can serve these before the keys move, 2.4 s later. The early deadline holds for requests without a key only.

test_keys_of_a_stopping_node_are_served_until_they_move failed before and passes.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -203,6 +203,9 @@
     drain_deadline : float or None
         Time on the node's clock, in seconds, at which unfinished requests get a final
         response; None while the node does not drain.
+    keyed_drain_deadline : float or None
+        The same for requests with a key: no other VM can serve them before the key
+        has moved.
     closed_reason : str
         Reason for which all requests are refused; empty while requests are admitted.
     """
@@ -227,7 +230,7 @@
         self._mean_used = 0.0
         self.slots = 0
         self.rate_limiter = RateLimiter()
-        self.drain_deadline = None
+        self.drain_deadline = self.keyed_drain_deadline = None
         self.closed_reason = "no target has announced itself"
 
     @property
@@ -371,7 +374,7 @@
         if self.closed_reason:
             raise Refused(self.closed_reason, 0.0)
         service_s = self._expected_service_s(request)
-        if self._may_outlast_node(service_s, now):
+        if self._may_outlast_node(request.key, service_s, now):
             raise Refused(OUTLASTS_NODE, 0.0)
         if request.key is not None:
             self._arrivals.append((now, request.key, service_s))
@@ -398,12 +401,13 @@
         if delay_s > 0:
             raise Refused(KEY_NOT_HELD, max(RETRY_AFTER_MIN_S, delay_s))
 
-    def _may_outlast_node(self, service_s, now):
+    def _may_outlast_node(self, key, service_s, now):
         """Return whether a request that starts now may still run when the node ends."""
-        return (
-            self.drain_deadline is not None
-            and now + MAX_RUN_FACTOR * service_s > self.drain_deadline
-        )
+        if key is None:
+            deadline = self.drain_deadline
+        else:
+            deadline = self.keyed_drain_deadline
+        return deadline is not None and now + MAX_RUN_FACTOR * service_s > deadline
 
     def _check_expected_wait(self, request, now, service_s, late_s):
         waiters = self._waiters.values()
@@ -462,7 +466,7 @@
             raise Refused(KEY_MOVED, 0.0)
         if self.closed_reason:
             raise Refused(self.closed_reason, 0.0)
-        if self._may_outlast_node(service_s, trio.current_time()):
+        if self._may_outlast_node(request.key, service_s, trio.current_time()):
             raise Refused(OUTLASTS_NODE, 0.0)
         self._check_key(request.key, trio.current_time())
         raise Refused("no slot came free in time", RETRY_AFTER_MIN_S)
@@ -492,14 +496,14 @@
             return
         now = trio.current_time()
         for waiter in self._waiters.values():
-            if self._may_outlast_node(waiter.service_s, now):
+            if self._may_outlast_node(waiter.key, waiter.service_s, now):
                 waiter.event.set()
         while self._waiters and self._may_start(now):
             waiter = next_waiter(
                 (
                     w
                     for w in self._waiters.values()
-                    if not self._may_outlast_node(w.service_s, now)
+                    if not self._may_outlast_node(w.key, w.service_s, now)
                 ),
                 now,
                 lambda key: self._may_serve_key(key, now),
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -784,7 +784,7 @@
     node.admission.drain_deadline = deadline
     await trio.sleep(min(STOP_ACCEPTING_S, settings.grace_s / 2))
     client_server.closing = True
-    node.drain_deadline = deadline
+    node.drain_deadline = node.admission.keyed_drain_deadline = deadline
     await _poll_until(
         deadline - STOP_TARGET_MARGIN_S,
         lambda: not client_server.busy,
--- a/tests/router/test_stopping_node.py
+++ b/tests/router/test_stopping_node.py
@@ -96,3 +96,27 @@
         await trio.sleep(0.8)
         entry.stopping.set()
         assert await send(8) == [200] * 8
+
+
+async def test_keys_of_a_stopping_node_are_served_until_they_move():
+    """Guards against refused requests that no other VM can serve yet.
+
+    Eight times their mean does not fit into the time that the node has left.
+    """
+    async with run_deployment("orders", "jobs", "jobs") as deployment:
+        entry, first, other = deployment.vms.values()
+        for vm in (first, other):
+            vm.target_scope.cancel()
+            vm.start_target(work_s=0.35, slots=16)
+        keys = list(range(0, 65536, 8192))
+        await deployment.wait_until(lambda: deployment.serves_keys(keys))
+        first.stopping.set()
+        statuses = []
+
+        async def send(key):
+            statuses.append((await entry.send_request("/jobs/x", key=key)).status)
+
+        async with trio.open_nursery() as nursery:
+            for key in keys:
+                nursery.start_soon(send, key)
+        assert statuses == [200] * len(keys)
