Keep an error of one connection between nodes from ending the process

As for the connections of clients: an error that nothing expects, raised by a frame of one other node, ended the node with all requests. It closes that connection and is logged now (connection_fault). The client listener retries after each failed accept, as that of the peers does; before, an error that was not listed ended the node, and one at the end of a stop reset the connections behind it.

No frame that raises such an error is known.

--- a/packages/router/src/jujuberudder_router/_peer_link.py
+++ b/packages/router/src/jujuberudder_router/_peer_link.py
@@ -21,6 +21,7 @@
     Update,
 )
 from ._http import dial
+from ._server import describe_fault
 
 # Ping intervals without any frame after which a link gets no new requests: one
 # interval, a round trip and a late timer.
@@ -316,6 +317,9 @@
             reason = str(group.exceptions[0])
         except* (FrameError, msgspec.MsgspecError) as group:
             reason = str(group.exceptions[0])
+        except* Exception as group:
+            reason = "internal fault"
+            self._log("connection_fault", peer=self.vm.name, **describe_fault(group))
         finally:
             if self._silent_s is not None:
                 reason = f"silent for {self._silent_s:.1f} s"
--- a/packages/router/src/jujuberudder_router/_peer_server.py
+++ b/packages/router/src/jujuberudder_router/_peer_server.py
@@ -23,7 +23,7 @@
     Update,
 )
 from ._peer_link import HELLO_TIMEOUT_S, WrongPeerError, receive_hello
-from ._server import error_location
+from ._server import describe_fault, error_location
 
 # Pause after an accept that failed, in seconds: descriptors may be free again by then.
 ACCEPT_PAUSE_S = 0.1
@@ -158,6 +158,8 @@
             msgspec.MsgspecError,
         ) as group:
             log("peer_connection_lost", reason=str(group.exceptions[0]))
+        except* Exception as group:
+            log("connection_fault", **describe_fault(group))
         finally:
             handlers.subscribe(number, None, None)
             streams.discard(stream)
--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 server: one task reads each client connection."""
 
-import errno
 import socket
 import traceback
 
@@ -13,8 +12,6 @@
 # Listen backlog: holds a burst of new connections from the clients of one availability
 # zone.
 BACKLOG = 1024
-# Errors of ``accept`` that pass once connections are closed or memory is free.
-TEMPORARY_ACCEPT_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # Interval between two checks for connections that are idle or send a header slowly.
 SWEEP_INTERVAL_S = 1.0
 # Number of pipelined requests read ahead on one connection, beyond which it is read no
@@ -43,6 +40,12 @@
     return group
 
 
+def describe_fault(group):
+    """Return the fields of a log line about an exception group."""
+    error = leaf_exception(group)
+    return {"error": repr(error), "where": error_location(error)}
+
+
 class Server:
     """HTTP/1.1 server for the connections of clients.
 
@@ -95,8 +98,6 @@
                 try:
                     stream = await listener.accept()
                 except OSError as error:
-                    if error.errno not in TEMPORARY_ACCEPT_ERRORS:
-                        raise
                     self.log("accept_failed", reason=str(error))
                     await trio.sleep(SWEEP_INTERVAL_S / 10)
                     continue
@@ -120,14 +121,16 @@
         streams = []
         with socket.socket(fileno=listener.socket.detach()) as sock:
             sock.setblocking(False)
-            try:
-                while len(streams) < BACKLOG:
+            for _ in range(BACKLOG):
+                try:
                     accepted = trio.socket.from_stdlib_socket(sock.accept()[0])
+                except BlockingIOError:
+                    break  # No connection waits.
+                except OSError as error:
+                    # It may concern one of the connections only, as ECONNABORTED does.
+                    self.log("accept_failed", reason=str(error))
+                else:
                     streams.append(trio.SocketStream(accepted))
-            except BlockingIOError:
-                pass  # No connection waits.
-            except OSError as error:
-                self.log("accept_failed", reason=str(error))
         return streams
 
     async def _close_expired_periodically(self):
@@ -171,8 +174,7 @@
             pass  # The client disconnected; its request was cancelled with the nursery.
         except* Exception as group:
             # An error of one connection must not end the others and the process.
-            error = leaf_exception(group)
-            self.log("connection_fault", error=repr(error), where=error_location(error))
+            self.log("connection_fault", **describe_fault(group))
         finally:
             self._connections.discard(connection)
             stream.socket.close()
