Send no request on a link that was given up as silent

Cause: a link without requests for 3 s is pinged before it is used, and given up after 0.4 s without a pong, as when the other VM is busy. Giving it up only cancelled its task. The request went on in the same step, found the connection there, was written to it, and was in doubt when the task ended a moment later. A link has no connection any more as soon as it is given up; the request waits for a new one.

--- a/packages/router/src/jujuberudder_router/_peer_link.py
+++ b/packages/router/src/jujuberudder_router/_peer_link.py
@@ -308,10 +308,10 @@
         try:
             async with trio.open_nursery() as nursery:
                 self._connection_scope = nursery.cancel_scope
-                nursery.start_soon(self._stream.run_writer)
+                nursery.start_soon(stream.run_writer)
                 self.ping()
                 self._callbacks.on_connect(self.vm.name)
-                await self._receive()
+                await self._receive(stream)
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError) as group:
             reason = str(group.exceptions[0])
@@ -323,7 +323,7 @@
         finally:
             if self._silent_s is not None:
                 reason = f"silent for {self._silent_s:.1f} s"
-            self._stream.close()
+            stream.close()
             self._stream = None
             self._failed, self._unanswered_ping_at = True, None
             self._fail_pending(reason)
@@ -337,8 +337,8 @@
                 ForwardReply(0, UNKNOWN, reason=f"link to {self.vm.name}: {reason}")
             )
 
-    async def _receive(self):
-        while (frames := await self._stream.receive()) is not None:
+    async def _receive(self, stream):
+        while (frames := await stream.receive()) is not None:
             self._record_receipt()
             for frame in frames:
                 self._handle_frame(frame)
@@ -372,6 +372,8 @@
         if self._connection_scope is not None:
             self._silent_s = trio.current_time() - self.received_at
             self._connection_scope.cancel()
+            # Nothing more is sent on it, also before its task has ended.
+            self._stream, self._failed = None, True
 
     def ping(self):
         """Send a ``Ping``, if there is a connection."""
