Keep an idle link open while a request waits for it

A request marks the link as used first, and a dropped link has no connection any more at once. The third case of test_request_is_not_sent_on_a_link_that_was_given_up failed before (not run) and passes.

--- a/packages/router/src/jujuberudder_router/_peer_link.py
+++ b/packages/router/src/jujuberudder_router/_peer_link.py
@@ -372,8 +372,11 @@
         if self._connection_scope is not None:
             self._silent_s = trio.current_time() - self.received_at
             self._connection_scope.cancel()
-            # Nothing more is sent on it, also before its task has ended.
-            self._stream, self._failed = None, True
+            self.discard_connection()
+
+    def discard_connection(self):
+        """Send nothing more on the connection, also before its task has ended."""
+        self._stream, self._failed = None, True
 
     def ping(self):
         """Send a ``Ping``, if there is a connection."""
--- a/packages/router/src/jujuberudder_router/_peers.py
+++ b/packages/router/src/jujuberudder_router/_peers.py
@@ -137,6 +137,8 @@
         link, started = self.ensure(vm), trio.current_time()
         if link is None:
             return ForwardReply(0, NOT_RUN, reason=f"no VM {vm} is known")
+        # Keeps an idle link from being closed while it is probed.
+        link.used_at = started
         if link.connected and not link.kept and not link.in_flight:
             if link.idle_s > PROBE_IDLE_S:
                 await link.probe(PROBE_TIMEOUT_S)
@@ -163,10 +165,11 @@
 
     def drop(self, vm):
         """Close the link to a VM: its address has changed, or it is gone."""
-        scope = self._scopes.pop(vm, None)
+        scope, link = self._scopes.pop(vm, None), self.links.pop(vm, None)
         if scope is not None:
             scope.cancel()
-        self.links.pop(vm, None)
+        if link is not None:
+            link.discard_connection()
 
     def _start(self, link):
         scope = self._scopes[link.vm.name] = trio.CancelScope()
--- a/tests/router/test_idle_links.py
+++ b/tests/router/test_idle_links.py
@@ -25,6 +25,12 @@
     """Ignore a call."""
 
 
+async def send_later(stream, frame, delay_s):
+    """Send a frame after a delay."""
+    await trio.sleep(delay_s)
+    stream.send(frame)
+
+
 def make_peers(address):
     """Return links of a node to one VM at an address, to which none is kept."""
     directory = Directory()
@@ -40,16 +46,21 @@
     )  # fmt: skip
 
 
-@pytest.mark.parametrize("requests", [1, 3])
-async def test_request_is_not_sent_on_a_link_given_up_as_silent(
-    requests, monkeypatch, nursery
+@pytest.mark.parametrize(
+    "requests, pong_delay_s, idle_close_s, connections",
+    [(1, 9.0, 30.0, 2), (3, 9.0, 30.0, 2), (1, 0.3, 0.5, 1)],
+)
+async def test_request_is_not_sent_on_a_link_that_was_given_up(
+    requests, pong_delay_s, idle_close_s, connections, monkeypatch, nursery
 ):
     """Guards against a request in doubt that runs after its caller was answered.
 
-    The VM does not answer a ping on the idle link in time, but reads on.
+    The VM answers a ping on the idle link late, but reads on; or the link is probed
+    when it would be closed because it is not used.
     """
     monkeypatch.setattr(_peers, "PROBE_IDLE_S", IDLE_S)
-    arrived, silent = [], []
+    monkeypatch.setattr(_peers, "IDLE_CLOSE_S", idle_close_s)
+    arrived, delay_s = [], {}
 
     async def serve(tcp_stream):
         stream = FrameStream(tcp_stream)
@@ -59,8 +70,13 @@
             for frame in frames:
                 if isinstance(frame, Hello):
                     stream.send(Hello("b", "1"))
-                elif isinstance(frame, Ping) and number not in silent:
-                    stream.send(Pong(frame.sent_at))
+                elif isinstance(frame, Ping):
+                    nursery.start_soon(
+                        send_later,
+                        stream,
+                        Pong(frame.sent_at),
+                        delay_s.get(number, 0.0),
+                    )
                 elif isinstance(frame, ForwardRequest):
                     arrived[number].append(frame.request_id)
                     stream.send(ForwardReply(frame.id, ANSWERED, 200))
@@ -78,10 +94,11 @@
 
     with trio.fail_after(10):
         await forward("first")
-        silent.append(0)
+        delay_s[0] = pong_delay_s
         await trio.sleep(2 * IDLE_S)
         async with trio.open_nursery() as forwarding:
             for number in range(requests):
                 forwarding.start_soon(forward, f"later {number}")
     assert [reply.outcome for reply in replies] == [ANSWERED] * (1 + requests)
-    assert arrived[0] == ["first"] and len(arrived[1]) == requests
+    assert len(arrived) == connections
+    assert [len(ids) for ids in arrived][-1] == requests + (connections == 1)
