Keep the log from ending the node by a value or a missing thread

Review of the log: an integer of over 4,300 digits, which Python refuses to print, ended the task that writes the log, and so the node; so did a system without room for the log's thread, which was not tried again. The value is logged as its error, and lines are lost and counted until a thread starts. Both tests failed before and pass.

--- a/packages/base/src/jujuberudder_base/_lines.py
+++ b/packages/base/src/jujuberudder_base/_lines.py
@@ -19,7 +19,10 @@
 
 def format_value(value):
     """Return a value as text on one line, cut, quoted and escaped where needed."""
-    text = f"{value:.4f}" if isinstance(value, float) else str(value)
+    try:
+        text = f"{value:.4f}" if isinstance(value, float) else str(value)
+    except ValueError as error:
+        text = f"{type(value).__name__}: {error}"  # An integer of over 4,300 digits.
     if len(text) > MAX_VALUE_CHARS:
         text = f"{text[:MAX_VALUE_CHARS]}... ({len(text)} characters)"
     if _UNQUOTED.match(text):
--- a/packages/base/src/jujuberudder_base/_output.py
+++ b/packages/base/src/jujuberudder_base/_output.py
@@ -43,15 +43,13 @@
         """
         data = text.encode()
         with self._changed:
-            if self._descriptor is None or (
-                self._pending_bytes + len(data) > MAX_PENDING_BYTES
-            ):
-                self._lost_lines += data.count(b"\n")
-            else:
+            has_room = self._pending_bytes + len(data) <= MAX_PENDING_BYTES
+            if self._descriptor is not None and has_room and self._is_running():
                 self._pending.append(data)
                 self._pending_bytes += len(data)
                 self._changed.notify_all()
-                self._start()
+            else:
+                self._lost_lines += data.count(b"\n")
             lost_lines, self._lost_lines = self._lost_lines, 0
         return lost_lines
 
@@ -66,10 +64,16 @@
         with self._changed:
             return self._changed.wait_for(lambda: not self._pending, timeout_s)
 
-    def _start(self):
+    def _is_running(self):
+        """Start the thread if needed, and return whether it runs."""
         if self._thread is None:
-            self._thread = threading.Thread(target=self._run, daemon=True)
-            self._thread.start()
+            thread = threading.Thread(target=self._run, daemon=True)
+            try:
+                thread.start()
+            except RuntimeError:
+                return False  # The system has no room for a thread at present.
+            self._thread = thread
+        return True
 
     def _run(self):
         while True:
--- a/tests/test_output.py
+++ b/tests/test_output.py
@@ -1,6 +1,7 @@
 """Output to a descriptor whose reader is slow or gone."""
 
 import os
+import threading
 
 import pytest
 
@@ -62,3 +63,25 @@
     text = format_value(character * 1_000_000)
     assert len(text) < 1100
     assert text.endswith('... (1000000 characters)"')
+
+
+def test_value_that_python_refuses_to_print_is_logged():
+    """Guards against a number of a message that ends the task that writes the log."""
+    assert format_value(10**5000).startswith('"int: ')
+
+
+def test_output_without_a_thread_loses_lines(monkeypatch):
+    """Guards against a node that ends because the system has no room for a thread."""
+
+    def fail(self):
+        raise RuntimeError("can't start new thread")
+
+    reader, writer = os.pipe()
+    with monkeypatch.context() as patch, os.fdopen(reader, "rb") as pipe:
+        output = OutputThread(writer)
+        patch.setattr(threading.Thread, "start", fail)
+        assert output.write(LINE * 3) == 3
+        patch.undo()
+        assert output.write(LINE) == 0
+        assert pipe.read(len(LINE)) == LINE.encode()
+    os.close(writer)
