--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -401,6 +401,7 @@
         ('"idleTimeoutS": 2.5', f'"idleTimeoutS": {"9" * 400}'),
         ('"maxHeaderBytes": 100', '"maxHeaderBytes": ' + "[" * 5000),
         ('"priority": 2', f'"priority": {"9" * 30}'),
+        ('"version": "', '"version": "' + "f" * 5000),
         ('"service": "s-1"', '"service": ["s-1"]'),
     ],
     ids=lambda text: text[:30],
