--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -467,6 +467,8 @@
             with message.hold:
                 if not await self._answer(message):
                     return
+        # Its body would be held until the next request.
+        self._current = message = None
         if self._refusal is not None:
             await self._send_refusal()
             return
