Pace long bodies to the network link, and refuse what it cannot send in time

Replies of calls waited behind all bodies in the buffers of the system, so that requests held slots of other services meanwhile. Change: parts no faster than the link sends them, short frames at once, the oldest body first; a request whose response would be late for the link is refused before it runs. Only on links below 52 Mbit/s.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -421,6 +421,10 @@
         self._check_expected_wait(request, now, service_s, late_s)
         await self._wait(request, now, service_s, late_s, run_s)
 
+    def mean_service_s(self, request):
+        """Return the time that a request is expected to run, in seconds."""
+        return self._expected_service_s(request)
+
     def _expected_service_s(self, request):
         if not self._service_s:
             return self._mean_service_s
--- a/packages/router/src/jujuberudder_router/_frame_stream.py
+++ b/packages/router/src/jujuberudder_router/_frame_stream.py
@@ -35,6 +35,8 @@
         Its socket is taken over.
     account : MemoryAccount, default=None
         Counts the bytes of queued frames.
+    pacer : LinkPacer, default=None
+        Limits the rate at which long bodies are sent.
 
     Attributes
     ----------
@@ -42,7 +44,7 @@
         Number of replies whose body is still to be sent.
     """
 
-    def __init__(self, stream, account=None):
+    def __init__(self, stream, account=None, pacer=None):
         self._socket = socket.socket(fileno=stream.socket.detach())
         self._socket.setblocking(False)
         self._frames = FrameBuffer()
@@ -53,7 +55,8 @@
         # Set when queued bytes have been sent, or cannot be sent any more.
         self._sent_event = trio.Event()
         self._send_error = None
-        self._account = account
+        self._account, self._pacer = account, pacer
+        self._part_bytes = BODY_PART_BYTES if pacer is None else pacer.part_bytes
         self.open_bodies = 0
 
     @property
@@ -86,6 +89,8 @@
             End of the frame in the bytes that are sent, for ``has_sent``.
         """
         data = encode_frame(frame)
+        if self._pacer is not None and not isinstance(frame, BodyPart):
+            self._pacer.count(len(data))
         position = self._accepted_bytes + len(data)
         if self._send_error is not None:
             return position  # Beyond all that was or will be sent.
@@ -119,15 +124,18 @@
         position : float
             End of the last part, for ``has_sent``; infinite if it was not queued.
         """
-        with memoryview(body) as view:
-            for start in range(0, len(view), BODY_PART_BYTES):
+        paced = None if self._pacer is None else self._pacer.begin(len(body))
+        with paced or contextlib.nullcontext(), memoryview(body) as view:
+            for start in range(0, len(view), self._part_bytes):
                 if start:
                     await trio.lowlevel.checkpoint()
+                part = bytes(view[start : start + self._part_bytes])
+                if paced is not None:
+                    await paced.wait(len(part))
                 while len(self._unsent) >= QUEUED_PARTS_BYTES:
                     await self._sent_event.wait()
                 if self._send_error is not None or not wanted():
                     return math.inf
-                part = bytes(view[start : start + BODY_PART_BYTES])
                 position = self.send(BodyPart(call_id, part))
         # There is no checkpoint after the last part: the connection might end in it,
         # before the caller knows this position.
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -20,6 +20,7 @@
 from ._grant_calls import GrantCaller
 from ._http import parse_address
 from ._keymap import Owner, locate, suspicion_of
+from ._link_pacing import LinkPacer
 from ._loads import LoadTable
 from ._membership import Membership
 from ._memory import MemoryAccount, body_limit
@@ -148,6 +149,8 @@
         Last known loads of other VMs.
     account : MemoryAccount
         Bytes held for clients, other nodes and the target.
+    pacer : LinkPacer
+        Rate at which long bodies are sent to other nodes.
     store, direct_store : Store
         Store whose calls may be relayed through another node, and without relays.
     active_scopes : set of trio.CancelScope
@@ -181,6 +184,7 @@
         self._random = random.Random(settings.vm)
         self.jitter = self._random.random
         self.account = MemoryAccount(body_limit(settings.memory_bytes), log)
+        self.pacer = LinkPacer(settings.link_bytes_per_s)
         self.target = Target(settings.target_address)
         self.admission = AdmissionQueue(
             self.target.held.covers, self.target.held.distrusted_s
@@ -216,7 +220,7 @@
         self.serve = make_target_handler(
             self.target, self.admission, adapter, self._serve_refusal,
             self._handle_leaving_response, self.grant_caller.check_now, log,
-            self.metrics,
+            self.metrics, self.pacer,
         )  # fmt: skip
         # VMs that the key map of the own service lists as suspected.
         self._suspects = set()
@@ -240,7 +244,7 @@
             LinkCallbacks(
                 self.peers.ping_interval_s, self._make_ping, self.sharing.on_connect,
                 self.on_pong, self.sharing.on_update, self._on_load, self.log,
-                self.account,
+                self.account, self.pacer,
             ),
         )  # fmt: skip
 
@@ -766,7 +770,7 @@
         )  # fmt: skip
         nursery.start_soon(
             serve_links, parse_address(settings.peer_address), node.membership.hello(),
-            handlers, log, node.peer_streams, node.account,
+            handlers, log, node.peer_streams, node.account, node.pacer,
         )  # fmt: skip
         nursery.start_soon(node.peers.run)
         nursery.start_soon(node.configuration_follower.run)
@@ -916,5 +920,6 @@
             "resident_bytes": node.resident_bytes,
             "body_bytes_held": node.account.used_bytes,
             "bodies_waiting": node.account.waiting,
+            "body_pacing_seconds": round(node.pacer.waited_s, 3),
         }
     )
--- a/packages/router/src/jujuberudder_router/_peer_link.py
+++ b/packages/router/src/jujuberudder_router/_peer_link.py
@@ -25,6 +25,7 @@
     Update,
 )
 from ._http import dial
+from ._link_pacing import LinkPacer
 from ._memory import CLIENT_RESPONSE, MemoryAccount
 from ._server import describe_fault
 
@@ -51,13 +52,15 @@
     """The process at the other end of a connection is not the expected one."""
 
 
-def inline_limit(max_bytes, account):
+def inline_limit(max_bytes, account, pacer=None):
     """Return the longest body that is sent within the frame of its request or reply.
 
     While many frames wait to be sent, bodies are sent in parts, which wait for room on
-    the connection.
+    the connection. So are those of more than one part on a slow network link.
     """
-    return 0 if account is not None and account.frames_full else max_bytes
+    if account is not None and account.frames_full:
+        return 0
+    return max_bytes if pacer is None else pacer.inline_limit(max_bytes)
 
 
 def was_unsent(reply):
@@ -112,6 +115,8 @@
     log : callable
     account : MemoryAccount or None
         Counts the bytes of queued frames.
+    pacer : LinkPacer or None
+        Limits the rate at which long bodies are sent.
     """
 
     ping_interval_s: Callable
@@ -122,6 +127,7 @@
     on_load: Callable
     log: Callable
     account: MemoryAccount | None = None
+    pacer: LinkPacer | None = None
 
 
 class PeerLink:
@@ -322,7 +328,8 @@
             The process at the address is not a node of the VM.
         """
         tcp_stream = await dial(self.vm.address, CONNECT_TIMEOUT_S, RECEIVE_TIMEOUT_S)
-        stream = FrameStream(tcp_stream, self._callbacks.account)
+        callbacks = self._callbacks
+        stream = FrameStream(tcp_stream, callbacks.account, callbacks.pacer)
         try:
             stream.send(self._hello)
             with trio.fail_after(HELLO_TIMEOUT_S):
@@ -478,7 +485,9 @@
             Counts the body of the reply.
         """
         body, account = request.body, self._callbacks.account
-        inline_bytes = inline_limit(MAX_INLINE_BODY_BYTES, account)
+        inline_bytes = inline_limit(
+            MAX_INLINE_BODY_BYTES, account, self._callbacks.pacer
+        )
         if len(body) <= inline_bytes:
             return await self._call(request, hold=hold, cancel=True)
         # The request keeps its body, since it may be sent again.
--- a/packages/router/src/jujuberudder_router/_peer_server.py
+++ b/packages/router/src/jujuberudder_router/_peer_server.py
@@ -150,7 +150,9 @@
         return "" if request.remaining_s > 0 else "its deadline has passed"
 
 
-async def serve_links(address, own_hello, handlers, log, streams=None, account=None):
+async def serve_links(
+    address, own_hello, handlers, log, streams=None, account=None, pacer=None
+):
     """Accept connections of other nodes until cancelled.
 
     Parameters
@@ -164,6 +166,8 @@
         Gets the stream of each open connection.
     account : MemoryAccount, default=None
         Counts the bodies of requests and replies.
+    pacer : LinkPacer, default=None
+        Limits the rate at which long bodies are sent.
     """
     streams = set() if streams is None else streams
     account = account or MemoryAccount()
@@ -171,7 +175,7 @@
     numbers = itertools.count()
 
     async def serve(tcp_stream):
-        stream, number = FrameStream(tcp_stream, account), next(numbers)
+        stream, number = FrameStream(tcp_stream, account, pacer), next(numbers)
         streams.add(stream)
         calls = {}
 
@@ -204,7 +208,7 @@
                 return ForwardReply(0, UNKNOWN, reason="internal fault")
 
         async def send_reply(call, reply):
-            if len(reply.body) <= inline_limit(SMALL_BYTES, account):
+            if len(reply.body) <= inline_limit(SMALL_BYTES, account, pacer):
                 stream.send(reply)
                 return
             body, reply.body, reply.body_bytes = reply.body, b"", len(reply.body)
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -1,5 +1,6 @@
 """The target beside this node: its incarnation, granted keys and requests to it."""
 
+import math
 from typing import NamedTuple
 
 import trio
@@ -9,6 +10,7 @@
 from ._frames import ANSWERED, NOT_RUN, UNKNOWN, ForwardReply
 from ._held_keys import HeldKeys
 from ._http import MAX_RESPONSE_BODY_BYTES, ExchangeError, request_head
+from ._link_pacing import LinkPacer, ResponseLengths, link_refusal
 from ._rate_limit import RateLimit
 
 # Time-out of a connection attempt to the target on the same VM. A target whose accept
@@ -163,7 +165,7 @@
 
 def make_target_handler(
     target, admission, adapter, serve_refusal, on_leaving, on_keys_not_held, log,
-    metrics,
+    metrics, pacer=None,
 ):  # fmt: skip
     """Return ``await serve(request, hold) -> ForwardReply``, for the target.
 
@@ -186,7 +188,10 @@
         keys that it was granted.
     log : callable
     metrics : Metrics
+    pacer : LinkPacer, default=None
+        Sends long responses to other nodes.
     """
+    lengths, pacer = ResponseLengths(), pacer or LinkPacer(math.inf)
 
     async def serve(request, hold):
         arrived_at = trio.current_time()
@@ -216,6 +221,29 @@
         if refusal:
             reason, owner = refusal
             return ForwardReply(request.id, NOT_RUN, reason=reason, owner=owner)
+        expected_bytes = 0
+        # The response to a request of this node does not pass over the link.
+        if pacer.paced and request.id:
+            expected_bytes = lengths.mean(request.route)
+            if expected_bytes > pacer.part_bytes:
+                check_link(request, expected_bytes)
+        with pacer.expect(expected_bytes):
+            return await run_in_slot(request, deadline, hold)
+
+    def check_link(request, expected_bytes):
+        """Raise ``Refused`` if the link has no room for a response in time."""
+        retry_after_s = link_refusal(
+            admission.mean_service_s(request),
+            pacer.body_wait_s(trio.current_time()),
+            pacer.send_s(expected_bytes),
+            request.latency_goal_s,
+            request.remaining_s,
+        )
+        if retry_after_s is not None:
+            metrics.count("refused_for_link")
+            raise Refused("the network link has no room", retry_after_s)
+
+    async def run_in_slot(request, deadline, hold):
         arrived_at = trio.current_time()
         await admission.acquire(request, arrived_at)
         started_at = trio.current_time()
@@ -288,6 +316,8 @@
             else:
                 admission.record_target_shed(trio.current_time())
             return ForwardReply(request.id, NOT_RUN, reason=reason, reached_target=True)
+        if pacer.paced:
+            lengths.record(request.route, len(response.body))
         if request.key is not None:
             target.held.trust(request.key)
         return ForwardReply(
