Send slow requests a second time, within a share that operators set

Cause: a target that is slow for some requests determines the slowest responses, although other targets have free slots; nothing was done until the reply or the deadline.

Change: with the option hedging of the router's own options file (JUJUBERUDDER_OPTIONS_FILE, off without it), the entry node sends a retryable request of a service without keys to a second VM after a percentile of the last times of its route. The first response is used, the other send is cancelled. Second sends are limited by their share of the first sends of the service, by the attempts of the route and by the retry budget. docs/design/hedging.md.

--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -5,6 +5,7 @@
 from ._admission import OUTLASTS_NODE
 from ._choice import choose
 from ._frames import ANSWERED, NOT_RUN, ForwardRequest
+from ._hedging import make_hedged_send
 from ._http import HttpError
 from ._keymap import locate
 from ._peer_server import ROOM_RETRY_AFTER_S, ROOM_WAIT_SHARE
@@ -54,7 +55,8 @@
     belongs to an earlier send that ran or may have run; it is returned if no further
     target serves the request. ``stopping_vms`` maps VMs that refused it because their
     node stops to the time of its end; ``stopping_asked`` counts those that were asked
-    again because no other VM takes it.
+    again because no other VM takes it. ``hedged`` is true if it was sent to a second VM
+    while the first one had not answered.
     """
 
     def __init__(self, hold=None):
@@ -70,6 +72,7 @@
         self.queue_refusals = 0
         self.stopping_vms = {}
         self.stopping_asked = 0
+        self.hedged = False
         self.response = None
 
 
@@ -215,9 +218,14 @@
                 return
             vm = choose_vm(request, service, state)
             if vm is not None:
-                reply = await send_to_vm(
-                    request, route, service, state, vm, deadline - now
-                )
+                if send_hedged and route.retryable and not node.is_keyed(service):
+                    vm, reply = await send_hedged(
+                        request, route, service, state, vm, deadline
+                    )
+                else:
+                    reply = await send_to_vm(
+                        request, route, service, state, vm, deadline - now
+                    )
                 apply_reply(request, route, service, state, vm, reply)
                 if state.response is not None or not node.is_keyed(service):
                     continue
@@ -346,9 +354,12 @@
         state.refused.add(vm)
         return try_count_retry(route, service, state)
 
-    def try_count_retry(route, service, state):
-        """Count a retry if the route's attempts and the retry budget permit it."""
-        if state.targets_reached >= max(1, route.attempts):
+    def try_count_retry(route, service, state, running=0):
+        """Count a retry if the route's attempts and the retry budget permit it.
+
+        ``running`` is the number of sends without a reply.
+        """
+        if state.targets_reached + running >= max(1, route.attempts):
             return False
         now = trio.current_time()
         if not node.retry_budget.try_spend(service, len(node.vms), now):
@@ -365,4 +376,7 @@
         headers = adapter.router_response_headers(request.id, retry_after_s)
         return Response(status, headers, state.reason.encode())
 
+    send_hedged = None
+    if node.hedging is not None:
+        send_hedged = make_hedged_send(node, send_to_vm, try_count_retry)
     return handle
--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -24,6 +24,10 @@
     "own_504": "504 responses of the router itself: no response in time",
     "repeated": "retries: requests sent to a further target",
     "repeat_budget_spent": "retries not sent because the retry budget was spent",
+    "hedged": "requests sent to a second target because the response was late",
+    "hedge_won": "such requests whose response came from the second target",
+    "hedge_budget_spent": "requests not sent to a second target because the share of "
+    "second sends or the retry budget was spent",
     "refused_at_gate": "requests refused by the node beside the target",
     "target_failures": "failed exchanges with the target",
     "target_refusals": "requests refused by the target itself",
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -18,6 +18,7 @@
 from ._follower import Follower
 from ._frames import Ping, ReadProgress
 from ._grant_calls import GrantCaller
+from ._hedging import Hedging
 from ._http import parse_address
 from ._keymap import Owner, locate, suspicion_of
 from ._loads import LoadTable
@@ -144,6 +145,8 @@
         Membership entries of all VMs, this one included.
     peers : Peers
         Links to other VMs.
+    hedging : Hedging or None
+        None if no request is sent a second time because its response is late.
     loads : LoadTable
         Last known loads of other VMs.
     account : MemoryAccount
@@ -178,6 +181,7 @@
         self.retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
+        self.hedging = Hedging(settings.hedging) if settings.hedging else None
         self._random = random.Random(settings.vm)
         self.jitter = self._random.random
         self.account = MemoryAccount(body_limit(settings.memory_bytes), log)
--- a/packages/router/src/jujuberudder_router/_types.py
+++ b/packages/router/src/jujuberudder_router/_types.py
@@ -207,6 +207,18 @@
     suspicions: tuple[tuple[str, str], ...] = ()
 
 
+class HedgingLimits(NamedTuple):
+    """Limits on second sends of requests whose response is late.
+
+    ``share`` is the maximum share of the requests of a service that are sent a second
+    time, in (0, 1]. A request is late after the percentile ``after_percentile``, in
+    [50, 100), of the last times of its route.
+    """
+
+    share: float
+    after_percentile: float
+
+
 class Settings(NamedTuple):
     """Settings of a node; times are in seconds.
 
@@ -219,7 +231,8 @@
     configuration does not tell how keys are granted. A cold target may get
     ``cold_rate_factor`` times the rate that it tolerates, and ``cold_rate_slack``
     requests, in a second. ``evacuation_s`` is the time within which nothing more is
-    sent to a zone that is evacuated.
+    sent to a zone that is evacuated. ``hedging`` is None if no request is sent a second
+    time because its response is late.
     """
 
     vm: str
@@ -243,3 +256,4 @@
     cold_rate_factor: float = 1.0
     cold_rate_slack: float = 0.0
     evacuation_s: float = 5.0
+    hedging: HedgingLimits | None = None
--- a/tests/router/test_client_requests.py
+++ b/tests/router/test_client_requests.py
@@ -49,7 +49,7 @@
         config_version=1, splitter=TrafficSplitter(),
         retry_budget=RetryBudget(0.2, slack, 10.0), vms=dict.fromkeys(replies),
         is_keyed=lambda service: keyed, drain_deadline=None, active_scopes=set(),
-        stopping=False,
+        stopping=False, hedging=None,
         owner_may_change=lambda service, key: True,
         accepts_requests=lambda vm: vm in replies, jitter=lambda: 0.0,
         candidates=lambda service, refused=(): [
