Explain where a node would send a request

Cause: an operator could not find out why a request goes to a VM, or why another VM gets none, without sending requests and collecting logs.

Change: GET /explain on the ready address, and jujuberudderctl explain-request, answer from a copy of what the node knows: route, split, candidates with costs, why each other VM is excluded, the owner of a key, and the expected refusal.

Whether other targets are cold is not in their load reports, so that this exclusion is never stated for them yet.

--- a/packages/ctl/src/jujuberudderctl/__main__.py
+++ b/packages/ctl/src/jujuberudderctl/__main__.py
@@ -11,13 +11,16 @@
 from ._diff import diff
 from ._exits import EXIT_CODES, EXIT_INTERRUPTED
 from ._explain import explain
+from ._explain_request import explain_request
 from ._inspect import inspect
 from ._owners import owners
 from ._publish import publish
 from ._show import show
 from ._status import status
 
-COMMANDS = [check, publish, show, diff, owners, explain, status, inspect]
+COMMANDS = [
+    check, publish, show, diff, owners, explain, status, inspect, explain_request
+]  # fmt: skip
 
 
 def main():
--- a/packages/ctl/src/jujuberudderctl/_inspect.py
+++ b/packages/ctl/src/jujuberudderctl/_inspect.py
@@ -48,27 +48,32 @@
     elif key is None:
         _print_node(state)
     else:
-        print_table([(f"{name}:", _format(value)) for name, value in state.items()])
+        print_table(
+            [(f"{name}:", format_value(value)) for name, value in state.items()]
+        )
 
 
 def _print_node(state):
     keys, rows = state.pop("keys"), []
     for name, value in state.items():
         if isinstance(value, dict):
-            rows += [(f"{name}.{part}:", _format(v)) for part, v in value.items()]
+            rows += [(f"{name}.{part}:", format_value(v)) for part, v in value.items()]
         else:
-            rows.append((f"{name}:", _format(value)))
+            rows.append((f"{name}:", format_value(value)))
     if keys:
         rows.append(("keys.granted_by:", keys["granted_by"]))
-        rows.append(("keys.lease_left_s:", _format(keys["lease_left_s"])))
+        rows.append(("keys.lease_left_s:", format_value(keys["lease_left_s"])))
     print_table(rows)
     for name in ("usable", "possible", "open_calls"):
         if keys.get(name):
             print(f"keys.{name}:")
             columns = list(keys[name][0])
-            table = [[_format(row[column]) for column in columns] for row in keys[name]]
+            table = [
+                [format_value(row[column]) for column in columns] for row in keys[name]
+            ]
             print_table([[column.upper() for column in columns], *table])
 
 
-def _format(value):
+def format_value(value):
+    """Return a value as text, "-" if it is missing."""
     return "-" if value in (None, "") else str(value)
--- a/packages/router/src/jujuberudder_router/_choice.py
+++ b/packages/router/src/jujuberudder_router/_choice.py
@@ -102,6 +102,16 @@
     return draw(same_zone_vms, same_zone_count) + draw(other_zone_vms, other_zone_count)
 
 
+def with_assumed_times(candidates):
+    """Return candidates with service times.
+
+    A VM that has run no request yet is assumed to be as fast as the fastest one.
+    """
+    known = [c.service_s for c in candidates if c.service_s > 0]
+    assumed = min(known, default=INITIAL_SERVICE_S)
+    return [c if c.service_s > 0 else c._replace(service_s=assumed) for c in candidates]
+
+
 def choose(candidates, body_bytes, jitter):
     """Return the candidate with the lowest cost, or None if there are none.
 
@@ -117,14 +127,8 @@
     -------
     candidate : Candidate or None
     """
-    known = [c.service_s for c in candidates if c.service_s > 0]
-    # A VM that has run no request yet is assumed to be as fast as the fastest one.
-    assumed = min(known, default=INITIAL_SERVICE_S)
-    candidates = [
-        c if c.service_s > 0 else c._replace(service_s=assumed) for c in candidates
-    ]
     return min(
-        candidates,
+        with_assumed_times(candidates),
         key=lambda c: cost(c, body_bytes) * (1 + 0.05 * jitter()),
         default=None,
     )
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -15,6 +15,7 @@
     make_run_ahead_check,
 )
 from ._directory import Directory
+from ._explain import explain, parse_query, take_view
 from ._follower import Follower
 from ._frames import Ping, ReadProgress
 from ._grant_calls import GrantCaller
@@ -617,6 +618,10 @@
         link = self.links.get(vm)
         return link is not None and link.up and bool(link.load) and link.load.accepting
 
+    def candidate_of(self, vm, now):
+        """Return the ``Candidate`` of a VM whose load is known, without a choice."""
+        return self._candidate(vm, now)
+
     def _candidate(self, vm, now):
         if vm.name == self.settings.vm:
             load, in_flight, age_s = self.admission.load(), 0, 0.0
@@ -870,12 +875,14 @@
 def make_ready_handler(node):
     """Return the handler of the ready address, for probes and operators.
 
-    ``/metrics`` returns the metrics, ``/status`` the state of the node, and
-    ``/keys/SERVICE/KEY`` that of a key. All other paths tell whether it is ready.
+    ``/metrics`` returns the metrics, ``/status`` the state of the node,
+    ``/keys/SERVICE/KEY`` that of a key, and ``/explain?host=..&path=..&key=..`` where a
+    request would be sent. All other paths tell whether it is ready.
     """
 
     async def handle(message):
-        path, now = message.target.partition(b"?")[0], trio.current_time()
+        path, _, query = message.target.partition(b"?")
+        now = trio.current_time()
         if path.startswith(b"/metrics"):
             return 200, [], metrics_text(node).encode()
         if path == b"/status":
@@ -887,6 +894,13 @@
             if not key.isdecimal() or int(key) >= KEY_COUNT:
                 return 400, [], b"expected /keys/SERVICE/KEY with a key below 65536"
             return json_response(key_status(node, service, int(key), now))
+        if path == b"/explain":
+            try:
+                host, request_path, key = parse_query(query.decode("latin-1"))
+            except ValueError as error:
+                return 400, [], str(error).encode()
+            view = take_view(node, host, request_path, key, now)
+            return json_response(explain(view))
         return (200 if node.ready else 503), [], b""
 
     return handle
--- a/packages/router/src/jujuberudder_router/_routes.py
+++ b/packages/router/src/jujuberudder_router/_routes.py
@@ -35,17 +35,25 @@
         services = route.weighted_services
         if len(services) == 1:
             return services[0].service
-        split = (route.name, services)
-        counts = self._counts.setdefault(split, [0] * len(services))
+        counts = self._counts.setdefault((route.name, services), [0] * len(services))
+        index = self._next_index(services, counts)
+        counts[index] += 1
+        return services[index].service
+
+    def peek(self, route):
+        """Return what ``pick`` would return, without counting a request."""
+        services = route.weighted_services
+        counts = self._counts.get((route.name, services), [0] * len(services))
+        return services[self._next_index(services, counts)].service
+
+    def _next_index(self, services, counts):
         total = sum(service.weight for service in services) or 1.0
         request_count = sum(counts) + 1
         deficits = [
             service.weight / total * request_count - count
             for service, count in zip(services, counts)
         ]
-        index = max(range(len(services)), key=deficits.__getitem__)
-        counts[index] += 1
-        return services[index].service
+        return max(range(len(services)), key=deficits.__getitem__)
 
 
 class RetryBudget:
