--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -354,12 +354,9 @@
         state.refused.add(vm)
         return try_count_retry(route, service, state)
 
-    def try_count_retry(route, service, state, running=0):
-        """Count a retry if the route's attempts and the retry budget permit it.
-
-        ``running`` is the number of sends without a reply.
-        """
-        if state.targets_reached + running >= max(1, route.attempts):
+    def try_count_retry(route, service, state):
+        """Count a retry if the route's attempts and the retry budget permit it."""
+        if state.targets_reached >= max(1, route.attempts):
             return False
         now = trio.current_time()
         if not node.retry_budget.try_spend(service, len(node.vms), now):
--- a/packages/router/src/jujuberudder_router/_hedging.py
+++ b/packages/router/src/jujuberudder_router/_hedging.py
@@ -184,7 +184,7 @@
             now = trio.current_time()
             if not (
                 hedging.try_spend(service, now)
-                and try_count_retry(route, service, state, running=1)
+                and try_count_retry(route, service, state)
             ):
                 metrics.count("hedge_budget_spent")
                 return None
@@ -230,7 +230,7 @@
 
 
 def may_hedge(route, state):
-    """Whether a request may be sent to two VMs at once, its first send included."""
+    """Whether a request may be sent to a second VM while a first one may run it."""
     return (
         not state.hedged
         and not state.stopping_asked
