Give slots to kinds of requests by their urgency

Cause: of kinds that compete for the slots of a service, the least urgent one was served best (docs/heavy-load.md, section 2), and calls had the priority of their route. Change: where Settings.kinds_compete, TargetRoom decides the order of the queue, starvation, refusals of waiting requests and promised returns; EntryRoom recognises returns and refuses requests unsent. Without the setting the queue decides as before. Measured: test_admission, test_client_requests, test_metrics, test_rate_limit, test_odd_frames, test_adapter and test_whole_node pass; no test of the new decisions yet.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -65,6 +65,8 @@
 OUTLASTS_NODE = "the node ends before the request might"
 # Reason of a refusal while a request waits.
 KEY_MOVED = "the key moved to another VM"
+# Reason of a refusal while a request waits for a slot.
+DISPLACED = "more urgent requests fill the slots"
 # Reason of a refusal after the target stated twice that it does not hold a key.
 KEY_NOT_HELD = "the target does not hold the key"
 
@@ -75,6 +77,8 @@
     ``latency_goal_at`` is when its response is due, ``late_at`` from when on it is run
     after those that can meet their goal, and ``deadline`` when its client stops
     waiting, on the node's clock in seconds. ``run_s`` is the time that it may take.
+    ``returning`` states that its client was refused before. Where kinds of requests
+    compete, ``priority`` is its urgency.
     """
 
     priority: int
@@ -86,6 +90,10 @@
     number: int
     deadline: float = math.inf
     run_s: float = 0.0
+    returning: bool = False
+    route: str = ""
+    arrived_at: float = 0.0
+    request: object = None
 
 
 def next_waiter(waiters, now, ready):
@@ -222,6 +230,8 @@
     key_delay_s : callable, default=None
         ``key_delay_s(key, now)`` returns for how many seconds the target will certainly
         not serve a key.
+    room : TargetRoom, default=None
+        Decides where kinds of requests compete for the slots.
 
     Attributes
     ----------
@@ -238,9 +248,11 @@
         Reason for which all requests are refused; empty while requests are admitted.
     """
 
-    def __init__(self, may_serve_key, key_delay_s=None):
+    def __init__(self, may_serve_key, key_delay_s=None, room=None):
+        self.room = room
         self._may_serve_key = may_serve_key
         self._key_delay_s = key_delay_s or (lambda key, now: 0.0)
+        self._next_waiter = next_waiter if room is None else room.next_waiter
         self._waiters = {}
         # Numbers of waiting requests whose key now belongs to another VM.
         self._moved = set()
@@ -335,9 +347,11 @@
         """Whether a slot is free and the target's rate limit permits a request."""
         return self._running < self._capacity(now) and self.rate_limiter.permits(now)
 
-    def _start(self, now):
+    def _start(self, now, request=None):
         """Take a slot for a request that is sent to the target."""
         self._running += 1
+        if self.room is not None and request is not None:
+            self.room.on_start(request, now)
         self.rate_limiter.count_request(now)
 
     def sample_usage(self, now):
@@ -385,6 +399,7 @@
         return Load(
             self._running, queued, slots, wait, measured_s,
             not self.closed_reason, self.usage,
+            () if self.room is None else self.room.refusals(trio.current_time()),
         )  # fmt: skip
 
     async def acquire(self, request, now):
@@ -403,6 +418,8 @@
         """
         if self.closed_reason:
             raise Refused(self.closed_reason, 0.0)
+        if self.room is not None:
+            self.room.classify(request)
         service_s = self._expected_service_s(request)
         run_s = self._possible_run_s(request, service_s)
         deadline = now + request.remaining_s
@@ -413,7 +430,7 @@
         self._check_key(request.key, now)
         granted = self._may_serve_key(request.key, now)
         if granted and not self._waiters and self._may_start(now):
-            self._start(now)
+            self._start(now, request)
             return
         late_s = late_after(
             service_s, self._mean_service_s, request.latency_goal_s, request.remaining_s
@@ -461,30 +478,44 @@
     def _outlasts_node(self, key, now):
         return Refused(OUTLASTS_NODE, 0.0, max(0.0, self._node_end(key) - now))
 
-    def _check_expected_wait(self, request, now, service_s, late_s):
+    def _ahead_s(self, request, now, service_s, late_s):
+        """Return the service times of the requests that run before a new one."""
         waiters = self._waiters.values()
+        if self.room is not None:
+            return self.room.ahead_s(request, now, service_s, late_s, waiters)
         order = (request.priority, now + request.latency_goal_s)
-        ahead_s = sum(
+        return sum(
             w.service_s
             for w in waiters
             if (w.priority, w.latency_goal_at) <= order
             and now + w.service_s <= w.late_at
         )
+
+    def _check_expected_wait(self, request, now, service_s, late_s):
         queued_s, slots = self._queued_work_s(), self.usable_slots
+        ahead_s = self._ahead_s(request, now, service_s, late_s)
+        wait_s = expected_wait(self._mean_service_s, ahead_s, slots)
         retry_after_s = refusal(
-            expected_wait(self._mean_service_s, ahead_s, slots),
+            wait_s,
             expected_wait(self._mean_service_s, queued_s, slots),
             service_s,
             late_s,
             request.remaining_s,
         )
         if retry_after_s is not None:
+            if self.room is not None:
+                retry_after_s = self._room_retry_after_s(request, wait_s, now)
             limit = self.rate_limiter.limit
             limited = "" if limit is None else f" at a limit of {limit:.1f}/s"
             raise Refused(
                 f"queue of {queued_s / (slots or 1):.2f} s{limited}", retry_after_s
             )
 
+    def _room_retry_after_s(self, request, wait_s, now):
+        """Record a refusal because of the queue and return its retry delay."""
+        rate = self.usable_slots / self._mean_service_s
+        return self.room.refuse(request, wait_s, rate, now)
+
     async def _wait(self, request, now, service_s, late_s, run_s):
         self._last_number += 1
         number = self._last_number
@@ -502,18 +533,24 @@
             now + request.remaining_s,
             run_s,
         )
+        if self.room is not None:
+            waiter = self.room.complete(waiter, request, now)
         self._waiters[number] = waiter
         self.dispatch()
+        if self.room is not None and number in self._waiters:
+            self._displace(waiter, now)
         try:
             with trio.move_on_at(refuse_at):
                 await waiter.event.wait()
         except trio.Cancelled:
             self._moved.discard(number)
+            self._take_displaced(number)
             if self._waiters.pop(number, None) is None and waiter.event.is_set():
-                self.release()
+                self.release(request)
             raise
         moved = number in self._moved
         self._moved.discard(number)
+        displaced_wait_s = self._take_displaced(number)
         if self._waiters.pop(number, None) is None:
             return
         if moved:
@@ -522,8 +559,28 @@
             raise Refused(self.closed_reason, 0.0)
         if self._waiter_may_outlast_node(waiter, trio.current_time()):
             raise self._outlasts_node(request.key, trio.current_time())
-        self._check_key(request.key, trio.current_time())
-        raise Refused("no slot came free in time", RETRY_AFTER_MIN_S)
+        now = trio.current_time()
+        self._check_key(request.key, now)
+        if displaced_wait_s is not None:
+            retry_after_s = self._room_retry_after_s(request, displaced_wait_s, now)
+            raise Refused(DISPLACED, retry_after_s)
+        retry_after_s = RETRY_AFTER_MIN_S
+        if self.room is not None:
+            ahead_s = self._ahead_s(request, now, service_s, late_s)
+            wait_s = expected_wait(self._mean_service_s, ahead_s, self.usable_slots)
+            retry_after_s = self._room_retry_after_s(request, wait_s, now)
+        raise Refused("no slot came free in time", retry_after_s)
+
+    def _displace(self, arrival, now):
+        """Refuse less urgent waiters that do not fit any more, if no slot is free."""
+        if not self._may_start(now):
+            self.room.displace(
+                arrival, self._waiters.values(), now, self._mean_service_s,
+                self.usable_slots,
+            )  # fmt: skip
+
+    def _take_displaced(self, number):
+        return None if self.room is None else self.room.take_displaced(number)
 
     def release(self, request=None, took_s=None):
         """Free a slot.
@@ -535,6 +592,8 @@
             Time that the target took, in seconds; None if it is not known.
         """
         self._running -= 1
+        if self.room is not None and request is not None:
+            self.room.on_release(request)
         if took_s is not None:
             route = request.route
             if request.key is not None:
@@ -568,7 +627,7 @@
             if self._waiter_may_outlast_node(waiter, now):
                 waiter.event.set()
         while self._waiters and self._may_start(now):
-            waiter = next_waiter(
+            waiter = self._next_waiter(
                 (
                     w
                     for w in self._waiters.values()
@@ -580,5 +639,5 @@
             if waiter is None:
                 return
             del self._waiters[waiter.number]
-            self._start(now)
+            self._start(now, waiter.request)
             waiter.event.set()
--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -54,7 +54,8 @@
     belongs to an earlier send that ran or may have run; it is returned if no further
     target serves the request. ``stopping_vms`` maps VMs that refused it because their
     node stops to the time of its end; ``stopping_asked`` counts those that were asked
-    again because no other VM takes it.
+    again because no other VM takes it. ``route`` and ``service`` are None before they
+    are known; ``returning`` states that the request is the return of a refused one.
     """
 
     def __init__(self, hold=None):
@@ -70,6 +71,8 @@
         self.queue_refusals = 0
         self.stopping_vms = {}
         self.stopping_asked = 0
+        self.route = self.service = None
+        self.returning = False
         self.response = None
 
 
@@ -186,6 +189,9 @@
         node.retry_budget.count_request(service, started)
         if not node.is_keyed(service):
             request = request._replace(key=None)
+        state.route, state.service = route, service
+        if node.entry_room is not None:
+            state.returning = node.entry_room.take_return(request, route, started)
         remaining_s = route.timeout_s
         if request.client_timeout_s is not None:
             remaining_s = min(remaining_s, request.client_timeout_s)
@@ -193,6 +199,8 @@
         if node.drain_deadline is not None and deadline > node.drain_deadline:
             state.reason = OUTLASTS_NODE
             return router_response(request, state, NOT_SERVED), route
+        if refuse_unsent(request, route, service, state, remaining_s):
+            return router_response(request, state, NOT_SERVED), route
         with trio.CancelScope(deadline=deadline - RESPONSE_MARGIN_S) as scope:
             node.active_scopes.add(scope)
             try:
@@ -204,6 +212,17 @@
             state.response = router_response(request, state, status)
         return state.response, route
 
+    def refuse_unsent(request, route, service, state, remaining_s):
+        """Whether all reports state no room for a request, which is not a return."""
+        if node.entry_room is None or state.returning or node.is_keyed(service):
+            return False
+        wait_s = node.entry_room.refusal_wait_s(request, route, service, remaining_s)
+        if wait_s is None:
+            return False
+        state.reason = "all targets state that they have no room"
+        state.retry_after_s = wait_s
+        return True
+
     async def send_until_answered(request, route, service, state, deadline):
         started = trio.current_time()
         wait_until = started + min(
@@ -288,8 +307,10 @@
             0, request.id, request.method, request.target, request.headers,
             request.body, remaining_s - RESPONSE_MARGIN_S, route.latency_goal_s,
             route.priority, request.key, node.settings.service, service, route.name,
-            no_other_vm=state.stopping_asked > 0,
+            no_other_vm=state.stopping_asked > 0, returning=state.returning,
         )  # fmt: skip
+        if node.entry_room is not None:
+            forward_request.caller_priority = node.entry_room.caller_priority
         state.sends += 1
         state.in_doubt = True
         state.reason = f"{vm} has not answered"
@@ -302,6 +323,8 @@
 
     def apply_reply(request, route, service, state, vm, reply):
         state.reason = reply.reason
+        if node.entry_room is not None and reply.load is not None:
+            node.entry_room.on_reply(route, reply)
         if reply.reached_target or reply.outcome != NOT_RUN:
             state.targets_reached += 1
         if reply.outcome == ANSWERED:
@@ -362,6 +385,11 @@
             return state.fallback_response
         metrics.count(f"own_{status}")
         retry_after_s = state.retry_after_s if status == NOT_SERVED else None
+        if status == NOT_SERVED and state.route and node.entry_room is not None:
+            retry_after_s = node.entry_room.on_refused(
+                request, state.route, state.service, state.returning,
+                node.is_keyed(state.service), retry_after_s,
+            )  # fmt: skip
         headers = adapter.router_response_headers(request.id, retry_after_s)
         return Response(status, headers, state.reason.encode())
 
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -24,6 +24,8 @@
     ``wait_s`` is the expected wait of a new request, ``service_s`` the mean time that a
     request runs (0 before the first one), and ``usage`` the mean of running and queued
     requests over slots. ``slots`` counts those that the target's rate limit keeps busy.
+    ``refusals`` are pairs of an urgency and the number of requests of it that were
+    refused in the last second because of the queue.
     """
 
     running: int
@@ -33,6 +35,7 @@
     service_s: float
     accepting: bool
     usage: float = 0.0
+    refusals: tuple[tuple[int, int], ...] = ()
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
@@ -59,7 +62,9 @@
     """A client request, forwarded to the node beside the target that is to run it.
 
     If ``body_bytes`` is not 0, ``body`` is empty: as many bytes follow in ``BodyPart``
-    frames, after a ``SendBody``. ``no_other_vm`` states that no other VM took it.
+    frames, after a ``SendBody``. ``no_other_vm`` states that no other VM took it,
+    ``caller_priority`` is that of the most urgent request that runs at the target where
+    it began, and ``returning`` states that its client was refused before.
     """
 
     id: int
@@ -77,6 +82,8 @@
     route: str
     body_bytes: Annotated[int, msgspec.Meta(ge=0, le=2**32)] = 0
     no_other_vm: bool = False
+    caller_priority: int | None = None
+    returning: bool = False
 
 
 class ForwardReply(msgspec.Struct, array_like=True, tag="r"):
@@ -86,7 +93,8 @@
     request did not run, ``reached_target`` states whether the target received it, and
     ``owner`` is the VM that owns its key if this VM does not. ``body_bytes`` is as in a
     ``ForwardRequest``. ``node_s`` is positive if the node refused the request because
-    it stops: the time that it gives to running requests, in seconds.
+    it stops: the time that it gives to running requests, in seconds. ``called`` states
+    whether the requests of its route are calls, where kinds of requests compete.
     """
 
     id: int
@@ -101,6 +109,7 @@
     load: Load | None = None
     body_bytes: Annotated[int, msgspec.Meta(ge=0, le=2**32)] = 0
     node_s: float = 0.0
+    called: bool = False
 
 
 class SendBody(msgspec.Struct, array_like=True, tag="b"):
--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -37,6 +37,12 @@
     "release_calls": "calls that release a key range at the target",
     "release_calls_unanswered": "such calls without a response that could be read",
     "grants_disowned": "ranges not used because the target stated not to hold a key",
+    "returns": "requests of clients that return after a refusal",
+    "entry_refusals": "requests refused unsent because all reports state no room",
+    "entry_probes": "such requests that were sent to detect available capacity",
+    "waiters_displaced": "waiting requests refused because of more urgent ones",
+    "starved_starts": "slots given to a route that had got none for too long",
+    "called_route_changed": "routes found to be called by targets, or no more",
     "store_failures": "failed calls to the store",
     "store_relays": "calls to the store made for another node",
 }
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -34,6 +34,7 @@
 from ._relay import make_relay_handler, with_relays
 from ._routes import RetryBudget, TrafficSplitter
 from ._server import STOP_POLL_S, Server
+from ._service_room import EntryRoom, TargetRoom
 from ._sharing import RecordSharing
 from ._status import key_status, node_status
 from ._store import MEMBERSHIP_TOPIC, OPERATOR_TOPIC
@@ -161,6 +162,8 @@
     drain_deadline : float or None
         Time on the node's clock, in seconds, at which unfinished requests get a final
         response; None until the node rejects requests that may outlast it.
+    entry_room : EntryRoom or None
+        Decides on requests that begin here, where kinds of requests compete.
     resident_bytes : int
         Resident memory of this process; 0 before it is read.
     """
@@ -182,8 +185,9 @@
         self.jitter = self._random.random
         self.account = MemoryAccount(body_limit(settings.memory_bytes), log)
         self.target = Target(settings.target_address)
+        room, self.entry_room = self._make_rooms()
         self.admission = AdmissionQueue(
-            self.target.held.covers, self.target.held.distrusted_s
+            self.target.held.covers, self.target.held.distrusted_s, room
         )
         self.stopping = False
         self.store = with_relays(store, self)
@@ -228,6 +232,21 @@
         self.drain_deadline = None
         self.resident_bytes = 0
 
+    def _make_rooms(self):
+        """Return the ``TargetRoom`` and ``EntryRoom``, None where no kinds compete."""
+        if not self.settings.kinds_compete:
+            return None, None
+        room = TargetRoom(self.jitter, self.metrics, self.log)
+        entry_room = EntryRoom(
+            room,
+            self._load_reports,
+            lambda service: (len(self.vms.of_service(service)), len(self.vms)),
+            self.jitter,
+            self.metrics,
+            self.log,
+        )
+        return room, entry_room
+
     @property
     def links(self):
         """Links to other VMs by name."""
@@ -590,6 +609,22 @@
         now = trio.current_time()
         return [self._candidate(vm, now) for vm in own + drawn]
 
+    def _load_reports(self, service):
+        """Iterate over (load or None, age in s) of VMs of a service without keys.
+
+        They are those to which this node sends requests: at most nine, however many
+        VMs there are.
+        """
+        settings, now = self.settings, trio.current_time()
+        if settings.service == service and not self.admission.closed_reason:
+            yield self.admission.load(), 0.0
+        for name in self.peers.subset(service):
+            link, vm = self.links.get(name), self.vms.get(name)
+            if link is None or not link.up or vm is None or vm.leaving:
+                continue
+            if link.load is None or link.load.accepting:
+                yield link.load, now - link.load_at
+
     def draw_other_vm(self, service, refused):
         """Return a VM of a service outside of the subset of this node, or None.
 
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -209,6 +209,8 @@
                 node_s=refused.node_s,
             )  # fmt: skip
         reply.load = admission.load()
+        if admission.room is not None:
+            reply.called = admission.room.is_called(request.route)
         return reply
 
     async def run_at_target(request, deadline, hold):
--- a/packages/router/src/jujuberudder_router/_types.py
+++ b/packages/router/src/jujuberudder_router/_types.py
@@ -219,7 +219,8 @@
     configuration does not tell how keys are granted. A cold target may get
     ``cold_rate_factor`` times the rate that it tolerates, and ``cold_rate_slack``
     requests, in a second. ``evacuation_s`` is the time within which nothing more is
-    sent to a zone that is evacuated.
+    sent to a zone that is evacuated. ``kinds_compete`` states whether kinds of requests
+    get capacity by their urgency.
     """
 
     vm: str
@@ -243,3 +244,4 @@
     cold_rate_factor: float = 1.0
     cold_rate_slack: float = 0.0
     evacuation_s: float = 5.0
+    kinds_compete: bool = False
--- a/tests/router/test_client_requests.py
+++ b/tests/router/test_client_requests.py
@@ -60,7 +60,7 @@
         keymaps={"s": KeyMap("s", 2, (KeyRange(0, 65535, 1, "a", "i@1"),))},
         peers=SimpleNamespace(forward=forward),
         draw_other_vm=lambda service, refused: None,
-        record_result=lambda vm, success: None,
+        record_result=lambda vm, success: None, entry_room=None,
     )  # fmt: skip
     return node, sent_to
 
