--- a/tests/router/test_service_room.py
+++ b/tests/router/test_service_room.py
@@ -1,12 +1,16 @@
 """Capacity of a service for kinds of requests that compete for it."""
 
+import copy
 import random
+import re
 from collections import Counter
 
 import pytest
 import trio
 
+from jujuberudder_emulator import CONFIGURATION, Deployment
 from jujuberudder_platform import parse_settings
+from jujuberudder_router import ConnectionPool
 from jujuberudder_router._admission import DISPLACED, AdmissionQueue, Refused, Waiter
 from jujuberudder_router._client_requests import make_client_handler
 from jujuberudder_router._frames import NOT_RUN, ForwardReply, ForwardRequest, Load
@@ -305,3 +309,61 @@
         "platform": {"address": "h:2"}, "contracts": contracts,
     }  # fmt: skip
     assert parse_settings(document).kinds_compete == expected
+
+
+async def test_urgent_route_on_real_nodes():
+    """Guards against a part that is whole but not active on the path of a request.
+
+    The routes need 1.6 times the four slots, which refused requests have to leave.
+    """
+    configuration = copy.deepcopy(CONFIGURATION)
+    rules = configuration["listeners"][0]["ruleSet"]
+    (orders,) = (rule for rule in rules if rule["name"] == "r-orders")
+    urgent = {**orders, "name": "r-urgent", "match": {"pathPrefix": "/urgent/"}}
+    orders.update(priority=3, targetLatencyS=0.6)
+    rules.append({**urgent, "priority": 0, "targetLatencyS": 0.6})
+    answered = {"/urgent/x": [], "/orders/x": []}
+    async with trio.open_nursery() as nursery:
+        deployment = Deployment(nursery)
+        deployment.node_settings = {"contracts": ["pressure"]}
+        deployment.publish(configuration)
+        vms = [deployment.add("vm-0", "jobs")]
+        vms += [
+            deployment.add(f"vm-{n}", "orders", slots=2, work_s=0.2) for n in (1, 2)
+        ]
+        for vm in vms:
+            vm.start_node()
+
+        async def serves(path="/urgent/x"):
+            return all([(await vm.send_request(path)).status == 200 for vm in vms])
+
+        await deployment.wait_until(serves)
+
+        async def send(vm, path):
+            answered[path].append(await vm.send_request(path))
+
+        async with trio.open_nursery() as load:
+            for number in range(160):
+                path = "/urgent/x" if number % 2 else "/orders/x"
+                load.start_soon(send, vms[number % 3], path)
+                await trio.sleep(0.2 / 4 / 1.6)
+        metrics = b""
+        for vm in vms:
+            pool = ConnectionPool(vm.ready_address, 0.5, 1.0)
+            head = b"GET /metrics HTTP/1.1\r\nhost: n\r\n\r\n"
+            metrics += (await pool.exchange(head, "metrics")).body
+        nursery.cancel_scope.cancel()
+    served = {
+        path: sum(response.status == 200 for response in responses)
+        for path, responses in answered.items()
+    }
+    refused = [
+        float(response.headers[b"retry-after"])
+        for responses in answered.values()
+        for response in responses
+        if response.status == 503
+    ]
+    assert served["/urgent/x"] >= 72 and served["/orders/x"] < served["/urgent/x"]
+    assert served["/urgent/x"] + served["/orders/x"] + len(refused) == 160
+    assert re.search(rb'event="returns"} [1-9]', metrics)
+    assert refused and all(0.1 <= retry_s <= 2.0 for retry_s in refused)
