Let the soak compare two routes of different urgency

Cause: no test under faults showed which route is served when slots are scarce. A negative priority of a caller is ignored, and a starved route keeps its turn while a more urgent one is starved as well.

--- a/packages/router/src/jujuberudder_router/_service_room.py
+++ b/packages/router/src/jujuberudder_router/_service_room.py
@@ -347,9 +347,11 @@
             return None
         best = min(waiters, key=lambda w: queue_order(w, now))
         starved = [w for w in waiters if self._is_starved(w, now)]
-        if not starved or best.route in {w.route for w in starved}:
+        if not starved:
             self._slots_while_starved = 0
             return best
+        if best.route in {w.route for w in starved}:
+            return best
         self._slots_while_starved += 1
         if self._slots_while_starved < STARVED_SLOT_INTERVAL:
             return best
--- a/packages/router/src/jujuberudder_router/_urgency.py
+++ b/packages/router/src/jujuberudder_router/_urgency.py
@@ -31,11 +31,12 @@
     priority : int
         Priority of the route.
     caller_priority : int or None
-        Priority of the most urgent request that runs where the request began.
+        Priority of the most urgent request that runs where the request began. Negative
+        values are invalid and ignored.
     called : bool
         Whether the requests of the route are calls.
     """
-    if not called or caller_priority is None:
+    if not called or caller_priority is None or caller_priority < 0:
         return priority
     return min(priority, caller_priority)
 
--- a/tests/router/test_service_room.py
+++ b/tests/router/test_service_room.py
@@ -9,6 +9,7 @@
 import trio
 
 from jujuberudder_emulator import CONFIGURATION, Deployment
+from jujuberudder_emulator._soak_urgency import served_less_often
 from jujuberudder_platform import parse_settings
 from jujuberudder_router import ConnectionPool
 from jujuberudder_router._admission import DISPLACED, AdmissionQueue, Refused, Waiter
@@ -367,3 +368,14 @@
     assert served["/urgent/x"] + served["/orders/x"] + len(refused) == 160
     assert re.search(rb'event="returns"} [1-9]', metrics)
     assert refused and all(0.1 <= retry_s <= 2.0 for retry_s in refused)
+
+
+@pytest.mark.parametrize(
+    "urgent_alone, less_urgent_alone, expected",
+    [(300, 5, False), (40, 52, False), (20, 80, True), (0, 0, False)],
+)
+def test_soak_notices_an_urgent_route_that_is_served_less_often(
+    urgent_alone, less_urgent_alone, expected
+):
+    """Guards against a soak that fails by chance, or that never fails."""
+    assert served_less_often(urgent_alone, less_urgent_alone) == expected
--- a/tests/router/test_urgency.py
+++ b/tests/router/test_urgency.py
@@ -50,8 +50,11 @@
 
 @pytest.mark.parametrize(
     "priority, caller, called, expected",
-    [(2, 0, True, 0), (2, 0, False, 2), (1, 2, True, 1), (1, None, True, 1)],
-)
+    [
+        (2, 0, True, 0), (2, 0, False, 2), (1, 2, True, 1), (1, None, True, 1),
+        (1, -1, True, 1),
+    ],
+)  # fmt: skip
 def test_effective_priority(priority, caller, called, expected):
     """Guards against calls less urgent than the request for which they are made."""
     assert effective_priority(priority, caller, called) == expected
