Use the loads in pings of others for refusals without a send

Cause: reports of a link alone are rarely younger than 0.5 s, the age up to which a request is refused because of them. Change: the newest load of each VM counts, which its own pings carry as well. Measured: 55 tests of test_service_room.py and test_urgency.py pass; the share of requests refused unsent was not measured.

--- a/packages/router/src/jujuberudder_router/_loads.py
+++ b/packages/router/src/jujuberudder_router/_loads.py
@@ -40,6 +40,10 @@
             return None
         return known.load
 
+    def known(self, vm):
+        """Return the ``KnownLoad`` of a VM, or None."""
+        return self._loads.get(vm)
+
     def silent(self, vm, now):
         """Whether the load of a VM was known but is too old by now."""
         known = self._loads.get(vm)
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -622,8 +622,10 @@
             link, vm = self.links.get(name), self.vms.get(name)
             if link is None or not link.up or vm is None or vm.leaving:
                 continue
-            if link.load is None or link.load.accepting:
-                yield link.load, now - link.load_at
+            # Pings of the other node carry its load as well, beside what the link got.
+            load, at = self.loads.known(name) or (None, now)
+            if load is None or load.accepting:
+                yield load, now - at
 
     def draw_other_vm(self, service, refused):
         """Return a VM of a service outside of the subset of this node, or None.
--- a/tests/router/test_service_room.py
+++ b/tests/router/test_service_room.py
@@ -4,17 +4,26 @@
 import random
 import re
 from collections import Counter
+from types import SimpleNamespace
 
+import msgspec
 import pytest
 import trio
 
 from jujuberudder_emulator import CONFIGURATION, Deployment
 from jujuberudder_emulator._soak_urgency import served_less_often
 from jujuberudder_platform import parse_settings
-from jujuberudder_router import ConnectionPool
+from jujuberudder_platform.__main__ import ADAPTER
+from jujuberudder_router import VM, ConnectionPool, Node
 from jujuberudder_router._admission import DISPLACED, AdmissionQueue, Refused, Waiter
 from jujuberudder_router._client_requests import make_client_handler
-from jujuberudder_router._frames import NOT_RUN, ForwardReply, ForwardRequest, Load
+from jujuberudder_router._frames import (
+    NOT_RUN,
+    ForwardReply,
+    ForwardRequest,
+    Load,
+    Ping,
+)
 from jujuberudder_router._metrics import Metrics
 from jujuberudder_router._service_room import (
     PROBE_INTERVAL,
@@ -293,6 +302,16 @@
     assert {request.caller_priority for request in requests} == {0}
 
 
+def make_settings(contracts):
+    """Return the settings of a node of the service s."""
+    document = {
+        "nodeName": "n", "zone": "z", "service": "s", "appAddr": "127.0.0.1:1",
+        "listenAddrs": dict.fromkeys(("outbound", "inbound", "ready", "control"), ""),
+        "platform": {"address": ""}, "contracts": contracts,
+    }  # fmt: skip
+    return parse_settings(document)
+
+
 @pytest.mark.parametrize(
     "contracts, expected",
     [
@@ -302,14 +321,36 @@
         (3, False),
     ],
 )
-def test_kinds_compete_only_where_the_settings_say_so(contracts, expected):
+async def test_kinds_compete_only_where_the_settings_say_so(
+    autojump_clock, contracts, expected
+):
     """Guards against a changed queue in deployments that do not ask for it."""
-    document = {
-        "nodeName": "n", "zone": "z", "service": "s", "appAddr": "t:1",
-        "listenAddrs": dict.fromkeys(("outbound", "inbound", "ready", "control"), ""),
-        "platform": {"address": "h:2"}, "contracts": contracts,
-    }  # fmt: skip
-    assert parse_settings(document).kinds_compete == expected
+    node = Node(make_settings(contracts), ADAPTER, None, lambda event, **fields: None)
+    assert (node.entry_room is not None) == expected
+    assert (node.admission.room is not None) == expected
+
+
+async def test_reports_of_a_node(autojump_clock):
+    """Guards against refusals because of old reports, or of VMs that get no requests.
+
+    The load of a VM arrives with replies and pongs, and with its own pings.
+    """
+    node = Node(make_settings(["pressure"]), ADAPTER, None, lambda event, **f: None)
+    closed = msgspec.structs.replace(FULL, accepting=False)
+    for name, up, leaving, load in (
+        ("a", True, False, FULL), ("b", False, False, FULL), ("c", True, True, FULL),
+        ("d", True, False, closed), ("e", True, False, None),
+    ):  # fmt: skip
+        node.vms.put(VM(name, "i", "h:1", "z", "t", leaving=leaving))
+        node.peers.links[name] = SimpleNamespace(up=up)
+        if load is not None:
+            node.loads.record(name, load, trio.current_time())
+    node.peers.subset = lambda service: ["a", "b", "c", "d", "e", "gone"]
+    await trio.sleep(0.4)
+    assert list(node._load_reports("t")) == [(FULL, pytest.approx(0.4)), (None, 0.0)]
+    newer = msgspec.structs.replace(FULL, queued=5)
+    node.on_ping("a", Ping(0.0, load=newer))
+    assert list(node._load_reports("t"))[0] == (newer, 0.0)
 
 
 async def test_urgent_route_on_real_nodes():
