Count the latency goal of a returning client from its first attempt

Cause: returns were put before all new requests of their kind. Change: a return arrives with the rest of the goal of the first attempt of its client; it comes first while it can meet that, and first among the late ones.

--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -58,6 +58,8 @@
     again because no other VM takes it. ``hedged`` is true if it was sent to a second VM
     while the first one had not answered. ``route`` and ``service`` are None before they
     are known; ``returning`` states that the request is the return of a refused one.
+    ``started`` is when it arrived, and ``goal_s`` the time in seconds that its latency
+    goal leaves from then on, which counts from the first attempt of its client.
     """
 
     def __init__(self, hold=None):
@@ -76,6 +78,7 @@
         self.hedged = False
         self.route = self.service = None
         self.returning = False
+        self.started = self.goal_s = 0.0
         self.response = None
 
 
@@ -192,9 +195,14 @@
         node.retry_budget.count_request(service, started)
         if not node.is_keyed(service):
             request = request._replace(key=None)
-        state.route, state.service = route, service
+        state.route, state.service, state.started = route, service, started
+        state.goal_s = route.latency_goal_s
         if node.entry_room is not None:
-            state.returning = node.entry_room.take_return(request, route, started)
+            first_started = node.entry_room.take_return(request, route, started)
+            if first_started is not None:
+                state.returning = True
+                state.goal_s -= started - first_started
+                state.goal_s = max(MIN_REMAINING_S, state.goal_s)
         remaining_s = route.timeout_s
         if request.client_timeout_s is not None:
             remaining_s = min(remaining_s, request.client_timeout_s)
@@ -313,7 +321,7 @@
     async def send_to_vm(request, route, service, state, vm, remaining_s):
         forward_request = ForwardRequest(
             0, request.id, request.method, request.target, request.headers,
-            request.body, remaining_s - RESPONSE_MARGIN_S, route.latency_goal_s,
+            request.body, remaining_s - RESPONSE_MARGIN_S, state.goal_s,
             route.priority, request.key, node.settings.service, service, route.name,
             no_other_vm=state.stopping_asked > 0, returning=state.returning,
         )  # fmt: skip
@@ -396,7 +404,7 @@
         if status == NOT_SERVED and state.route and node.entry_room is not None:
             retry_after_s = node.entry_room.on_refused(
                 request, state.route, state.service, state.returning,
-                node.is_keyed(state.service), retry_after_s,
+                node.is_keyed(state.service), retry_after_s, state.started,
             )  # fmt: skip
         headers = adapter.router_response_headers(request.id, retry_after_s)
         return Response(status, headers, state.reason.encode())
--- a/packages/router/src/jujuberudder_router/_service_room.py
+++ b/packages/router/src/jujuberudder_router/_service_room.py
@@ -47,13 +47,16 @@
 def queue_order(waiter, now):
     """Return the sort key of a waiting request; the lowest one is run next.
 
-    Requests that can meet their latency goal come first: by urgency, then returning
-    ones, then by the end of the goal. Of the others, returning ones come first.
+    Requests that can meet their latency goal come first: by urgency, then by the end
+    of the goal. The goal of a return counts from the first attempt of its client, so
+    that it comes before new ones while it can meet that. Of the others, returns come
+    first. If returns came first in any case, new requests would become late behind
+    those that are late already, and would return themselves.
     """
     w = waiter
     if now + w.service_s > w.late_at:
         return True, not w.returning, w.priority, w.latency_goal_at, w.number
-    return False, w.priority, not w.returning, w.latency_goal_at, w.number
+    return False, w.priority, w.latency_goal_at, not w.returning, w.number
 
 
 def is_starved(waiter, last_start_at, now):
@@ -453,12 +456,15 @@
         return self._target_room.most_urgent_running
 
     def take_return(self, request, route, now):
-        """Return whether a request is the return of a refused one."""
-        returning = self._refused.take(_mark(request, route), now)
-        if returning:
+        """Return when the first attempt of a return began; None if it is none."""
+        first_started = self._refused.take(_mark(request, route), now)
+        if first_started is not None:
             self._metrics.count("returns")
-            self._log("returns", id=request.id, route=route.name)
-        return returning
+            self._log(
+                "returns", id=request.id, route=route.name,
+                after_s=now - first_started,
+            )  # fmt: skip
+        return first_started
 
     def on_reply(self, route, reply):
         """Record what a reply states about its route."""
@@ -498,7 +504,7 @@
         self._log("entry_refusals", id=request.id, route=route.name, wait_s=wait_s)
         return wait_s
 
-    def on_refused(self, request, route, service, returning, keyed, wait_s):
+    def on_refused(self, request, route, service, returning, keyed, wait_s, started):
         """Remember a refused request and return the retry delay for its client.
 
         Parameters
@@ -513,11 +519,13 @@
             node beside the target.
         wait_s : float
             Expected time until there is capacity, in seconds.
+        started : float
+            When the request arrived, on the node's clock in seconds.
         """
         now = trio.current_time()
         if returning:
             return wait_s
-        self._refused.remember(_mark(request, route), now)
+        self._refused.remember(_mark(request, route), now, started)
         if keyed:
             return wait_s
         promised = self._promised.get(service)
--- a/packages/router/src/jujuberudder_router/_types.py
+++ b/packages/router/src/jujuberudder_router/_types.py
@@ -232,8 +232,8 @@
     ``cold_rate_factor`` times the rate that it tolerates, and ``cold_rate_slack``
     requests, in a second. ``evacuation_s`` is the time within which nothing more is
     sent to a zone that is evacuated. ``hedging`` is None if no request is sent a second
-    time because its response is late. ``kinds_compete`` states whether kinds of requests
-    get capacity by their urgency.
+    time because its response is late. ``kinds_compete`` states whether requests of
+    different kinds get capacity by their urgency.
     """
 
     vm: str
--- a/packages/router/src/jujuberudder_router/_urgency.py
+++ b/packages/router/src/jujuberudder_router/_urgency.py
@@ -129,48 +129,52 @@
     def __init__(self):
         # (time until which it is remembered, mark), the oldest first.
         self._entries = deque()
-        # Mark to the times of its entries that no return has used up.
+        # Mark to the entries (time until which they are remembered, time of the first
+        # attempt) that no return has used up.
         self._open = {}
 
     def __len__(self):
         return len(self._entries)
 
-    def remember(self, mark, now):
+    def remember(self, mark, now, started):
         """Remember a refused request.
 
         Parameters
         ----------
         mark : hashable
             Identifies the route and its key or target.
-        now : float
-            Time on the node's clock, in seconds.
+        now, started : float
+            Time on the node's clock, and the arrival of the request, in seconds.
         """
         self._forget(now, MAX_REFUSED_REMEMBERED - 1)
         until = now + RETURN_WINDOW_S
         self._entries.append((until, mark))
-        self._open.setdefault(mark, deque()).append(until)
+        self._open.setdefault(mark, deque()).append((until, started))
 
     def take(self, mark, now):
-        """Return whether a request is a return, and use up its entry."""
-        times = self._open.get(mark)
-        if times is None:
-            return False
+        """Return when the first attempt of a return began, and use up its entry.
+
+        None if the request is not a return.
+        """
+        entries = self._open.get(mark)
+        if entries is None:
+            return None
         self._forget(now, MAX_REFUSED_REMEMBERED)
-        if not times:
-            return False
-        times.popleft()
-        if not times:
+        if not entries:
+            return None
+        _, started = entries.popleft()
+        if not entries:
             del self._open[mark]
-        return True
+        return started
 
     def _forget(self, now, max_entries):
         entries = self._entries
         while entries and (len(entries) > max_entries or entries[0][0] < now):
             until, mark = entries.popleft()
-            times = self._open.get(mark)
-            if times and times[0] == until:
-                times.popleft()
-                if not times:
+            open_entries = self._open.get(mark)
+            if open_entries and open_entries[0][0] == until:
+                open_entries.popleft()
+                if not open_entries:
                     del self._open[mark]
 
 
