Choose a VM by the service time of the request's route

Cause: the choice compared the mean service times over all routes.

Change: ForwardReply.service_s states the mean service time of the route at that target. The entry node keeps the last one for each VM and route of services without keys, bounded in number, until the process of the VM ends. For a VM that has not run the route, it assumes the mean of the others scaled by the VM's relative speed on other routes. Expected waits still use the mean over all routes, since requests of all routes run before. Without stated times the choice is as before.

No load was measured.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -376,6 +376,10 @@
         """Return the sum of the expected service times of all waiting requests."""
         return sum(waiter.service_s for waiter in self._waiters.values())
 
+    def route_service_s(self, route):
+        """Return the mean service time of a route in seconds, 0 if it has not run."""
+        return self._service_s.get(route, 0.0)
+
     def load(self):
         """Return the load report for other nodes."""
         queued, wait, slots = len(self._waiters), 0.0, self.usable_slots
--- a/packages/router/src/jujuberudder_router/_choice.py
+++ b/packages/router/src/jujuberudder_router/_choice.py
@@ -32,7 +32,8 @@
 
     ``slots`` is below one if a rate limit keeps less than one slot busy.
     ``service_s`` is the mean service time in seconds, or 0 if no request has run there
-    yet, ``own_requests`` the number of this node's requests there, ``report_age_s`` the
+    yet, ``run_s`` the expected one of the request's route, or 0 if it is not known, and
+    ``own_requests`` the number of this node's requests there, ``report_age_s`` the
     age of the load report in seconds, ``failure_share`` the share of requests that
     fail, in [0, 1], ``round_trip_s`` the time of a ping and its pong in seconds, and
     ``byte_s`` the time that a byte takes on the link of this node, or 0 if the VM is
@@ -50,6 +51,7 @@
     failure_share: float = 0.0
     round_trip_s: float = 0.0
     byte_s: float = 0.0
+    run_s: float = 0.0
 
 
 def cost(candidate, body_bytes):
@@ -64,14 +66,16 @@
     load = max(reported, c.own_requests)
     slots = c.slots or 1
     wait = max(0, load + 1 - slots) * c.service_s / slots
-    load_cost = 0.1 * c.service_s * min(1.0, load / slots)
+    # The requests that run before are of all routes, this one is of its own route.
+    run_s = c.run_s or c.service_s
+    load_cost = 0.1 * run_s * min(1.0, load / slots)
     zone_cost = (
         0.0 if c.same_zone else ZONE_CROSSING_S + ZONE_CROSSING_BYTE_S * body_bytes
     )
     # The request and its response wait behind what fills the links, as a ping did.
     link_wait = max(0.0, c.round_trip_s - UNLOADED_ROUND_TRIP_S)
     link_wait += c.byte_s * body_bytes
-    time = wait + link_wait + c.service_s + load_cost + zone_cost
+    time = wait + link_wait + run_s + load_cost + zone_cost
     return time / max(0.05, 1 - c.failure_share)
 
 
--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -213,7 +213,7 @@
             now = trio.current_time()
             if deadline - now < MIN_REMAINING_S:
                 return
-            vm = choose_vm(request, service, state)
+            vm = choose_vm(request, route, service, state)
             if vm is not None:
                 reply = await send_to_vm(
                     request, route, service, state, vm, deadline - now
@@ -236,7 +236,7 @@
     def may_wait_for_owner(request, service):
         return request.key is not None and node.owner_may_change(service, request.key)
 
-    def choose_vm(request, service, state):
+    def choose_vm(request, route, service, state):
         """Return the name of the VM to send the request to next, or None."""
         if node.is_keyed(service):
             return choose_owner(request, service, state)
@@ -246,7 +246,7 @@
         if state.queue_refusals == MAX_QUEUE_REFUSALS - 1:
             other_vm = node.draw_other_vm(service, state.refused)
         if other_vm is None:
-            candidates = node.candidates(service, state.refused)
+            candidates = node.candidates(service, state.refused, route.name)
             best = choose(candidates, len(request.body), node.jitter)
             other_vm = best.vm if best else None
         other_vm = other_vm or node.draw_other_vm(service, state.refused)
@@ -302,6 +302,8 @@
 
     def apply_reply(request, route, service, state, vm, reply):
         state.reason = reply.reason
+        if reply.service_s and not node.is_keyed(service):
+            node.speeds.record(service, vm, route.name, reply.service_s)
         if reply.reached_target or reply.outcome != NOT_RUN:
             state.targets_reached += 1
         if reply.outcome == ANSWERED:
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -86,7 +86,9 @@
     request did not run, ``reached_target`` states whether the target received it, and
     ``owner`` is the VM that owns its key if this VM does not. ``body_bytes`` is as in a
     ``ForwardRequest``. ``node_s`` is positive if the node refused the request because
-    it stops: the time that it gives to running requests, in seconds.
+    it stops: the time that it gives to running requests, in seconds. ``service_s`` is
+    the mean time that requests of the route run at this target, in seconds, 0 if none
+    has run.
     """
 
     id: int
@@ -101,6 +103,7 @@
     load: Load | None = None
     body_bytes: Annotated[int, msgspec.Meta(ge=0, le=2**32)] = 0
     node_s: float = 0.0
+    service_s: float = 0.0
 
 
 class SendBody(msgspec.Struct, array_like=True, tag="b"):
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -35,6 +35,7 @@
 from ._routes import RetryBudget, TrafficSplitter
 from ._server import STOP_POLL_S, Server
 from ._sharing import RecordSharing
+from ._speeds import SpeedTable
 from ._status import key_status, node_status
 from ._store import MEMBERSHIP_TOPIC, OPERATOR_TOPIC
 from ._target import Target, make_target_handler
@@ -146,6 +147,8 @@
         Links to other VMs.
     loads : LoadTable
         Last known loads of other VMs.
+    speeds : SpeedTable
+        Service times that other VMs stated, by route.
     account : MemoryAccount
         Bytes held for clients, other nodes and the target.
     store, direct_store : Store
@@ -174,6 +177,7 @@
         self.keymaps = {}
         self.vms = Directory()
         self.loads = LoadTable()
+        self.speeds = SpeedTable()
         self.splitter = TrafficSplitter()
         self.retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
@@ -255,6 +259,7 @@
     def _on_load(self, vm, load):
         if load is None:
             self.loads.forget(vm)
+            self.speeds.forget(vm)
         else:
             self.loads.record(vm, load, trio.current_time())
 
@@ -561,7 +566,7 @@
             return 0.0
         return 0.9
 
-    def candidates(self, service, refused=()):
+    def candidates(self, service, refused=(), route=None):
         """Return a sample of the VMs of a service without keys for one request.
 
         They are drawn from the subset to which this node keeps links. This VM is always
@@ -572,6 +577,8 @@
         service : str
         refused : set of str
             VMs that refused the request.
+        route : str, default=None
+            Name of its route, whose service times are compared if they are known.
         """
         own, same_zone, other_zones = [], [], []
         settings = self.settings
@@ -588,7 +595,7 @@
             (same_zone if vm.zone == settings.zone else other_zones).append(vm)
         drawn = sample(same_zone, other_zones, self._random.sample)
         now = trio.current_time()
-        return [self._candidate(vm, now) for vm in own + drawn]
+        return [self._candidate(vm, now, route) for vm in own + drawn]
 
     def draw_other_vm(self, service, refused):
         """Return a VM of a service outside of the subset of this node, or None.
@@ -613,7 +620,7 @@
         link = self.links.get(vm)
         return link is not None and link.up and bool(link.load) and link.load.accepting
 
-    def _candidate(self, vm, now):
+    def _candidate(self, vm, now, route):
         if vm.name == self.settings.vm:
             load, in_flight, age_s = self.admission.load(), 0, 0.0
             round_trip_s = byte_s = 0.0
@@ -626,6 +633,7 @@
             vm.name, vm.zone == self.settings.zone, load.running, load.queued,
             load.slots, load.service_s, in_flight, age_s,
             self._failure_share(vm.name, now), round_trip_s, byte_s,
+            self.speeds.expected_s(vm.service, vm.name, route, now),
         )  # fmt: skip
 
     def handle_heartbeat(self, heartbeat):
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -209,6 +209,7 @@
                 node_s=refused.node_s,
             )  # fmt: skip
         reply.load = admission.load()
+        reply.service_s = admission.route_service_s(request.route)
         return reply
 
     async def run_at_target(request, deadline, hold):
--- a/tests/router/test_client_requests.py
+++ b/tests/router/test_client_requests.py
@@ -52,7 +52,7 @@
         stopping=False,
         owner_may_change=lambda service, key: True,
         accepts_requests=lambda vm: vm in replies, jitter=lambda: 0.0,
-        candidates=lambda service, refused=(): [
+        candidates=lambda service, refused=(), route=None: [
             Candidate(vm, True, 0, 0, 4, 0.1, 0, 0.0)
             for vm in replies
             if vm not in refused
