Draw VMs in proportion to the rate that they can serve

Cause: two VMs of the own zone and one other were drawn evenly, and the fastest one was preferred, so that at moderate load fast targets got more than they can serve before the next reports.

Change: where the relative times of the VMs of a service differ by 1.3 or more, VMs are drawn in proportion to slots / service time, and the difference of the service times counts by 0.2 in the choice, as speed is counted in the draw. Relative times are averaged over 2 s. With equal speeds nothing changes. Values are computed once in 0.2 s for each route.

--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -24,6 +24,7 @@
     "own_504": "504 responses of the router itself: no response in time",
     "repeated": "retries: requests sent to a further target",
     "repeat_budget_spent": "retries not sent because the retry budget was spent",
+    "drawn_by_speed": "requests for which VMs were drawn in proportion to their speed",
     "refused_at_gate": "requests refused by the node beside the target",
     "target_failures": "failed exchanges with the target",
     "target_refusals": "requests refused by the target itself",
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -35,7 +35,7 @@
 from ._routes import RetryBudget, TrafficSplitter
 from ._server import STOP_POLL_S, Server
 from ._sharing import RecordSharing
-from ._speeds import SpeedTable
+from ._speeds import SpeedTable, draw_by_weight
 from ._status import key_status, node_status
 from ._store import MEMBERSHIP_TOPIC, OPERATOR_TOPIC
 from ._target import Target, make_target_handler
@@ -177,7 +177,7 @@
         self.keymaps = {}
         self.vms = Directory()
         self.loads = LoadTable()
-        self.speeds = SpeedTable()
+        self.speeds = SpeedTable(self._slots_of, log)
         self.splitter = TrafficSplitter()
         self.retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
@@ -593,9 +593,32 @@
             if vm is None or vm.leaving or vm.service != service:
                 continue
             (same_zone if vm.zone == settings.zone else other_zones).append(vm)
-        drawn = sample(same_zone, other_zones, self._random.sample)
         now = trio.current_time()
-        return [self._candidate(vm, now, route) for vm in own + drawn]
+        speeds = self.speeds.of_route(service, route, now)
+        drawn = sample(same_zone, other_zones, self._make_draw(speeds.weights))
+        times_s, mean_s = speeds.times_s, speeds.mean_s
+        return [
+            self._candidate(vm, now, times_s.get(vm.name, mean_s)) for vm in own + drawn
+        ]
+
+    def _make_draw(self, weights):
+        """Return ``draw(vms, count)``, in proportion to weights if there are any."""
+        if weights is None:
+            return self._random.sample
+        self.metrics.count("drawn_by_speed")
+
+        def draw(vms, count):
+            vm_weights = [weights.get(vm.name, 1.0) for vm in vms]
+            return draw_by_weight(vms, vm_weights, count, self.jitter)
+
+        return draw
+
+    def _slots_of(self, vm):
+        """Return the slots of a VM that may be used, 0 if they are not known."""
+        if vm == self.settings.vm:
+            return self.admission.usable_slots
+        link = self.links.get(vm)
+        return link.load.slots if link is not None and link.load is not None else 0
 
     def draw_other_vm(self, service, refused):
         """Return a VM of a service outside of the subset of this node, or None.
@@ -620,7 +643,7 @@
         link = self.links.get(vm)
         return link is not None and link.up and bool(link.load) and link.load.accepting
 
-    def _candidate(self, vm, now, route):
+    def _candidate(self, vm, now, run_s):
         if vm.name == self.settings.vm:
             load, in_flight, age_s = self.admission.load(), 0, 0.0
             round_trip_s = byte_s = 0.0
@@ -632,8 +655,7 @@
         return Candidate(
             vm.name, vm.zone == self.settings.zone, load.running, load.queued,
             load.slots, load.service_s, in_flight, age_s,
-            self._failure_share(vm.name, now), round_trip_s, byte_s,
-            self.speeds.expected_s(vm.service, vm.name, route, now),
+            self._failure_share(vm.name, now), round_trip_s, byte_s, run_s,
         )  # fmt: skip
 
     def handle_heartbeat(self, heartbeat):
--- a/packages/router/src/jujuberudder_router/_speeds.py
+++ b/packages/router/src/jujuberudder_router/_speeds.py
@@ -16,6 +16,22 @@
 # Seconds for which relative times are used before they are computed again: a VM states
 # its times about once per second, and each request uses them.
 REFRESH_S = 0.2
+# Seconds over which relative times are averaged: a mean of ten requests varies by 20 %,
+# and targets may be three times as slow for 0.4 s, which says nothing about later.
+AVERAGING_S = 2.0
+# Least ratio between the times of the slowest and the fastest VM for which the speeds
+# count as unequal: averaged times of equal VMs differ less.
+MIN_SPEED_RATIO = 1.3
+# Least weight of a VM in the draw, as a share of the mean, so that times of a VM that
+# has become faster are noticed.
+MIN_WEIGHT = 0.1
+# Part of the difference between service times that counts if VMs are drawn by their
+# speed, since fast VMs would be preferred twice otherwise: in the load that
+# tests/router/test_speeds.py plays at 0.6 of the slots, the busiest VM gets 1.2 times
+# its share of the rate with 0.2, and 1.5 times with 1.
+DIFFERENCE_WEIGHT = 0.2
+# Seconds between two log lines about the speeds of a service.
+LOG_INTERVAL_S = 5.0
 
 
 class RelativeTimes(NamedTuple):
@@ -76,14 +92,116 @@
     return relative.route_means_s.get(route, 0.0) * relative.factors.get(vm, 1.0)
 
 
+def average_factors(previous, factors, elapsed_s):
+    """Return relative times averaged with those that were computed before.
+
+    Parameters
+    ----------
+    previous, factors : dict of str to float
+        Relative time of each VM, as before and as computed now.
+    elapsed_s : float
+        Seconds between the two.
+    """
+    weight = min(1.0, elapsed_s / AVERAGING_S)
+    return {
+        vm: (old := previous.get(vm, factor)) + weight * (factor - old)
+        for vm, factor in factors.items()
+    }
+
+
+def draw_weights(factors, slots):
+    """Return the weights with which VMs are drawn, or None if their speeds are equal.
+
+    VMs are drawn in proportion to the rate that they can serve, slots / service time.
+
+    Parameters
+    ----------
+    factors : dict of str to float
+        Relative time of each VM.
+    slots : dict of str to float
+        Slots of each VM that may be used, 0 if they are not known.
+
+    Returns
+    -------
+    weights : dict of str to float, or None
+        The mean is 1.
+    """
+    if len(factors) < 2:
+        return None
+    if max(factors.values()) < MIN_SPEED_RATIO * min(factors.values()):
+        return None
+    known = [count for count in slots.values() if count > 0]
+    mean_slots = sum(known) / len(known) if known else 1.0
+    rates = {vm: (slots[vm] or mean_slots) / factor for vm, factor in factors.items()}
+    mean = sum(rates.values()) / len(rates)
+    return {vm: max(MIN_WEIGHT, rate / mean) for vm, rate in rates.items()}
+
+
+def draw_by_weight(items, weights, count, random):
+    """Return distinct items, each drawn in proportion to its weight among the rest.
+
+    Parameters
+    ----------
+    items : list
+    weights : list of float
+        Positive weight of each item.
+    count : int
+    random : callable
+        Returns random numbers in [0, 1).
+    """
+    items, weights, drawn = list(items), list(weights), []
+    while items and len(drawn) < count:
+        place, index = random() * sum(weights), 0
+        while index < len(items) - 1 and place >= weights[index]:
+            place -= weights[index]
+            index += 1
+        drawn.append(items.pop(index))
+        del weights[index]
+    return drawn
+
+
+class RouteSpeeds(NamedTuple):
+    """What a choice among the VMs of a service uses for requests of one route.
+
+    ``weights`` are those of ``draw_weights``; VMs that are not listed have the weight
+    1. ``times_s`` maps VMs to the service times by which they are compared, in seconds;
+    ``mean_s`` is that of other VMs, 0 if no VM has run the route.
+    """
+
+    weights: dict | None
+    times_s: dict
+    mean_s: float
+
+
+NO_SPEEDS = RouteSpeeds(None, {}, 0.0)
+
+
+class _Computed(NamedTuple):
+    """Values of a service, when they were computed, and ``RouteSpeeds`` by route."""
+
+    at: float
+    relative: RelativeTimes
+    weights: dict | None
+    by_route: dict
+
+
 class SpeedTable:
-    """Last service times that the VMs of each service stated, by route."""
+    """Last service times that the VMs of each service stated, by route.
+
+    Parameters
+    ----------
+    slots_of : callable
+        ``slots_of(vm)`` returns the slots of a VM that may be used, 0 if not known.
+    log : callable
+    """
 
-    def __init__(self):
+    def __init__(self, slots_of, log):
+        self._slots_of, self._log = slots_of, log
         # Service to VM to route to service time in seconds; the oldest ones first.
         self._times = {}
-        # Service to (time of the computation, RelativeTimes).
-        self._relative = {}
+        # Service to its _Computed, and to whether its speeds were logged as unequal and
+        # when.
+        self._computed, self._logged = {}, {}
 
     def record(self, service, vm, route, service_s):
         """Record the service time (s) that a VM stated for a route.
@@ -107,16 +225,54 @@
         for vms in self._times.values():
             vms.pop(vm, None)
 
-    def _relative_times(self, service, now):
-        computed_at, relative = self._relative.get(service, (None, None))
-        if computed_at is None or now - computed_at >= REFRESH_S:
-            relative = relative_times(self._times.get(service, {}))
-            self._relative[service] = (now, relative)
-        return relative
+    def _compute(self, service, now, computed):
+        relative = relative_times(self._times[service])
+        if computed is not None:
+            factors = average_factors(
+                computed.relative.factors, relative.factors, now - computed.at
+            )
+            relative = relative._replace(factors=factors)
+        slots = {vm: self._slots_of(vm) for vm in relative.factors}
+        weights = draw_weights(relative.factors, slots)
+        computed = self._computed[service] = _Computed(now, relative, weights, {})
+        self._log_speeds(service, computed)
+        return computed
+
+    def _log_speeds(self, service, computed):
+        """Log whether the speeds of a service are unequal if that has changed."""
+        unequal, (logged, at) = (
+            computed.weights is not None,
+            self._logged.get(service, (False, -LOG_INTERVAL_S)),
+        )
+        if unequal == logged or computed.at - at < LOG_INTERVAL_S:
+            return
+        self._logged[service] = (unequal, computed.at)
+        factors = computed.relative.factors.values()
+        self._log(
+            "target_speeds", service=service, unequal=unequal, vms=len(factors),
+            fastest=min(factors, default=1.0), slowest=max(factors, default=1.0),
+        )  # fmt: skip
 
-    def expected_s(self, service, vm, route, now):
-        """Return the expected service time of a route at a VM in s, 0 if not known."""
+    def of_route(self, service, route, now):
+        """Return the ``RouteSpeeds`` of a service, which are at most 0.2 s old.
+
+        If VMs are drawn by their speed, the difference of a time to the mean counts
+        only in part.
+        """
         times = self._times.get(service)
         if not times:
-            return 0.0
-        return expected_time(times, self._relative_times(service, now), vm, route)
+            return NO_SPEEDS
+        computed = self._computed.get(service)
+        if computed is None or now - computed.at >= REFRESH_S:
+            computed = self._compute(service, now, computed)
+        speeds = computed.by_route.get(route)
+        if speeds is None:
+            _, relative, weights, by_route = computed
+            mean_s = relative.route_means_s.get(route, 0.0)
+            part = 1.0 if weights is None else DIFFERENCE_WEIGHT
+            times_s = {
+                vm: mean_s + part * (expected_time(times, relative, vm, route) - mean_s)
+                for vm in relative.factors
+            }
+            by_route[route] = speeds = RouteSpeeds(weights, times_s, mean_s)
+        return speeds
