Return requests that a target would run slowly at present

Cause: targets of the survey registry take three times as long for 0.4 s at a time and state it in the fourth figure of their load, which nothing used.

Change: the node beside a target keeps its last work time factor for 0.3 s. It returns a request without a key if the factor is 2 or more, the extra time exceeds one hop (15 ms), and the entry node stated that another VM has a free slot and no queue (ForwardRequest.may_return, on the first send only). Such a refusal counts neither as a queue that refused nor as a retry; if no other VM takes the request, the one that returned it is asked once more. Expected waits count the factor for as long as it is valid, and load reports state it, so that nodes avoid the target for 0.15 s.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -13,6 +13,12 @@
 
 from ._frames import Load
 from ._rate_limit import RateLimiter, usable_slots
+from ._speeds import (
+    REPORTED_WORK_TIME_VALID_S,
+    WorkTime,
+    is_faster_elsewhere,
+    slowed_wait,
+)
 
 # Share of a request's remaining time within which its response has to be ready. The
 # rest covers the way back and the variation of service times.
@@ -228,6 +234,8 @@
     slots : int
     rate_limiter : RateLimiter
         Rate limit that the target states.
+    work_time : WorkTime
+        Work time that the target states.
     drain_deadline : float or None
         Time on the node's clock, in seconds, at which unfinished requests get a final
         response; None while the node does not drain.
@@ -260,6 +268,7 @@
         self._mean_used = 0.0
         self.slots = 0
         self.rate_limiter = RateLimiter()
+        self.work_time = WorkTime()
         self.drain_deadline = self.keyed_drain_deadline = None
         self.closed_reason = "no target has announced itself"
 
@@ -316,6 +325,7 @@
 
     def record_target_load(self, load, now):
         """Record the ``TargetLoad`` that the target stated in a response."""
+        self.work_time.record(load.work_time_factor, now)
         untracked = max(0, load.running + load.waiting - self._running)
         if untracked >= self._untracked or now > self._untracked_until:
             self._untracked, self._untracked_until = untracked, now + UNTRACKED_TTL_S
@@ -383,14 +393,27 @@
     def load(self):
         """Return the load report for other nodes."""
         queued, wait, slots = len(self._waiters), 0.0, self.usable_slots
+        now = trio.current_time()
         if queued or self._running >= slots:
             wait = expected_wait(self._mean_service_s, self._queued_work_s(), slots)
+            wait = slowed_wait(wait, self.work_time.factor(now))
         measured_s = self._mean_service_s if self._service_s else 0.0
         return Load(
             self._running, queued, slots, wait, measured_s,
             not self.closed_reason, self.usage,
+            self.work_time.factor(now, REPORTED_WORK_TIME_VALID_S),
         )  # fmt: skip
 
+    def returns(self, request, now):
+        """Return whether a request is returned because the target is slow at present.
+
+        Another VM has a free slot for it.
+        """
+        if not request.may_return or request.key is not None or self.closed_reason:
+            return False
+        service_s = self.route_service_s(request.route)
+        return is_faster_elsewhere(self.work_time.factor(now), service_s)
+
     async def acquire(self, request, now):
         """Wait for a slot.
 
@@ -475,9 +498,10 @@
             and now + w.service_s <= w.late_at
         )
         queued_s, slots = self._queued_work_s(), self.usable_slots
+        factor = self.work_time.factor(now)
         retry_after_s = refusal(
-            expected_wait(self._mean_service_s, ahead_s, slots),
-            expected_wait(self._mean_service_s, queued_s, slots),
+            slowed_wait(expected_wait(self._mean_service_s, ahead_s, slots), factor),
+            slowed_wait(expected_wait(self._mean_service_s, queued_s, slots), factor),
             service_s,
             late_s,
             request.remaining_s,
--- a/packages/router/src/jujuberudder_router/_choice.py
+++ b/packages/router/src/jujuberudder_router/_choice.py
@@ -106,6 +106,16 @@
     return draw(same_zone_vms, same_zone_count) + draw(other_zone_vms, other_zone_count)
 
 
+def has_free_other(candidates, chosen):
+    """Return whether a VM other than the chosen one has a free slot and no queue."""
+    return any(
+        c.vm != chosen.vm
+        and not c.queued
+        and max(c.running, c.own_requests) + 1 <= c.slots
+        for c in candidates
+    )
+
+
 def choose(candidates, body_bytes, jitter):
     """Return the candidate with the lowest cost, or None if there are none.
 
--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -3,7 +3,7 @@
 import trio
 
 from ._admission import OUTLASTS_NODE
-from ._choice import choose
+from ._choice import choose, has_free_other
 from ._frames import ANSWERED, NOT_RUN, ForwardRequest
 from ._http import HttpError
 from ._keymap import locate
@@ -54,7 +54,8 @@
     belongs to an earlier send that ran or may have run; it is returned if no further
     target serves the request. ``stopping_vms`` maps VMs that refused it because their
     node stops to the time of its end; ``stopping_asked`` counts those that were asked
-    again because no other VM takes it.
+    again because no other VM takes it. ``may_return`` is whether the next VM may return
+    the request because its target is slow, ``returned_by`` the VM that did so.
     """
 
     def __init__(self, hold=None):
@@ -70,6 +71,7 @@
         self.queue_refusals = 0
         self.stopping_vms = {}
         self.stopping_asked = 0
+        self.may_return, self.returned_by = False, None
         self.response = None
 
 
@@ -249,8 +251,19 @@
             candidates = node.candidates(service, state.refused, route.name)
             best = choose(candidates, len(request.body), node.jitter)
             other_vm = best.vm if best else None
+            # Only the first VM may return it, so that it is returned once.
+            state.may_return = (
+                best is not None
+                and not state.sends
+                and has_free_other(candidates, best)
+            )
         other_vm = other_vm or node.draw_other_vm(service, state.refused)
-        return other_vm or choose_stopping_vm(state)
+        return other_vm or choose_stopping_vm(state) or take_returning_vm(state)
+
+    def take_returning_vm(state):
+        """Return the VM that returned the request, once, or None."""
+        vm, state.returned_by = state.returned_by, None
+        return vm
 
     def may_ask_stopping(state):
         return bool(state.stopping_vms) and state.stopping_asked < MAX_STOPPING_ASKED
@@ -288,8 +301,9 @@
             0, request.id, request.method, request.target, request.headers,
             request.body, remaining_s - RESPONSE_MARGIN_S, route.latency_goal_s,
             route.priority, request.key, node.settings.service, service, route.name,
-            no_other_vm=state.stopping_asked > 0,
+            no_other_vm=state.stopping_asked > 0, may_return=state.may_return,
         )  # fmt: skip
+        state.may_return = False
         state.sends += 1
         state.in_doubt = True
         state.reason = f"{vm} has not answered"
@@ -325,6 +339,8 @@
         if reply.retry_after_s:
             state.retry_after_s = reply.retry_after_s
         state.refused.add(vm)
+        if reply.returned:
+            state.returned_by = vm
         state.owner_hint = reply.owner
         if reply.node_s > 0 and not state.stopping_asked:
             state.stopping_vms[vm] = trio.current_time() + reply.node_s
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -24,6 +24,8 @@
     ``wait_s`` is the expected wait of a new request, ``service_s`` the mean time that a
     request runs (0 before the first one), and ``usage`` the mean of running and queued
     requests over slots. ``slots`` counts those that the target's rate limit keeps busy.
+    ``work_time_factor`` is how long work takes there at present, as a multiple of the
+    usual time.
     """
 
     running: int
@@ -33,6 +35,7 @@
     service_s: float
     accepting: bool
     usage: float = 0.0
+    work_time_factor: float = 1.0
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
@@ -59,7 +62,8 @@
     """A client request, forwarded to the node beside the target that is to run it.
 
     If ``body_bytes`` is not 0, ``body`` is empty: as many bytes follow in ``BodyPart``
-    frames, after a ``SendBody``. ``no_other_vm`` states that no other VM took it.
+    frames, after a ``SendBody``. ``no_other_vm`` states that no other VM took it,
+    ``may_return`` that another VM has a free slot for it if this target is slow.
     """
 
     id: int
@@ -77,6 +81,7 @@
     route: str
     body_bytes: Annotated[int, msgspec.Meta(ge=0, le=2**32)] = 0
     no_other_vm: bool = False
+    may_return: bool = False
 
 
 class ForwardReply(msgspec.Struct, array_like=True, tag="r"):
@@ -88,7 +93,8 @@
     ``ForwardRequest``. ``node_s`` is positive if the node refused the request because
     it stops: the time that it gives to running requests, in seconds. ``service_s`` is
     the mean time that requests of the route run at this target, in seconds, 0 if none
-    has run.
+    has run. ``returned`` states that the request was not run because the target is slow
+    at present; this VM would run it if no other does.
     """
 
     id: int
@@ -104,6 +110,7 @@
     body_bytes: Annotated[int, msgspec.Meta(ge=0, le=2**32)] = 0
     node_s: float = 0.0
     service_s: float = 0.0
+    returned: bool = False
 
 
 class SendBody(msgspec.Struct, array_like=True, tag="b"):
--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -26,6 +26,7 @@
     "repeat_budget_spent": "retries not sent because the retry budget was spent",
     "drawn_by_speed": "requests for which VMs were drawn in proportion to their speed",
     "refused_at_gate": "requests refused by the node beside the target",
+    "returned_by_slow_target": "requests returned because the target is slow now",
     "target_failures": "failed exchanges with the target",
     "target_refusals": "requests refused by the target itself",
     "key_map_changes": "changes to the key map appended by this node",
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -35,7 +35,7 @@
 from ._routes import RetryBudget, TrafficSplitter
 from ._server import STOP_POLL_S, Server
 from ._sharing import RecordSharing
-from ._speeds import SpeedTable, draw_by_weight
+from ._speeds import SpeedTable, draw_by_weight, reported_factor
 from ._status import key_status, node_status
 from ._store import MEMBERSHIP_TOPIC, OPERATOR_TOPIC
 from ._target import Target, make_target_handler
@@ -652,10 +652,12 @@
             load, in_flight, age_s = link.load, link.in_flight, now - link.load_at
             round_trip_s = link.round_trip_s
             byte_s = 1 / self.settings.link_bytes_per_s
+        factor = reported_factor(load.work_time_factor, age_s)
         return Candidate(
             vm.name, vm.zone == self.settings.zone, load.running, load.queued,
-            load.slots, load.service_s, in_flight, age_s,
-            self._failure_share(vm.name, now), round_trip_s, byte_s, run_s,
+            load.slots, load.service_s * factor, in_flight, age_s,
+            self._failure_share(vm.name, now), round_trip_s, byte_s,
+            run_s * factor,
         )  # fmt: skip
 
     def handle_heartbeat(self, heartbeat):
--- a/packages/router/src/jujuberudder_router/_speeds.py
+++ b/packages/router/src/jujuberudder_router/_speeds.py
@@ -1,8 +1,12 @@
-"""Speeds of the targets of services without keys, as their replies state them.
+"""Speeds of the targets of services without keys, and their work time at present.
 
 It handles load on targets of unequal speed: the node beside a target states the mean
 service time of a route in each reply, and the entry node chooses a VM by the times of
 the request's route. Times of different routes are never compared with each other.
+
+A target may also be several times slower for less than a second, and state that by its
+work time factor. Then the node beside it returns requests that another target serves
+sooner.
 """
 
 from typing import NamedTuple
@@ -32,6 +36,22 @@
 DIFFERENCE_WEIGHT = 0.2
 # Seconds between two log lines about the speeds of a service.
 LOG_INTERVAL_S = 5.0
+# Seconds for which a work time factor is valid: the users' targets are slow for 0.4 s,
+# and state it in a response that may come at any time of that.
+WORK_TIME_VALID_S = 0.3
+# Seconds for which a node states a factor in load reports, and for which another one
+# uses such a report, so that both together are within the validity.
+REPORTED_WORK_TIME_VALID_S = WORK_TIME_VALID_S / 2
+# Least factor for which a request is returned, so that targets whose work time varies
+# a little keep their requests.
+MIN_FACTOR_TO_RETURN = 2.0
+# Seconds that one more hop between nodes takes: the delay between availability zones
+# both ways (4.4 ms one way at most), and the work of two nodes (2 ms each).
+HOP_S = 0.015
+# Greatest factor that is plausible in a load report of another node.
+MAX_WORK_TIME_FACTOR = 100.0
+# Seconds between two log lines that a target is slow.
+SLOW_LOG_INTERVAL_S = 1.0
 
 
 class RelativeTimes(NamedTuple):
@@ -160,6 +180,73 @@
     return drawn
 
 
+def slowed_wait(wait_s, factor):
+    """Return the expected wait at a target whose work time has a factor, in seconds.
+
+    Work takes longer only while the factor is valid.
+
+    Parameters
+    ----------
+    wait_s : float
+        Expected wait at the usual work time, in seconds.
+    factor : float
+    """
+    if factor <= 1:
+        return wait_s
+    return min(wait_s * factor, wait_s + WORK_TIME_VALID_S * (1 - 1 / factor))
+
+
+def is_faster_elsewhere(factor, service_s):
+    """Return whether another target serves a request sooner, one hop included.
+
+    Parameters
+    ----------
+    factor : float
+        Work time factor of this target.
+    service_s : float
+        Usual service time of the route here in seconds, 0 if it is not known.
+    """
+    return factor >= MIN_FACTOR_TO_RETURN and service_s * (factor - 1) > HOP_S
+
+
+def reported_factor(factor, age_s):
+    """Return the factor of a load report to count, 1 if it is too old or implausible.
+
+    Parameters
+    ----------
+    factor : float
+    age_s : float
+        Age of the report in seconds.
+    """
+    valid = age_s <= REPORTED_WORK_TIME_VALID_S and 1 < factor <= MAX_WORK_TIME_FACTOR
+    return factor if valid else 1.0
+
+
+class WorkTime:
+    """Last work time factor that the target beside this node stated."""
+
+    def __init__(self):
+        self._factor, self._at = 1.0, 0.0
+        self._log_at = 0.0
+
+    def record(self, factor, now):
+        """Record a factor that the target stated."""
+        self._factor, self._at = factor, now
+
+    def factor(self, now, valid_s=WORK_TIME_VALID_S):
+        """Return the factor if it is above 1 and not older than ``valid_s``, else 1."""
+        if self._factor <= 1 or now - self._at > valid_s:
+            return 1.0
+        return self._factor
+
+    def may_log(self, now):
+        """Return whether a log line is due, and count it as written."""
+        if now < self._log_at:
+            return False
+        self._log_at = now + SLOW_LOG_INTERVAL_S
+        return True
+
+
 class RouteSpeeds(NamedTuple):
     """What a choice among the VMs of a service uses for requests of one route.
 
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -218,6 +218,8 @@
             reason, owner = refusal
             return ForwardReply(request.id, NOT_RUN, reason=reason, owner=owner)
         arrived_at = trio.current_time()
+        if admission.returns(request, arrived_at):
+            return return_request(request, arrived_at)
         await admission.acquire(request, arrived_at)
         started_at = trio.current_time()
         metrics.observe("gate_wait", started_at - arrived_at, request.route)
@@ -240,6 +242,20 @@
             admission.release(request, took_s)
         return reply
 
+    def return_request(request, now):
+        """Return a request that another target serves sooner than this slow one."""
+        metrics.count("returned_by_slow_target")
+        factor = admission.work_time.factor(now)
+        if admission.work_time.may_log(now):
+            log(
+                "target_slow", id=request.request_id, target=target.incarnation,
+                factor=factor, running=admission.running,
+            )  # fmt: skip
+        return ForwardReply(
+            request.id, NOT_RUN, returned=True,
+            reason=f"work takes {factor:.1f} times as long as usual",
+        )  # fmt: skip
+
     async def send_to_target(request, remaining_s, hold):
         headers = adapter.target_request_headers(request, remaining_s, target.id)
         head = request_head(request.method, request.target, headers, len(request.body))
--- a/tests/router/test_client_requests.py
+++ b/tests/router/test_client_requests.py
@@ -166,6 +166,47 @@
     assert (response_status, "".join(sent_to)) == (status, expected_vms)
 
 
+RETURNED = ForwardReply(0, NOT_RUN, reason="slow", returned=True)
+
+
+@pytest.mark.parametrize(
+    "script, options, status, expected_vms",
+    [
+        ({"a": [RETURNED], "b": [OK]}, {}, 200, "Ab"),
+        ({"a": [OK]}, {}, 200, "a"),
+        ({"a": [RETURNED], "b": [BUSY], "c": [BUSY], "d": [OK]}, {}, 200, "Abcd"),
+        ({"a": [RETURNED, OK], "b": [CLOSED]}, {}, 200, "Aba"),
+        ({"a": [RETURNED, BUSY], "b": [CLOSED]}, {}, 503, "Aba"),
+        ({"a": [RETURNED], "b": [OK]}, {"slack": 0}, 200, "Ab"),
+        ({"a": [CLOSED], "b": [OK]}, {}, 200, "Ab"),
+        ({"a": [OK], "b": [OK]}, {"keyed": True}, 200, "a"),
+    ],
+    ids=[
+        "another VM", "no other VM", "not counted as a queue", "the other VM is closed",
+        "none takes it", "no retry budget", "refused, not returned", "a key",
+    ],
+)  # fmt: skip
+async def test_request_is_returned_by_a_slow_target_once(
+    script, options, status, expected_vms, autojump_clock
+):
+    """Guards against requests that are passed on again and again, or lost so.
+
+    VMs in capitals may return the request.
+    """
+    node, _ = make_node(
+        {vm: list(replies) for vm, replies in script.items()}, **options
+    )
+    forward, sent_to = node.peers.forward, []
+
+    async def record(vm, request, hold):
+        sent_to.append(vm.upper() if request.may_return else vm)
+        return await forward(vm, request, hold)
+
+    node.peers.forward = record
+    response_status, _, _ = await make_client_handler(node)(MESSAGE)
+    assert (response_status, "".join(sent_to)) == (status, expected_vms)
+
+
 @pytest.mark.parametrize("has_nursery", [False, True])
 async def test_request_that_is_cut_off_is_logged_with_its_cause(
     autojump_clock, has_nursery
--- a/tests/router/test_speeds.py
+++ b/tests/router/test_speeds.py
@@ -5,8 +5,13 @@
 import random
 
 import pytest
+import trio
 
-from jujuberudder_router._choice import Candidate, choose, sample
+from jujuberudder_emulator import run_deployment
+from jujuberudder_router import TargetLoad
+from jujuberudder_router._admission import AdmissionQueue
+from jujuberudder_router._choice import Candidate, choose, has_free_other, sample
+from jujuberudder_router._frames import ForwardRequest
 from jujuberudder_router._speeds import (
     MAX_ROUTES,
     MAX_VMS,
@@ -17,6 +22,8 @@
     draw_weights,
     expected_time,
     relative_times,
+    reported_factor,
+    slowed_wait,
 )
 from jujuberudder_router._subsets import service_subset
 
@@ -216,3 +223,119 @@
     assert busiest <= 1.3
     # Single VMs that are drawn at random get up to 2.6 times the mean in a second.
     assert peak <= 3.0
+
+
+@pytest.mark.parametrize(
+    "wait_s, factor, expected_s",
+    [(0.1, 1.0, 0.1), (0.1, 0.5, 0.1), (0.05, 3.0, 0.15), (1.0, 3.0, 1.2)],
+    ids=["usual", "faster", "short wait", "wait longer than the slowness"],
+)
+def test_slowed_wait(wait_s, factor, expected_s):
+    """Guards against waits that ignore slowness, or refusals as if it lasted."""
+    assert slowed_wait(wait_s, factor) == pytest.approx(expected_s)
+
+
+@pytest.mark.parametrize(
+    "factor, age_s, expected",
+    [(3.0, 0.1, 3.0), (3.0, 0.2, 1.0), (math.nan, 0.0, 1.0), (math.inf, 0.0, 1.0)],
+)
+def test_reported_factor(factor, age_s, expected):
+    """Guards against old and implausible figures of other nodes."""
+    assert reported_factor(factor, age_s) == expected
+
+
+@pytest.mark.parametrize(
+    "changes, expected",
+    [({}, True), ({"queued": 1}, False), ({"own_requests": 3}, False)],
+    ids=["free", "queue", "no free slot"],
+)
+def test_has_free_other(changes, expected):
+    """Guards against requests that are returned although no other target is free."""
+    a = Candidate("a", True, 0, 0, 3, 0.1, 0, 0.0)
+    assert not has_free_other([a], a)
+    assert has_free_other([a, a._replace(vm="b", **changes)], a) == expected
+
+
+@pytest.mark.parametrize(
+    "factor, age_s, service_s, changes, expected",
+    [
+        (3.0, 0.1, 0.1, {}, True),
+        (3.0, 0.4, 0.1, {}, False),
+        (1.9, 0.1, 0.1, {}, False),
+        (3.0, 0.1, 0.005, {}, False),
+        (3.0, 0.1, None, {}, False),
+        (3.0, 0.1, 0.1, {"may_return": False}, False),
+        (3.0, 0.1, 0.1, {"key": 7}, False),
+    ],
+    ids=[
+        "slow", "old figure", "a little slow", "short work", "unknown route",
+        "returned before", "a key",
+    ],
+)  # fmt: skip
+async def test_slow_target_returns_requests(
+    factor, age_s, service_s, changes, expected, autojump_clock
+):
+    """Guards against slots of slow targets, and requests returned without a gain."""
+    fields = {"key": None, "may_return": True} | changes
+    request = ForwardRequest(
+        0, "r", b"GET", b"/", [], b"", 1.0, 0.5, 1, fields["key"], "s", "s", "r-1",
+        may_return=fields["may_return"],
+    )  # fmt: skip
+    admission = AdmissionQueue(lambda key, now: True)
+    admission.open(1)
+    if service_s is not None:
+        await admission.acquire(request, trio.current_time())
+        admission.release(request, service_s)
+    assert not admission.returns(request, trio.current_time())
+    admission.record_target_load(TargetLoad(0, 0, 1, factor), trio.current_time())
+    assert admission.load().work_time_factor == factor
+    await trio.sleep(age_s)
+    assert admission.returns(request, trio.current_time()) == expected
+
+
+async def test_requests_avoid_targets_while_they_are_slow():
+    """Guards against requests that wait at a slow target while another one is free.
+
+    In turn, one of two targets takes four times as long for 0.4 s.
+    """
+    async with run_deployment("orders", "orders", "jobs") as deployment:
+        targets = [deployment.vms[vm].target for vm in ("vm-0", "vm-1")]
+        client, slow_starts = deployment.vms["vm-2"], []
+
+        async def both_ran():
+            await client.send_request("/orders/1")
+            return len({run.target for run in deployment.runs}) == 2
+
+        await deployment.wait_until(both_ran)
+
+        def set_slow(target, slow):
+            load = b"0,0,4,400" if slow else b"0,0,4,100"
+            target.stated_headers = [(b"jujuberudder-server-load", load)]
+
+            async def work(message):
+                slow_starts.append(slow)
+                await trio.sleep(0.08 if slow else 0.02)
+                return True
+
+            target.work = work
+
+        async def alternate():
+            while True:
+                for slow in targets:
+                    for target in targets:
+                        set_slow(target, target is slow)
+                    await trio.sleep(0.4)
+
+        async def send():
+            while True:
+                assert (await client.send_request("/orders/1")).status == 200
+
+        with trio.move_on_after(4.0):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(alternate)
+                for _ in range(3):
+                    nursery.start_soon(send)
+        returned = deployment.vms["vm-0"].lines + deployment.vms["vm-1"].lines
+        assert any("event=target_slow" in line for line in returned)
+        # A third of the requests without the work time, 5 to 9 % with it.
+        assert sum(slow_starts) <= 0.2 * len(slow_starts)
