--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -3,7 +3,7 @@
 import trio
 
 from ._admission import OUTLASTS_NODE
-from ._choice import choose
+from ._choice import choose, has_free_other
 from ._frames import ANSWERED, NOT_RUN, ForwardRequest
 from ._hedging import make_hedged_send
 from ._http import HttpError
@@ -60,6 +60,8 @@
     are known; ``returning`` states that the request is the return of a refused one.
     ``started`` is when it arrived, and ``goal_s`` the time in seconds that its latency
     goal leaves from then on, which counts from the first attempt of its client.
+    ``may_return`` is whether the next VM may return
+    the request because its target is slow, ``returned_by`` the VM that did so.
     """
 
     def __init__(self, hold=None):
@@ -79,6 +81,7 @@
         self.route = self.service = None
         self.returning = False
         self.started = self.goal_s = 0.0
+        self.may_return, self.returned_by = False, None
         self.response = None
 
 
@@ -243,7 +246,7 @@
             now = trio.current_time()
             if deadline - now < MIN_REMAINING_S:
                 return
-            vm = choose_vm(request, service, state)
+            vm = choose_vm(request, route, service, state)
             if vm is not None:
                 if send_hedged and route.retryable and not node.is_keyed(service):
                     vm, reply = await send_hedged(
@@ -271,7 +274,7 @@
     def may_wait_for_owner(request, service):
         return request.key is not None and node.owner_may_change(service, request.key)
 
-    def choose_vm(request, service, state):
+    def choose_vm(request, route, service, state):
         """Return the name of the VM to send the request to next, or None."""
         if node.is_keyed(service):
             return choose_owner(request, service, state)
@@ -281,11 +284,22 @@
         if state.queue_refusals == MAX_QUEUE_REFUSALS - 1:
             other_vm = node.draw_other_vm(service, state.refused)
         if other_vm is None:
-            candidates = node.candidates(service, state.refused)
+            candidates = node.candidates(service, state.refused, route.name)
             best = choose(candidates, len(request.body), node.jitter)
             other_vm = best.vm if best else None
+            # Only the first VM may return it, so that it is returned once.
+            state.may_return = (
+                best is not None
+                and not state.sends
+                and has_free_other(candidates, best)
+            )
         other_vm = other_vm or node.draw_other_vm(service, state.refused)
-        return other_vm or choose_stopping_vm(state)
+        return other_vm or choose_stopping_vm(state) or take_returning_vm(state)
+
+    def take_returning_vm(state):
+        """Return the VM that returned the request, once, or None."""
+        vm, state.returned_by = state.returned_by, None
+        return vm
 
     def may_ask_stopping(state):
         return bool(state.stopping_vms) and state.stopping_asked < MAX_STOPPING_ASKED
@@ -324,7 +338,9 @@
             request.body, remaining_s - RESPONSE_MARGIN_S, state.goal_s,
             route.priority, request.key, node.settings.service, service, route.name,
             no_other_vm=state.stopping_asked > 0, returning=state.returning,
+            may_return=state.may_return,
         )  # fmt: skip
+        state.may_return = False
         if node.entry_room is not None:
             forward_request.caller_priority = node.entry_room.caller_priority
         state.sends += 1
@@ -341,6 +357,8 @@
         state.reason = reply.reason
         if node.entry_room is not None and reply.load is not None:
             node.entry_room.on_reply(route, reply)
+        if reply.service_s and not node.is_keyed(service):
+            node.speeds.record(service, vm, route.name, reply.service_s)
         if reply.reached_target or reply.outcome != NOT_RUN:
             state.targets_reached += 1
         if reply.outcome == ANSWERED:
@@ -362,6 +380,8 @@
         if reply.retry_after_s:
             state.retry_after_s = reply.retry_after_s
         state.refused.add(vm)
+        if reply.returned:
+            state.returned_by = vm
         state.owner_hint = reply.owner
         if reply.node_s > 0 and not state.stopping_asked:
             state.stopping_vms[vm] = trio.current_time() + reply.node_s
--- a/packages/router/src/jujuberudder_router/_explain.py
+++ b/packages/router/src/jujuberudder_router/_explain.py
@@ -294,7 +294,7 @@
     )
     if not node.is_keyed(service):
         vms = node.vms.of_service(service)
-        return view._replace(vms=tuple(_vm_view(node, vm, now) for vm in vms))
+        return view._replace(vms=tuple(_vm_view(node, vm, route, now) for vm in vms))
     if key is None:
         return view
     owner = key_status(node, service, key, now)
@@ -303,10 +303,10 @@
         return view._replace(
             owner=owner, owner_problem=node.owner_problem(service, key)
         )
-    return view._replace(owner=owner, owner_view=_vm_view(node, entry, now))
+    return view._replace(owner=owner, owner_view=_vm_view(node, entry, route, now))
 
 
-def _vm_view(node, vm, now):
+def _vm_view(node, vm, route, now):
     own = vm.name == node.settings.vm
     link, load = node.links.get(vm.name), None
     if own:
@@ -328,5 +328,5 @@
         reachable=own or node.peers.may_reach(vm.name),
         refusing=refusing,
         wait_s=0.0 if load is None else load.wait_s,
-        candidate=None if load is None else node.candidate_of(vm, now),
+        candidate=None if load is None else node.candidate_of(vm, route.name, now),
     )
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -26,6 +26,8 @@
     requests over slots. ``slots`` counts those that the target's rate limit keeps busy.
     ``refusals`` are pairs of an urgency and the number of requests of it that were
     refused in the last second because of the queue.
+    ``work_time_factor`` is how long work takes there at present, as a multiple of the
+    usual time.
     """
 
     running: int
@@ -36,6 +38,7 @@
     accepting: bool
     usage: float = 0.0
     refusals: tuple[tuple[int, int], ...] = ()
+    work_time_factor: float = 1.0
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
@@ -65,6 +68,7 @@
     frames, after a ``SendBody``. ``no_other_vm`` states that no other VM took it,
     ``caller_priority`` is that of the most urgent request that runs at the target where
     it began, and ``returning`` states that its client was refused before.
+    ``may_return`` that another VM has a free slot for it if this target is slow.
     """
 
     id: int
@@ -84,6 +88,7 @@
     no_other_vm: bool = False
     caller_priority: int | None = None
     returning: bool = False
+    may_return: bool = False
 
 
 class ForwardReply(msgspec.Struct, array_like=True, tag="r"):
@@ -95,6 +100,10 @@
     ``ForwardRequest``. ``node_s`` is positive if the node refused the request because
     it stops: the time that it gives to running requests, in seconds. ``called`` states
     whether the requests of its route are calls, where kinds of requests compete.
+    ``service_s`` is
+    the mean time that requests of the route run at this target, in seconds, 0 if none
+    has run. ``returned`` states that the request was not run because the target is slow
+    at present; this VM would run it if no other does.
     """
 
     id: int
@@ -110,6 +119,8 @@
     body_bytes: Annotated[int, msgspec.Meta(ge=0, le=2**32)] = 0
     node_s: float = 0.0
     called: bool = False
+    service_s: float = 0.0
+    returned: bool = False
 
 
 class SendBody(msgspec.Struct, array_like=True, tag="b"):
--- a/packages/router/src/jujuberudder_router/_hedging.py
+++ b/packages/router/src/jujuberudder_router/_hedging.py
@@ -177,7 +177,8 @@
 
         def choose_second():
             excluded = state.refused | {vm}
-            free = [c for c in node.candidates(service, excluded) if has_free_slot(c)]
+            candidates = node.candidates(service, excluded, route.name)
+            free = [c for c in candidates if has_free_slot(c)]
             second = choose(free, len(request.body), node.jitter)
             if second is None:
                 return None
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -39,6 +39,7 @@
 from ._server import STOP_POLL_S, Server
 from ._service_room import EntryRoom, TargetRoom
 from ._sharing import RecordSharing
+from ._speeds import SpeedTable, draw_by_weight, reported_factor
 from ._status import key_status, node_status
 from ._store import MEMBERSHIP_TOPIC, OPERATOR_TOPIC
 from ._target import Target, make_target_handler
@@ -152,6 +153,8 @@
         None if no request is sent a second time because its response is late.
     loads : LoadTable
         Last known loads of other VMs.
+    speeds : SpeedTable
+        Service times that other VMs stated, by route.
     account : MemoryAccount
         Bytes held for clients, other nodes and the target.
     pacer : LinkPacer
@@ -184,6 +187,7 @@
         self.keymaps = {}
         self.vms = Directory()
         self.loads = LoadTable()
+        self.speeds = SpeedTable(self._slots_of, log)
         self.splitter = TrafficSplitter()
         self.retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
@@ -283,6 +287,7 @@
     def _on_load(self, vm, load):
         if load is None:
             self.loads.forget(vm)
+            self.speeds.forget(vm)
         else:
             self.loads.record(vm, load, trio.current_time())
 
@@ -589,7 +594,7 @@
             return 0.0
         return 0.9
 
-    def candidates(self, service, refused=()):
+    def candidates(self, service, refused=(), route=None):
         """Return a sample of the VMs of a service without keys for one request.
 
         They are drawn from the subset to which this node keeps links. This VM is always
@@ -600,6 +605,8 @@
         service : str
         refused : set of str
             VMs that refused the request.
+        route : str, default=None
+            Name of its route, whose service times are compared if they are known.
         """
         own, same_zone, other_zones = [], [], []
         settings = self.settings
@@ -614,9 +621,32 @@
             if vm is None or vm.leaving or vm.service != service:
                 continue
             (same_zone if vm.zone == settings.zone else other_zones).append(vm)
-        drawn = sample(same_zone, other_zones, self._random.sample)
         now = trio.current_time()
-        return [self._candidate(vm, now) for vm in own + drawn]
+        speeds = self.speeds.of_route(service, route, now)
+        drawn = sample(same_zone, other_zones, self._make_draw(speeds.weights))
+        times_s, mean_s = speeds.times_s, speeds.mean_s
+        return [
+            self._candidate(vm, now, times_s.get(vm.name, mean_s)) for vm in own + drawn
+        ]
+
+    def _make_draw(self, weights):
+        """Return ``draw(vms, count)``, in proportion to weights if there are any."""
+        if weights is None:
+            return self._random.sample
+        self.metrics.count("drawn_by_speed")
+
+        def draw(vms, count):
+            vm_weights = [weights.get(vm.name, 1.0) for vm in vms]
+            return draw_by_weight(vms, vm_weights, count, self.jitter)
+
+        return draw
+
+    def _slots_of(self, vm):
+        """Return the slots of a VM that may be used, 0 if they are not known."""
+        if vm == self.settings.vm:
+            return self.admission.usable_slots
+        link = self.links.get(vm)
+        return link.load.slots if link is not None and link.load is not None else 0
 
     def _load_reports(self, service):
         """Iterate over (load or None, age in s) of VMs of a service without keys.
@@ -659,11 +689,12 @@
         link = self.links.get(vm)
         return link is not None and link.up and bool(link.load) and link.load.accepting
 
-    def candidate_of(self, vm, now):
+    def candidate_of(self, vm, route, now):
         """Return the ``Candidate`` of a VM whose load is known, without a choice."""
-        return self._candidate(vm, now)
+        speeds = self.speeds.of_route(vm.service, route, now)
+        return self._candidate(vm, now, speeds.times_s.get(vm.name, speeds.mean_s))
 
-    def _candidate(self, vm, now):
+    def _candidate(self, vm, now, run_s):
         if vm.name == self.settings.vm:
             load, in_flight, age_s = self.admission.load(), 0, 0.0
             round_trip_s = byte_s = 0.0
@@ -672,10 +703,12 @@
             load, in_flight, age_s = link.load, link.in_flight, now - link.load_at
             round_trip_s = link.round_trip_s
             byte_s = 1 / self.settings.link_bytes_per_s
+        factor = reported_factor(load.work_time_factor, age_s)
         return Candidate(
             vm.name, vm.zone == self.settings.zone, load.running, load.queued,
-            load.slots, load.service_s, in_flight, age_s,
+            load.slots, load.service_s * factor, in_flight, age_s,
             self._failure_share(vm.name, now), round_trip_s, byte_s,
+            run_s * factor,
         )  # fmt: skip
 
     def handle_heartbeat(self, heartbeat):
--- a/tests/router/test_hedging.py
+++ b/tests/router/test_hedging.py
@@ -49,7 +49,7 @@
     node.metrics.count = lambda event: seen.counts.update([event])
     node.log = lambda event, **fields: seen.lines.append((event, fields))
 
-    def candidates(service, refused=()):
+    def candidates(service, refused=(), route=None):
         base = Candidate("", True, 0, 0, 4, 0.1, 0, 0.0)
         later = base._replace(**(free or {}))
         vms = [vm for vm in script if vm not in refused]
