Read the store anew when it comes back from an older copy

Cause: the store may be restored from a copy that is some seconds old. Records that it acknowledged are then lost, and their offsets are used again, so that a node could apply an older key map and grant keys that another target holds.

Change: a follower starts again when the store states a higher era, and nodes state the era with the ends that they tell each other. The newest key map that a node knows is appended again as provisional. Owners stay as they are until all leases of the previous era have ended; then a node settles the key map under new fences.

--- a/packages/router/src/jujuberudder_router/_follower.py
+++ b/packages/router/src/jujuberudder_router/_follower.py
@@ -29,6 +29,9 @@
 # Number of unread records up to which all of them are read: the newest record of each
 # key takes a third more bytes in the response of the store.
 MIN_UNREAD_RECORDS = 2
+# Least time between two reads that are made because another node stated a higher era,
+# in seconds: a wrong era must not cause continuous reads.
+PEER_ERA_INTERVAL_S = 1.0
 
 
 class Follower:
@@ -56,6 +59,9 @@
         ``on_change()`` is called when ``end`` has changed.
     jitter : callable, default=None
         Returns random numbers in [0, 1), for the backoff.
+    on_era : callable, default=None
+        ``on_era(follower, previous_end)`` is called when the follower starts again in a
+        new era, with its end in the previous one.
 
     Attributes
     ----------
@@ -71,11 +77,20 @@
         Time of the first of the current failures, in seconds; None after a success.
     changed : trio.Event
         Set, and replaced, after each successful read.
+    era : int
+        Era of the store in which ``end`` was read; 0 if the store states none.
+    era_seen_at : float
+        When a response first stated the era, on the node's clock in seconds.
+    era_changed : bool
+        Whether an earlier era was read before.
+    era_read_at : float or None
+        When the first read was completed after the era has changed, on the node's clock
+        in seconds.
     """
 
     def __init__(
         self, store, topic, wait_s, apply, log, batch_delay_s=None, read_delay_s=None,
-        on_change=None, jitter=None,
+        on_change=None, jitter=None, on_era=None,
     ):  # fmt: skip
         self._store = store
         self._topic = topic
@@ -86,6 +101,7 @@
         self._read_delay_s = read_delay_s or (lambda follower: 0.0)
         self._on_change = on_change or (lambda: None)
         self._jitter = jitter or (lambda: 0.5)
+        self._on_era = on_era or (lambda follower, previous_end: None)
         self._batch_pause = trio.CancelScope()
         self._woken = trio.Event()
         # Key to its newest record.
@@ -98,6 +114,10 @@
         self.read_begun_at = trio.current_time()
         self.failing_since = None
         self.changed = trio.Event()
+        self.era, self.era_seen_at, self.era_read_at = 0, trio.current_time(), None
+        self.era_changed, self._logged_without_era = False, False
+        # Highest era that another node stated, and when a read was last made for it.
+        self._peer_era, self._peer_era_read_at = 0, float("-inf")
 
     @property
     def batch_delay_s(self):
@@ -117,7 +137,7 @@
         records = [r for r in self._newest.values() if r.offset >= since]
         return sorted(records, key=lambda record: record.offset)
 
-    def merge(self, since, end, records):
+    def merge(self, since, end, records, era=0):
         """Apply records that another node has read.
 
         Parameters
@@ -125,12 +145,17 @@
         since, end : int
             The records are the newest ones of all keys with offsets in [since, end).
         records : list of (offset, key, value)
+        era : int, default=0
+            Era in which the node read them, 0 if it states none.
 
         Returns
         -------
         merged : bool
-            False if records before ``since`` have not been read here.
+            False if records before ``since`` have not been read here, or the records
+            are of another era.
         """
+        if not self.same_era(era):
+            return False
         if since > (self.end or 0):
             self.observe_end(end)
             return False
@@ -142,11 +167,60 @@
         self._record_change()
         return True
 
-    def observe_append(self, offset, key, value):
+    def observe_append(self, offset, key, value, era=0):
         """Apply a record that this node has appended, once all before it are read."""
         self._batch_pause.cancel()
         if self.end is not None:
-            self.merge(offset, offset + 1, [(offset, key, value)])
+            self.merge(offset, offset + 1, [(offset, key, value)], era)
+
+    def same_era(self, era):
+        """Whether an offset that was stated with an era can be compared with ``end``.
+
+        A higher era of another node causes a read: only the store's word begins an era.
+        """
+        if era in (0, self.era):
+            return True
+        now = trio.current_time()
+        if era > self.era and now - self._peer_era_read_at >= PEER_ERA_INTERVAL_S:
+            self._peer_era = era
+            deadline = now + BEHIND_READ_LIMIT_S
+            self._read_scope.deadline = min(self._read_scope.deadline, deadline)
+            self._batch_pause.cancel()
+            self.wake()
+        return False
+
+    def accept_era(self, era):
+        """Whether a response of the store with this era is of the present era.
+
+        A higher era begins: all records are read anew. A response of an earlier era is
+        late. Without an era, it counts as one of the present era.
+        """
+        if era > self.era:
+            self._begin_era(era)
+        elif era == 0 and self.era and not self._logged_without_era:
+            self._logged_without_era = True
+            self._log("store_era_missing", topic=self._topic, era=self.era)
+        elif 0 < era < self.era:
+            self._log("store_era_old", topic=self._topic, era=self.era, stated=era)
+            return False
+        return True
+
+    def _begin_era(self, era):
+        previous, previous_end = self.era, self.end
+        self.era, self.era_changed = era, self.started
+        self.era_seen_at = now = trio.current_time()
+        self.end = self.read_at = self.era_read_at = self._behind_since = None
+        self._newest, self._known_end, self._cancelled_reads = {}, 0, 0
+        # A read in progress may wait at an offset of the previous era.
+        deadline = now + BEHIND_READ_LIMIT_S
+        self._read_scope.deadline = min(self._read_scope.deadline, deadline)
+        if self.era_changed:
+            self._log(
+                "store_era", topic=self._topic, era=era, previous=previous,
+                end=previous_end,
+            )  # fmt: skip
+            self._on_era(self, previous_end)
+        self.wake()
 
     def _apply_newer(self, record):
         known = self._newest.get(record.key)
@@ -157,6 +231,8 @@
     def _record_change(self):
         if self.end >= self._known_end:
             self._behind_since = None
+            if self.era_changed and self.era_read_at is None:
+                self.era_read_at = trio.current_time()
         self.changed.set()
         self.changed = trio.Event()
         self.wake()
@@ -164,8 +240,11 @@
 
     @property
     def started(self):
-        """Whether the topic has been read at least once."""
-        return self.end is not None
+        """Whether the topic has been read at least once.
+
+        A follower that starts again in a new era still knows the previous records.
+        """
+        return self.end is not None or self.era_changed
 
     @property
     def behind_s(self):
@@ -204,7 +283,7 @@
         backoff_s = BACKOFF_MIN_S
         while True:
             delay_s = self._read_delay_s(self)
-            if delay_s > 0:
+            if delay_s > 0 and self._peer_era <= self.era:
                 with trio.move_on_after(min(delay_s, MAX_DELAY_S)):
                     await self._woken.wait()
                 self._woken = trio.Event()
@@ -220,6 +299,8 @@
         result = None
         self._received_bytes = 0
         newest = self._reads_newest()
+        if self._peer_era > self.era:
+            self._peer_era, self._peer_era_read_at = 0, sent_at
         with trio.CancelScope(
             deadline=self._read_deadline(sent_at)
         ) as self._read_scope:
@@ -241,6 +322,11 @@
                     received_bytes=self._received_bytes,
                 )
                 return True
+            case Ok(response) if not self.accept_era(response.era):
+                return False
+            case Ok() if self.end is None and not newest:
+                # Offsets of the previous era mean nothing in this one.
+                return True
             case Ok(Truncated(first)):
                 self._log("records_forgotten", topic=self._topic, first=first)
                 self.end = None
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -127,13 +127,15 @@
 
     ``membership_age_s`` is the time in seconds since the node sent its last complete
     read of the membership topic, negative if there was none. ``store_failing`` states
-    whether its reads fail.
+    whether its reads fail. ``era`` is that of the store in which the ends were read, 0
+    if the store states none.
     """
 
     operator_end: int = 0
     membership_end: int = 0
     membership_age_s: float = -1.0
     store_failing: bool = False
+    era: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)] = 0
 
 
 class Ping(msgspec.Struct, array_like=True, tag="p"):
@@ -160,21 +162,26 @@
 class Subscribe(msgspec.Struct, array_like=True, tag="u"):
     """Asks for the newest records of both topics from these ends on, and later ones.
 
-    If ``active`` is false, it ends that.
+    If ``active`` is false, it ends that. ``era`` is as in ``ReadProgress``.
     """
 
     operator_end: int
     membership_end: int
     active: bool = True
+    era: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)] = 0
 
 
 class Update(msgspec.Struct, array_like=True, tag="w"):
-    """Newest records (offset, key, value) of a topic with offsets in [since, end)."""
+    """Newest records (offset, key, value) of a topic with offsets in [since, end).
+
+    ``era`` is as in ``ReadProgress``.
+    """
 
     topic: str
     since: int
     end: int
     records: list[tuple[int, str, bytes]]
+    era: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)] = 0
 
 
 class ReleaseReport(msgspec.Struct, array_like=True, tag="h"):
--- a/packages/router/src/jujuberudder_router/_keymap.py
+++ b/packages/router/src/jujuberudder_router/_keymap.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ._types import KEY_COUNT, KeyMap, KeyRange
+from ._types import KEY_COUNT, KeyRange
 
 # Greatest fence, so that it can be raised further and still be written.
 MAX_FENCE = 2**62
@@ -34,6 +34,8 @@
     """
     if not 0 <= keymap.next_fence <= MAX_FENCE:
         raise ValueError(f"next fence {keymap.next_fence}")
+    if keymap.era < 0:
+        raise ValueError(f"era {keymap.era}")
     next_key = 0
     for r in keymap.ranges:
         if not next_key <= r.start <= r.end < KEY_COUNT:
@@ -263,4 +265,4 @@
         for s, e, o, token in assigned
     ]
     key_ranges = tuple(sorted([*kept, *new], key=lambda key_range: key_range.start))
-    return KeyMap(keymap.service, fence + 1, key_ranges, keymap.suspicions)
+    return msgspec.structs.replace(keymap, next_fence=fence + 1, ranges=key_ranges)
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -6,6 +6,7 @@
 import trio
 from result import Err
 
+from ._era import may_apply
 from ._frames import Hello
 from ._keymap import check_keymap
 from ._store import MEMBERSHIP_TOPIC
@@ -41,6 +42,11 @@
         # this one.
         self._previous_entry, self._entry_offset = None, None
         self._written_entry = None
+        # Until when the entry of this process counts as read, because it was in the
+        # previous era.
+        self._confirmed_until = 0.0
+        # Newest key map of the own service that was read in the present era.
+        self.stored_keymap = None
         self._entry_changed = trio.Event()
         # Set, and replaced, whenever ``_written_entry`` is.
         self._written = trio.Event()
@@ -74,13 +80,34 @@
         )
 
     def entry_confirmed(self, end):
-        """Whether this process has read all records up to ``end`` and its own entry."""
+        """Whether this process has read all records up to ``end`` and its own entry.
+
+        What it has read in the previous era counts until the key map may change owners
+        in the present one.
+        """
+        if trio.current_time() < self._confirmed_until:
+            return True
         return (
             self._entry_offset is not None
             and end is not None
             and end > self._entry_offset
         )
 
+    def on_era(self, previous_end, confirmed_s):
+        """Write the entry again in a new era of the store.
+
+        Parameters
+        ----------
+        previous_end : int or None
+            End of the topic that was read in the previous era.
+        confirmed_s : float
+            Seconds for which an entry that was read there counts as read.
+        """
+        if self.entry_confirmed(previous_end):
+            self._confirmed_until = trio.current_time() + confirmed_s
+        self._entry_offset = self._written_entry = self.stored_keymap = None
+        self._entry_changed.set()
+
     def announce(self):
         """Schedule a write of the entry if it changed."""
         if self.entry() != self._written_entry:
@@ -113,12 +140,23 @@
     def _apply_keymap(self, service, record):
         keymap = _keymap_decoder.decode(record.value)
         check_keymap(keymap)
+        own = service == self._node.settings.service
+        if own:
+            self.stored_keymap = keymap
+        known, era = self._node.keymaps.get(service), self._node.era
+        if not may_apply(known, keymap, era):
+            self._node.metrics.count("key_map_old")
+            self._node.log(
+                "key_map_old", service=service, offset=record.offset, era=era,
+                next_fence=keymap.next_fence, known=known.next_fence,
+            )  # fmt: skip
+            return
         self._node.keymaps[service] = keymap
         self._node.log(
             "key_map", service=service, offset=record.offset, rows=len(keymap.ranges),
             suspicions=len(keymap.suspicions), next_fence=keymap.next_fence,
         )  # fmt: skip
-        if service == self._node.settings.service:
+        if own:
             self._node.on_own_keymap()
 
     def _apply_vm(self, name, record):
@@ -168,9 +206,14 @@
                 self._entry_changed.set()
                 await trio.sleep(ANNOUNCE_RETRY_S)
                 continue
+            appended = result.ok_value
+            if not self._node.membership_follower.accept_era(appended.era):
+                # It is lost: the store came back from an older copy meanwhile.
+                self._entry_changed.set()
+                continue
             self._record_written(entry)
             self._node.membership_follower.observe_append(
-                result.ok_value.offset, f"vm/{entry.name}", value
+                appended.offset, f"vm/{entry.name}", value, appended.era
             )
             self._node.log(
                 "announced", target=entry.target_incarnation, leaving=entry.leaving,
--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -37,6 +37,10 @@
     "release_calls": "calls that release a key range at the target",
     "release_calls_unanswered": "such calls without a response that could be read",
     "grants_disowned": "ranges not used because the target stated not to hold a key",
+    "store_era": "topics read anew because the store came back from an older copy",
+    "key_map_old": "key maps read that are older than the known one",
+    "key_map_restored": "key maps appended because the store lacked them in a new era",
+    "key_map_settled": "key maps appended that end the wait after a new era",
     "store_failures": "failed calls to the store",
     "store_relays": "calls to the store made for another node",
 }
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -15,6 +15,7 @@
     make_run_ahead_check,
 )
 from ._directory import Directory
+from ._era import keeps_missing
 from ._follower import Follower
 from ._frames import Ping, ReadProgress
 from ._grant_calls import GrantCaller
@@ -24,7 +25,7 @@
 from ._membership import Membership
 from ._memory import MemoryAccount, body_limit
 from ._metrics import Metrics
-from ._ownership import SUSPECT_AFTER_S, OwnershipManager
+from ._ownership import SUSPECT_AFTER_S, TAKEOVER_DELAY_S, OwnershipManager
 from ._peer_link import LinkCallbacks, PeerLink
 from ._peer_server import PeerHandlers, serve_links
 from ._peers import Peers
@@ -197,13 +198,13 @@
         self.membership_follower = Follower(
             self.store, MEMBERSHIP_TOPIC, self._membership_wait_s,
             self.membership.apply, log, self._batch_delay_s, self._read_delay_s,
-            lambda: self.sharing.publish(MEMBERSHIP_TOPIC), self.jitter,
+            lambda: self.sharing.publish(MEMBERSHIP_TOPIC), self.jitter, self._on_era,
         )  # fmt: skip
         self.configuration_follower = Follower(
             self.store, OPERATOR_TOPIC, self._configuration_wait_s,
             self._apply_configuration, log, lambda: CONFIG_BATCH_DELAY_S,
             self._read_delay_s, lambda: self.sharing.publish(OPERATOR_TOPIC),
-            self.jitter,
+            self.jitter, self._on_era,
         )  # fmt: skip
         self.sharing = RecordSharing(
             self.configuration_follower, self.membership_follower, lambda: self.links
@@ -304,6 +305,30 @@
         """Return a key map encoded as the value of a record."""
         return _keymap_encoder.encode(keymap)
 
+    @property
+    def era(self):
+        """Era of the store in which the membership topic was last read."""
+        return self.membership_follower.era
+
+    def keeps_missing_operator_records(self):
+        """Whether what is missing in the operator topic still counts in a new era."""
+        follower = self.configuration_follower
+        if follower.era_changed and follower.era_read_at is None:
+            return True
+        return keeps_missing(follower.era_read_at, trio.current_time())
+
+    def _on_era(self, follower, previous_end):
+        """Apply that a topic is read anew, because the store came back older."""
+        self.metrics.count("store_era")
+        if follower is self.membership_follower:
+            self.ownership.on_era(previous_end)
+            self.membership.on_era(previous_end, TAKEOVER_DELAY_S)
+            self.configuration_follower.same_era(follower.era)
+            self.sharing.on_era(MEMBERSHIP_TOPIC)
+        else:
+            self.membership_follower.same_era(follower.era)
+            self.sharing.on_era(OPERATOR_TOPIC)
+
     def _apply_configuration(self, record):
         if record.key != self.adapter.configuration_key or not record.value:
             return
@@ -350,7 +375,7 @@
         self.sharing.check_active()
         sharing = self.sharing
         situation = Situation(
-            follower.started, sharing.reads_for_others, sharing.alone_s(now),
+            follower.end is not None, sharing.reads_for_others, sharing.alone_s(now),
             sharing.had_source, sharing.sources_failing, follower.behind_s,
             lease_age_s, now - follower.read_begun_at,
         )  # fmt: skip
@@ -384,20 +409,22 @@
 
     def read_progress(self):
         """Return the ``ReadProgress`` of this node."""
-        read_at = self.membership_follower.read_at
-        age_s = -1.0 if read_at is None else trio.current_time() - read_at
-        return ReadProgress(
-            self.configuration_follower.end or 0,
-            self.membership_follower.end or 0,
-            age_s,
-            self.store_failing,
-        )
+        operator, membership = self.configuration_follower, self.membership_follower
+        era, read_at = max(operator.era, membership.era), membership.read_at
+        if read_at is None or membership.era != era:
+            age_s = -1.0
+        else:
+            age_s = trio.current_time() - read_at
+        ends = [(f.end or 0) if f.era == era else 0 for f in (operator, membership)]
+        return ReadProgress(*ends, age_s, self.store_failing, era)
 
     def on_pong(self, vm, progress, sent_at):
         """Apply the read progress of a VM, which sent it after ``sent_at``."""
         self._observe_ends(progress)
         self.sharing.on_progress(vm, progress)
-        if progress.membership_age_s >= 0:
+        if progress.membership_age_s >= 0 and self.membership_follower.same_era(
+            progress.era
+        ):
             self.membership_follower.confirm_read(
                 progress.membership_end, sent_at - progress.membership_age_s
             )
@@ -412,8 +439,12 @@
         return self.read_progress()
 
     def _observe_ends(self, progress):
-        self.configuration_follower.observe_end(progress.operator_end)
-        self.membership_follower.observe_end(progress.membership_end)
+        for follower, end in (
+            (self.configuration_follower, progress.operator_end),
+            (self.membership_follower, progress.membership_end),
+        ):
+            if follower.same_era(progress.era):
+                follower.observe_end(end)
 
     def owner_may_change(self, service, key):
         """Whether a key without a reachable owner may soon have one.
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -21,7 +21,8 @@
 import trio
 from result import Err, Ok
 
-from . import _keymap
+from . import _era, _keymap
+from ._era import EraState
 from ._frames import ReleaseReport
 from ._held_keys import HeldRange
 from ._keymap import Owner
@@ -130,6 +131,8 @@
         start.
     refused_fences : list of KeyRange
         Ranges of this VM whose fence the target refused, as the key map still has them.
+    era : EraState
+        Present era of the store.
     """
 
     now: float
@@ -144,13 +147,18 @@
     suspicions: dict
     caught_up_s: float
     refused_fences: list = []
+    era: EraState = EraState()
 
 
 class KeyMapChange(NamedTuple):
-    """A changed key map, with the reason for the log."""
+    """A changed key map, with the reason for the log and an event of its own, if any.
+
+    ``event`` is logged and counted once the change is in the store.
+    """
 
     keymap: KeyMap
     reason: str
+    event: str = ""
 
 
 def next_change(view, new_id):
@@ -166,18 +174,37 @@
     -------
     change : KeyMapChange or None
     """
-    keymap, vm = view.keymap, view.vm
+    keymap, vm, rank = view.keymap, view.vm, _rank(view)
+    rank_delay_s = (len(view.owners) if rank is None else rank) * RANK_DELAY_S
+    restored = _era.restored_keymap(keymap, view.era, rank_delay_s)
+    if restored is not None:
+        reason = f"the store lacks it in era {view.era.era}"
+        return KeyMapChange(restored, reason, "key_map_restored")
+    unsettled = _era.is_unsettled(keymap, view.era)
+    if unsettled and view.era.age_s > TAKEOVER_DELAY_S + rank_delay_s:
+        settled = _era.settled_keymap(keymap, view.era.era)
+        reason = f"all leases before era {view.era.era} have ended"
+        return KeyMapChange(settled, reason, "key_map_settled")
+    if not _era.is_current(keymap, view.era):
+        return None
     if _keymap.suspicion_of(keymap, vm):
         return KeyMapChange(
             _keymap.clear_suspicion(keymap, vm),
             "this VM refutes the suspicion against it",
         )
+    if unsettled:
+        return _change_for_lost_vm(view, rank, new_id, may_take_over=False)
     handed_over = _hand_over_all(view)
     if handed_over != keymap:
         return KeyMapChange(handed_over, "key ranges were released")
-    if view.owner and any(
-        r.vm == vm and r.target_incarnation != view.owner.target_incarnation
-        for r in keymap.ranges
+    waits = waits_for_leases(view.era)
+    if (
+        view.owner
+        and not waits
+        and any(
+            r.vm == vm and r.target_incarnation != view.owner.target_incarnation
+            for r in keymap.ranges
+        )
     ):
         return KeyMapChange(
             _keymap.assign_to_new_incarnation(keymap, view.owner),
@@ -188,16 +215,24 @@
             _keymap.renew_fences(keymap, view.refused_fences),
             "the target has seen a higher fence",
         )
-    rank = _rank(view)
     if rank is None:
         return None
     if (
-        _keymap.unowned_ranges(keymap)
+        not waits
+        and _keymap.unowned_ranges(keymap)
         and view.caught_up_s > INITIAL_ASSIGNMENT_DELAY_S + rank * RANK_DELAY_S
     ):
         filled = _keymap.assign_unowned(keymap, view.owners)
         return KeyMapChange(filled, "key ranges had no owner")
-    return _change_for_lost_vm(view, rank, new_id)
+    return _change_for_lost_vm(view, rank, new_id, may_take_over=not waits)
+
+
+def waits_for_leases(state):
+    """Whether leases of the previous era may still be valid.
+
+    Until they have ended, keys go to another VM or target only with a handover token.
+    """
+    return state.era > 0 and state.changed and state.age_s <= TAKEOVER_DELAY_S
 
 
 def _hand_over_all(view):
@@ -222,14 +257,16 @@
     return names.index(view.vm) if view.vm in names else None
 
 
-def _change_for_lost_vm(view, rank, new_id):
+def _change_for_lost_vm(view, rank, new_id, may_take_over):
     """Return a takeover of a lost VM's keys, or a suspicion against it, or None.
 
     The VMs that watch a VM act first, in the order of their ranks; only they know
     whether it is reachable. All others take the keys over if no watcher has done so.
     """
+    if rank is None:
+        return None
     for vm, displaced_s in view.displaced_vms.items():
-        if displaced_s > DISPLACED_DELAY_S + rank * RANK_DELAY_S:
+        if may_take_over and displaced_s > DISPLACED_DELAY_S + rank * RANK_DELAY_S:
             return _take_over(view, vm, f"the address of {vm} belongs to another VM")
     for vm, unreachable_s in view.unreachable_vms.items():
         watch_rank = view.watch_ranks.get(vm)
@@ -248,7 +285,8 @@
         # although it is reachable.
         grace_s = 0.0 if unreachable else REFUTE_GRACE_S + own_rank * RANK_DELAY_S
         since = view.suspicions.get(suspicion)
-        if since is not None and view.now - since > TAKEOVER_DELAY_S + grace_s:
+        waited = since is not None and view.now - since > TAKEOVER_DELAY_S + grace_s
+        if may_take_over and waited:
             return _take_over(view, vm, f"{vm} did not refute the suspicion in time")
     return None
 
@@ -293,6 +331,9 @@
         self._suspicions, self._logged_suspicions = {}, set()
         self._last_keymap, self._key_counts, self._grown_at = None, {}, {}
         self._next_withheld_log_at = 0.0
+        # Whether a key map was known when the era changed, and whether the lease was
+        # valid then.
+        self._knew_keymap = self._held_lease_at_era = False
         self._started = now = trio.current_time()
         self._next_move_at = self._started + FIRST_MOVE_DELAY_S
         node.target.held.assume_granted(now, now + GRANT_TTL_S * CLOCK_DRIFT_FACTOR)
@@ -312,11 +353,60 @@
     def lease_valid(self, now):
         """Extend the lease from the last read and return whether it is valid."""
         suspected = _keymap.suspicion_of(self._keymap(), self._node.settings.vm)
-        if not suspected and self._follower.read_at is not None:
+        if (
+            not suspected
+            and self._follower.read_at is not None
+            and self._reads_extend_lease(now)
+        ):
             until = self._follower.read_at + LEASE_S
             self._lease_until = max(self._lease_until, until)
         return now < self._lease_until
 
+    def _reads_extend_lease(self, now):
+        return _era.reads_extend_lease(
+            self._node.keymaps.get(self._service),
+            self._era_state(now),
+            self._held_lease_at_era and now < self._lease_until,
+        )
+
+    def _era_state(self, now):
+        follower = self._follower
+        if follower.era == 0:
+            return EraState()
+        return EraState(
+            follower.era, now - follower.era_seen_at, follower.era_changed,
+            self._knew_keymap, self._node.membership.stored_keymap,
+        )  # fmt: skip
+
+    def _is_unsettled(self, now):
+        return _era.is_unsettled(self._keymap(), self._era_state(now))
+
+    def on_era(self, previous_end):
+        """Forget what was true of the store only in the previous era.
+
+        Parameters
+        ----------
+        previous_end : int or None
+            End of the topic that was read in the previous era.
+        """
+        self._knew_keymap = self._service in self._node.keymaps
+        now = trio.current_time()
+        self._held_lease_at_era = self._knew_keymap and now < self._lease_until
+        self._suspicions.clear()
+        self._reports.clear()
+        self._sent_reports.clear()
+        # Ranges that this VM gave up may have gone to others by a record that is lost:
+        # they are not granted again, and are handed over once the key map is settled.
+        given_up = list(self._released)
+        expected_end = self._handing_over.expected_end
+        if previous_end is None or previous_end <= expected_end:
+            given_up += self._handing_over.ranges
+        self._handing_over = _HandingOver((), -1)
+        for start, end in given_up:
+            moving = list(self._pending_moves)
+            for part in _keymap.uncovered(start, end, moving):
+                self._pending_moves[part] = ""
+
     def lease_left_s(self, now):
         """Return for how many seconds the lease is valid; 0 without one."""
         return max(0.0, self._lease_until - now) if self.lease_valid(now) else 0.0
@@ -325,7 +415,11 @@
         """Record the ranges that a heartbeat reports as released, and plan moves."""
         for start, end, handover in heartbeat.released:
             self.record_release(start, end, handover)
-        if not self._node.target.leaving and self._may_grant(now):
+        if (
+            not self._node.target.leaving
+            and self._may_grant(now)
+            and not self._is_unsettled(now)
+        ):
             self._plan_move(now)
 
     def record_release(self, start, end, handover, usable_at=0.0):
@@ -541,13 +635,15 @@
     def _moved_ranges(self, now):
         """Return the releases of ranges that this VM moves away."""
         held, releases = self._node.target.held, []
+        waits = waits_for_leases(self._era_state(now))
         for (start, end), receiver in self._pending_moves.items():
             pieces = [
                 (max(low, start), min(high, end), token)
                 for low, high, token in self._handovers(now)
                 if low <= end and start <= high
             ]
-            if not pieces and now > held.expiry(start, end) + SAFETY_MARGIN_S:
+            expired = now > held.expiry(start, end) + SAFETY_MARGIN_S
+            if not pieces and expired and not waits:
                 pieces = [(start, end, "")]
             releases += self._split_by_key_range(pieces, receiver)
         return releases
@@ -562,6 +658,7 @@
             if not _overlaps(start, end, moved)
         ]
         target_gone = target.leaving or target.heartbeat_overdue(now)
+        target_gone = target_gone and not waits_for_leases(self._era_state(now))
         if target_gone and now > target.held.expiry() + SAFETY_MARGIN_S:
             released += [
                 (key_range.start, key_range.end, "")
@@ -652,6 +749,8 @@
 
     def _releases_to_write(self, owners, now):
         """Return the releases that this VM writes, and report the others."""
+        if self._is_unsettled(now):
+            return []
         moved = self._moved_ranges(now)
         others = self._other_releases(now, moved)
         if self._node.target.leaving:
@@ -681,7 +780,7 @@
             {vm: node.displaced_s(vm) for vm in names},
             self._releases_to_write(owners, now), self._suspicions,
             now - self._started - self._follower.batch_delay_s,
-            sorted(self._refused_fences),
+            sorted(self._refused_fences), self._era_state(now),
         )  # fmt: skip
 
     def _log_standing_suspicions(self, view):
@@ -703,7 +802,7 @@
             now = trio.current_time()
             self._node.admission.sample_usage(now)
             self._record_growth(now)
-            if not self._follower.started or not self._node.is_keyed(self._service):
+            if self._follower.end is None or not self._node.is_keyed(self._service):
                 continue
             if not self._node.store_failing:
                 await self._apply_next_change()
@@ -718,19 +817,35 @@
             if not self._handing_over_undecided():
                 return
             # An earlier append may still take effect; after this one it cannot.
+            if not _era.is_current(view.keymap, view.era):
+                return
             change = KeyMapChange(view.keymap, "the outcome of an append is unknown")
         self._handing_over = _HandingOver(self._given_up(view.keymap, change), end)
-        value = self._node.encode_keymap(change.keymap)
+        changed = change.keymap
+        if not change.event and not _era.is_unsettled(view.keymap, view.era):
+            changed = _era.label(changed, view.era.era)
+        value = self._node.encode_keymap(changed)
         key = f"keys/{self._service}"
         result = await self._store.append(MEMBERSHIP_TOPIC, key, value, end)
         self._node.log(
             "key_map_change", reason=change.reason, base=end,
-            outcome=_format_outcome(result), next_fence=change.keymap.next_fence,
+            outcome=_format_outcome(result), next_fence=changed.next_fence,
         )  # fmt: skip
         self._node.metrics.count("key_map_changes")
-        if result == Ok(Appended(end)):
-            self._follower.observe_append(end, key, value)
-            self._inform(view.keymap, change.keymap, end)
+        if isinstance(result, Ok):
+            accepted = self._follower.accept_era(result.ok_value.era)
+            if not accepted or self._follower.end is None:
+                return  # The store came back from an older copy meanwhile.
+        if isinstance(result, Ok) and isinstance(result.ok_value, Appended):
+            if result.ok_value.offset == end:
+                if change.event:
+                    self._node.metrics.count(change.event)
+                    self._node.log(
+                        change.event, era=view.era.era, offset=end,
+                        next_fence=changed.next_fence,
+                    )  # fmt: skip
+                self._follower.observe_append(end, key, value, result.ok_value.era)
+                self._inform(view.keymap, changed, end)
         await self._catch_up(result)
 
     def _given_up(self, keymap, change):
@@ -808,9 +923,9 @@
 
 def _format_outcome(result):
     match result:
-        case Ok(Appended(offset)):
+        case Ok(Appended(offset, _)):
             return f"offset {offset}"
-        case Ok(Conflict(end)):
+        case Ok(Conflict(end, _)):
             return f"conflict at {end}"
         case Err(failure):
             return str(failure)
--- a/packages/router/src/jujuberudder_router/_relay.py
+++ b/packages/router/src/jujuberudder_router/_relay.py
@@ -62,18 +62,22 @@
 class _PageResult(msgspec.Struct, array_like=True, tag="page"):
     end: _Offset
     records: list[tuple[_Offset, str, bytes]]
+    era: _Offset = 0
 
 
 class _AppendedResult(msgspec.Struct, array_like=True, tag="appended"):
     offset: _Offset
+    era: _Offset = 0
 
 
 class _ConflictResult(msgspec.Struct, array_like=True, tag="conflict"):
     end: _Offset
+    era: _Offset = 0
 
 
 class _TruncatedResult(msgspec.Struct, array_like=True, tag="forgotten"):
     first_offset: _Offset
+    era: _Offset = 0
 
 
 _result_decoder = msgspec.msgpack.Decoder(
@@ -84,9 +88,10 @@
 def encode_result(value):
     """Encode the result of a store call."""
     if isinstance(value, Page):
-        return _encoder.encode(["page", value.end, [list(r) for r in value.records]])
+        records = [list(record) for record in value.records]
+        return _encoder.encode(["page", value.end, records, value.era])
     name = next(name for name, kind in _RESULT_TYPES.items() if isinstance(value, kind))
-    return _encoder.encode([name, value[0]])
+    return _encoder.encode([name, *value])
 
 
 def decode_result(data):
@@ -98,14 +103,14 @@
         The result is malformed.
     """
     match _result_decoder.decode(data):
-        case _PageResult(end, records):
-            return Page([Record(*record) for record in records], end)
-        case _AppendedResult(offset):
-            return Appended(offset)
-        case _ConflictResult(end):
-            return Conflict(end)
-        case _TruncatedResult(first_offset):
-            return Truncated(first_offset)
+        case _PageResult(end, records, era):
+            return Page([Record(*record) for record in records], end, era)
+        case _AppendedResult(offset, era):
+            return Appended(offset, era)
+        case _ConflictResult(end, era):
+            return Conflict(end, era)
+        case _TruncatedResult(first_offset, era):
+            return Truncated(first_offset, era)
 
 
 def make_relay_handler(node):
--- a/packages/router/src/jujuberudder_router/_sharing.py
+++ b/packages/router/src/jujuberudder_router/_sharing.py
@@ -83,8 +83,16 @@
 
     def _subscribe(self):
         if self._active is not None:
-            ends = [follower.end or 0 for follower in self._followers.values()]
-            self._send(self._active, Subscribe(*ends))
+            followers = self._followers.values()
+            era = max(follower.era for follower in followers)
+            ends = [(f.end or 0) if f.era == era else 0 for f in followers]
+            self._send(self._active, Subscribe(*ends, era=era))
+
+    def on_era(self, topic):
+        """Get and pass on all records of a topic anew, because its era has changed."""
+        for _, ends in self._subscribers.values():
+            ends[topic] = 0
+        self._subscribe()
 
     def on_connect(self, vm):
         """Ask a source for records, after a connection to it was made."""
@@ -107,7 +115,7 @@
         """Apply an ``Update`` of another node."""
         follower = self._followers.get(update.topic)
         if follower is not None:
-            follower.merge(update.since, update.end, update.records)
+            follower.merge(update.since, update.end, update.records, update.era)
 
     def on_subscribe(self, number, frame, send):
         """Apply a ``Subscribe`` frame of a connection, or its end if it is None."""
@@ -118,6 +126,9 @@
             OPERATOR_TOPIC: frame.operator_end,
             MEMBERSHIP_TOPIC: frame.membership_end,
         }
+        for topic, follower in self._followers.items():
+            if not follower.same_era(frame.era):
+                ends[topic] = 0
         self._subscribers[number] = (send, ends)
         for follower in self._followers.values():
             follower.wake()
@@ -139,4 +150,4 @@
         """Return an ``Update`` with the newest records from an offset on."""
         follower = self._followers[topic]
         records = [tuple(record) for record in follower.records_since(since)]
-        return Update(topic, since, follower.end, records)
+        return Update(topic, since, follower.end, records, follower.era)
--- a/packages/router/src/jujuberudder_router/_status.py
+++ b/packages/router/src/jujuberudder_router/_status.py
@@ -35,6 +35,7 @@
         },
         "key_map": {
             "end": follower.end,
+            "era": follower.era,
             "read_age_s": _age(follower.read_at, now),
             "store_failing_s": _age(follower.failing_since, now),
         },
--- a/packages/router/src/jujuberudder_router/_types.py
+++ b/packages/router/src/jujuberudder_router/_types.py
@@ -198,13 +198,18 @@
 class KeyMap(msgspec.Struct, array_like=True, frozen=True):
     """Owners of all keys of a service; keys outside of ``ranges`` have no owner.
 
-    ``suspicions`` are pairs of a VM and the id of the suspicion against it.
+    ``suspicions`` are pairs of a VM and the id of the suspicion against it. ``era`` is
+    that of the store in which the key map was appended, 0 if the store states none. It
+    is ``provisional`` from when it was restored in a new era until all leases of the
+    previous era have ended.
     """
 
     service: str
     next_fence: int = 1
     ranges: tuple[KeyRange, ...] = ()
     suspicions: tuple[tuple[str, str], ...] = ()
+    era: int = 0
+    provisional: bool = False
 
 
 class Settings(NamedTuple):
