--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -839,7 +839,10 @@
         if isinstance(result, Ok) and isinstance(result.ok_value, Appended):
             if result.ok_value.offset == end:
                 if change.event:
-                    self._node.metrics.count(change.event)
+                    if change.event == "key_map_restored":
+                        self._node.metrics.count("key_map_restored")
+                    else:
+                        self._node.metrics.count("key_map_settled")
                     self._node.log(
                         change.event, era=view.era.era, offset=end,
                         next_fence=changed.next_fence,
