--- a/packages/router/src/jujuberudder_router/_era.py
+++ b/packages/router/src/jujuberudder_router/_era.py
@@ -60,17 +60,27 @@
     return era == 0 or (keymap.era == era and not keymap.provisional)
 
 
-def may_apply(known, read, era):
+def may_apply(known, read, era, changed):
     """Whether a key map that was read replaces the known one.
 
-    Fences never decrease. A key map with the next fence of the known one replaces it
-    only if it is the same, or if both are of this era: else it may come from an append
-    of the earlier era that the store executed late.
+    Parameters
+    ----------
+    known : KeyMap or None
+    read : KeyMap
+    era : int
+        Present era of the store, 0 if it states none.
+    changed : bool
+        Whether this process has read an earlier era.
     """
     if known is None or era == 0:
         return True
+    # Fences never decrease.
     if read.era < known.era or read.next_fence < known.next_fence:
         return False
+    # An append of the earlier era may be executed late, in place of one that is lost.
+    # What it says must not change the grants of leases that are still valid.
+    if changed and read.era < era:
+        return False
     return (
         read.next_fence > known.next_fence
         or read.ranges == known.ranges
@@ -88,9 +98,12 @@
 
 def is_current(keymap, state):
     """Whether a key map may be changed: the known one is the newest in the store."""
-    if state.era == 0 or (state.stored is None and keymap.next_fence == 1):
+    stored = state.stored
+    if state.era == 0 or (stored is None and keymap.next_fence == 1):
         return True
-    return is_stored(keymap, state)
+    return stored is not None and (
+        (stored.era, stored.next_fence) == (keymap.era, keymap.next_fence)
+    )
 
 
 def is_unsettled(keymap, state):
@@ -138,18 +151,26 @@
     """
     if state.era == 0 or state.age_s < min(delay_s, MAX_RESTORE_DELAY_S):
         return None
+    stored_fence = 0 if state.stored is None else state.stored.next_fence
     if keymap.era == state.era:
-        return None if is_stored(keymap, state) else keymap
-    if not state.knew_keymap:
+        if is_stored(keymap, state):
+            return None
+        # An append of an earlier era that was executed late may have raised it.
+        fence = max(keymap.next_fence, stored_fence)
+        return msgspec.structs.replace(keymap, next_fence=fence)
+    if not state.knew_keymap or stored_fence > keymap.next_fence:
         return None
     return msgspec.structs.replace(keymap, era=state.era, provisional=True)
 
 
-def settled_keymap(keymap, era):
-    """Return a key map of an earlier era as a settled one of this era.
+def settled_keymap(keymap, state):
+    """Return the newer of the known key map and the stored one, settled in this era.
 
     All ranges get a fence above those of changes that were lost.
     """
+    stored, era = state.stored, state.era
+    if stored is not None and stored.next_fence > keymap.next_fence:
+        keymap = stored
     fence = 2 * keymap.next_fence + FENCE_STEP
     key_ranges = tuple(
         msgspec.structs.replace(r, fence=fence, handover="") for r in keymap.ranges
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -42,6 +42,8 @@
         # this one.
         self._previous_entry, self._entry_offset = None, None
         self._written_entry = None
+        # Earlier processes whose entry was read after that of this one.
+        self._replaced = set()
         # Until when the entry of this process counts as read, because it was in the
         # previous era.
         self._confirmed_until = 0.0
@@ -144,7 +146,7 @@
         if own:
             self.stored_keymap = keymap
         known, era = self._node.keymaps.get(service), self._node.era
-        if not may_apply(known, keymap, era):
+        if not may_apply(known, keymap, era, self._node.era_changed):
             self._node.metrics.count("key_map_old")
             self._node.log(
                 "key_map_old", service=service, offset=record.offset, era=era,
@@ -173,6 +175,7 @@
                 if vm.service == self._node.settings.service:
                     self._previous_entry = vm
                     self._node.check_leaving()
+                self._replace_entry_of(vm.node_incarnation)
                 return
             if self._entry_offset is None:
                 self._entry_offset = record.offset
@@ -183,6 +186,17 @@
         if previous is not None and previous.address != vm.address:
             self._node.peers.drop(name)
 
+    def _replace_entry_of(self, node_incarnation):
+        """Write the entry again after a late write of an earlier process.
+
+        Once for each process: two that run at a time must not do so for ever.
+        """
+        if self._entry_offset is None or node_incarnation in self._replaced:
+            return
+        self._replaced.add(node_incarnation)
+        self._written_entry = None
+        self._entry_changed.set()
+
     async def run(self):
         """Write the entry whenever it changes, until cancelled."""
         with trio.move_on_after(FIRST_HEARTBEAT_WAIT_S):
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -310,6 +310,11 @@
         """Era of the store in which the membership topic was last read."""
         return self.membership_follower.era
 
+    @property
+    def era_changed(self):
+        """Whether this process has read the membership topic in an earlier era."""
+        return self.membership_follower.era_changed
+
     def keeps_missing_operator_records(self):
         """Whether what is missing in the operator topic still counts in a new era."""
         follower = self.configuration_follower
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -182,7 +182,7 @@
         return KeyMapChange(restored, reason, "key_map_restored")
     unsettled = _era.is_unsettled(keymap, view.era)
     if unsettled and view.era.age_s > TAKEOVER_DELAY_S + rank_delay_s:
-        settled = _era.settled_keymap(keymap, view.era.era)
+        settled = _era.settled_keymap(keymap, view.era)
         reason = f"all leases before era {view.era.era} have ended"
         return KeyMapChange(settled, reason, "key_map_settled")
     if not _era.is_current(keymap, view.era):
