--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -390,8 +390,12 @@
             End of the topic that was read in the previous era.
         """
         self._knew_keymap = self._service in self._node.keymaps
-        now = trio.current_time()
-        self._held_lease_at_era = self._knew_keymap and now < self._lease_until
+        # Releases of an earlier process are known only with the entry of this one.
+        self._held_lease_at_era = (
+            self._knew_keymap
+            and trio.current_time() < self._lease_until
+            and self._node.membership.entry_confirmed(previous_end)
+        )
         self._suspicions.clear()
         self._reports.clear()
         self._sent_reports.clear()
