--- a/packages/router/src/jujuberudder_router/_era.py
+++ b/packages/router/src/jujuberudder_router/_era.py
@@ -25,6 +25,9 @@
 # Least increase of the next fence when a key map is settled. Each lost change raised
 # the fence by one, or doubled it; a second holds less than 1000 changes.
 FENCE_STEP = 2**20
+# Fence above which it only rises by this step: doubled at each restore, it would leave
+# the range of fences, and that of whole numbers in JSON (2**53), after 33 restores.
+MAX_DOUBLED_FENCE = 2**40
 
 
 class EraState(NamedTuple):
@@ -171,7 +174,9 @@
     stored, era = state.stored, state.era
     if stored is not None and stored.next_fence > keymap.next_fence:
         keymap = stored
-    fence = 2 * keymap.next_fence + FENCE_STEP
+    fence = keymap.next_fence + FENCE_STEP
+    if keymap.next_fence < MAX_DOUBLED_FENCE:
+        fence += keymap.next_fence
     key_ranges = tuple(
         msgspec.structs.replace(r, fence=fence, handover="") for r in keymap.ranges
     )
--- a/packages/router/src/jujuberudder_router/_follower.py
+++ b/packages/router/src/jujuberudder_router/_follower.py
@@ -300,7 +300,8 @@
         self._received_bytes = 0
         newest = self._reads_newest()
         if self._peer_era > self.era:
-            self._peer_era, self._peer_era_read_at = 0, sent_at
+            # A read of the newest records does not wait for one.
+            newest, self._peer_era, self._peer_era_read_at = True, 0, sent_at
         with trio.CancelScope(
             deadline=self._read_deadline(sent_at)
         ) as self._read_scope:
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -147,6 +147,8 @@
             self.stored_keymap = keymap
         known, era = self._node.keymaps.get(service), self._node.era
         if not may_apply(known, keymap, era, self._node.era_changed):
+            if keymap.ranges == known.ranges:
+                return  # The copy has the known key map.
             self._node.metrics.count("key_map_old")
             self._node.log(
                 "key_map_old", service=service, offset=record.offset, era=era,
--- a/tests/router/test_era.py
+++ b/tests/router/test_era.py
@@ -433,6 +433,9 @@
     settled = settled_keymap(keymap_of(4, 1), KNEW._replace(stored=keymap_of(9, 1)))
     assert settled.ranges[0].fence >= 2 * 9 + FENCE_STEP
     assert not is_unsettled(settled, KNEW)
+    for era in range(3, 200):
+        settled = settled_keymap(settled, KNEW._replace(era=era))
+    assert settled.next_fence < 2**53
     # A service without a key map is new, and waits for nothing.
     assert not is_unsettled(KeyMap(SERVICE), EraState(1, 0.0))
 
@@ -517,8 +520,9 @@
     # A node that has read further causes a read of its own, which decides.
     store.restore(records_of(b"x"), 3)
     assert not follower.merge(0, 9, [(0, "k", b"other")], 3)
-    await trio.sleep(2.0)
+    await trio.sleep(0.1)
     assert (follower.era, follower.end) == (3, 1)
+    await trio.sleep(2.0)
     count = len(store.reads)
     for _ in range(100):
         follower.same_era(10**9)
