Drop a lease of the previous era that proves nothing, and wait without a key map

Cause: a trial of random restores to an empty store found a new process that took a service for new and assigned keys that another target still held (2 of 596 schedules). A process that had not read its own entry, or no key map, could use the rest of its lease.

Change: from the second era on, the first assignment waits as well. Such a lease ends with its era.

--- a/packages/router/src/jujuberudder_router/_era.py
+++ b/packages/router/src/jujuberudder_router/_era.py
@@ -15,6 +15,8 @@
 
 from ._types import KeyMap
 
+# Era of a store that was never restored, as far as it states one.
+FIRST_ERA = 1
 # Seconds for which a record of the operator topic that is missing in a new era still
 # counts: the operator writes again what was lost, within the time of an evacuation.
 KEEP_MISSING_S = 5.0
@@ -112,11 +114,13 @@
 def is_unsettled(keymap, state):
     """Whether the owners of keys have to stay as they are until the map is settled.
 
-    A service without a key map is new, unless this process has read an earlier era.
+    In the first era, a service without a key map is new, unless this process has read
+    an earlier one.
     """
     if state.era == 0 or is_settled(keymap, state.era):
         return False
-    return state.changed or bool(keymap.ranges) or keymap.next_fence > 1
+    known = bool(keymap.ranges) or keymap.next_fence > 1
+    return known or state.changed or state.era > FIRST_ERA
 
 
 def reads_extend_lease(keymap, state, lease_valid):
@@ -130,8 +134,10 @@
     lease_valid : bool
         Whether there was a lease in the previous era, and it has not ended since.
     """
-    if state.era == 0 or keymap is None:
+    if state.era == 0:
         return True
+    if keymap is None:
+        return state.era <= FIRST_ERA and not state.changed
     if not is_stored(keymap, state):
         return False
     if is_settled(keymap, state.era):
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -391,11 +391,11 @@
         """
         self._knew_keymap = self._service in self._node.keymaps
         # Releases of an earlier process are known only with the entry of this one.
-        self._held_lease_at_era = (
-            self._knew_keymap
-            and trio.current_time() < self._lease_until
-            and self._node.membership.entry_confirmed(previous_end)
-        )
+        # Without it, the lease proves nothing about the owners in the new era.
+        confirmed = self._node.membership.entry_confirmed(previous_end)
+        if not (self._knew_keymap and confirmed):
+            self._lease_until = 0.0
+        self._held_lease_at_era = trio.current_time() < self._lease_until
         self._suspicions.clear()
         self._reports.clear()
         self._sent_reports.clear()
--- a/tests/router/test_era.py
+++ b/tests/router/test_era.py
@@ -296,6 +296,8 @@
         simulation = run(events, settle_s, transport)
         after = {vm: sorted(t.held) for vm, t in simulation.targets.items()}
         assert after == before, f"{settle_s} s after the restore"
+    events = [event for _, _, event in simulation.events]
+    assert events.count("key_map_restored") == events.count("key_map_settled") == 1
 
 
 def forget_given_up(manager, previous_end):
@@ -420,8 +422,13 @@
         (keymap_of(4, 2, True), KNEW._replace(stored=keymap_of(4, 2)), False, False),
         (keymap_of(4, 1), KNEW, True, False),
         (keymap_of(3, 1), FRESH, True, False),
+        (None, FRESH._replace(stored=None), True, False),
+        (None, FRESH._replace(stored=None, era=1), True, True),
+    ],
+    ids=[
+        "no era", "settled", "lease held", "lease ended", "not stored", "not read",
+        "no key map", "new service",
     ],
-    ids=["no era", "settled", "lease held", "lease ended", "not stored", "not read"],
 )  # fmt: skip
 def test_reads_that_extend_a_lease(keymap, state, lease_valid, expected):
     """Guards against a lease on keys that a lost record gave to another VM."""
@@ -436,8 +443,9 @@
     for era in range(3, 200):
         settled = settled_keymap(settled, KNEW._replace(era=era))
     assert settled.next_fence < 2**53
-    # A service without a key map is new, and waits for nothing.
+    # In the first era, a service without a key map is new, and waits for nothing.
     assert not is_unsettled(KeyMap(SERVICE), EraState(1, 0.0))
+    assert is_unsettled(KeyMap(SERVICE), EraState(2, 0.0))
 
 
 class ScriptedStore:
@@ -504,6 +512,24 @@
         assert (follower.era, follower.end) == (2, len(after))
 
 
+async def test_calls_of_many_nodes_in_a_new_era(autojump_clock, nursery):
+    """Guards against a store that all nodes of a deployment call again and again."""
+    store, nodes = ScriptedStore(), 81
+    store.restore(records_of(*[b"x"] * 90), 1)
+    for _ in range(nodes):
+        follower = Follower(
+            Store(None, store.read, store.newest), MEMBERSHIP_TOPIC, lambda: 0.6,
+            lambda record: None, lambda *a, **k: None, lambda: 0.25,
+        )  # fmt: skip
+        nursery.start_soon(follower.run)
+    await trio.sleep(2.0)
+    store.restore(records_of(*[b"y"] * 80))
+    del store.reads[:]
+    await trio.sleep(2.0)
+    assert store.reads.count("newest") == nodes
+    assert len(store.reads) <= 5 * nodes
+
+
 async def test_words_of_other_nodes_about_another_era(autojump_clock, nursery):
     """Guards against records and leases of another era, and a wrong era of a node."""
     store = ScriptedStore()
