--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -51,6 +51,10 @@
     "waiters_displaced": "waiting requests refused because of more urgent ones",
     "starved_starts": "slots given to a route that had got none for too long",
     "called_route_changed": "routes found to be called by targets, or no more",
+    "store_era": "topics read anew because the store came back from an older copy",
+    "key_map_old": "key maps read that are older than the known one",
+    "key_map_restored": "key maps appended because the store lacked them in a new era",
+    "key_map_settled": "key maps appended that end the wait after a new era",
     "store_failures": "failed calls to the store",
     "store_relays": "calls to the store made for another node",
 }
