Keep the rate of cold targets, and send nothing to evacuated zones

Cause: nothing read the evacuation record or the cold time of heartbeats, so cold targets got 22 to 24 requests in a second where 20.8 are allowed. Change: _cold_rate counts the sends of any second and admits what the window permits; _evacuation decides which zones are used, and until when keys are served there. A follower reports keys that are missing from a complete read as deleted. Evacuation is not tested with nodes yet.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -67,6 +67,8 @@
 KEY_MOVED = "the key moved to another VM"
 # Reason of a refusal after the target stated twice that it does not hold a key.
 KEY_NOT_HELD = "the target does not hold the key"
+# Reason of a refusal while the availability zone of the target is evacuated.
+EVACUATED = "the zone of the target is evacuated"
 
 
 class Waiter(NamedTuple):
@@ -234,6 +236,10 @@
     keyed_drain_deadline : float or None
         The same for requests with a key: no other VM can serve them before the key
         has moved.
+    cold_target : ColdTarget or None
+        Rate of the target while it is cold; None if it is not limited.
+    closes_at : float
+        Time on the node's clock, in seconds, from which nothing is sent to the target.
     closed_reason : str
         Reason for which all requests are refused; empty while requests are admitted.
     """
@@ -261,12 +267,21 @@
         self.slots = 0
         self.rate_limiter = RateLimiter()
         self.drain_deadline = self.keyed_drain_deadline = None
+        self.cold_target, self.closes_at = None, math.inf
         self.closed_reason = "no target has announced itself"
 
     @property
     def usable_slots(self):
-        """Number of slots that the target's rate limit keeps busy; all without one."""
-        return usable_slots(self.slots, self._mean_service_s, self.rate_limiter.limit)
+        """Number of slots that the target's rate limit keeps busy; all without one.
+
+        A cold target limits its rate as well.
+        """
+        limit = self.rate_limiter.limit
+        if self.cold_target is not None:
+            rate = self.cold_target.rate(trio.current_time())
+            limits = [per_s for per_s in (limit, rate) if per_s is not None]
+            limit = min(limits, default=None)
+        return usable_slots(self.slots, self._mean_service_s, limit)
 
     @property
     def usage(self):
@@ -332,13 +347,29 @@
         return max(1, self.slots - untracked)
 
     def _may_start(self, now):
-        """Whether a slot is free and the target's rate limit permits a request."""
-        return self._running < self._capacity(now) and self.rate_limiter.permits(now)
+        """Whether a slot is free and the target's rate permits a request."""
+        return (
+            self._running < self._capacity(now)
+            and self.rate_limiter.permits(now)
+            and (self.cold_target is None or self.cold_target.permits(now))
+        )
 
     def _start(self, now):
         """Take a slot for a request that is sent to the target."""
         self._running += 1
         self.rate_limiter.count_request(now)
+        if self.cold_target is not None:
+            self.cold_target.reserve()
+
+    def check_send(self):
+        """Raise ``Refused`` if nothing is sent to the target any more."""
+        if trio.current_time() >= self.closes_at:
+            raise Refused(EVACUATED, 0.0)
+
+    def count_send(self):
+        """Count an admitted request that is sent to the target now."""
+        if self.cold_target is not None:
+            self.cold_target.count_send(trio.current_time())
 
     def sample_usage(self, now):
         """Sample the usage and drop old service times; to be called every 0.1 s.
@@ -381,6 +412,8 @@
         queued, wait, slots = len(self._waiters), 0.0, self.usable_slots
         if queued or self._running >= slots:
             wait = expected_wait(self._mean_service_s, self._queued_work_s(), slots)
+        if self.cold_target is not None:
+            wait = max(wait, self.cold_target.wait_s(queued, trio.current_time()))
         measured_s = self._mean_service_s if self._service_s else 0.0
         return Load(
             self._running, queued, slots, wait, measured_s,
@@ -403,6 +436,7 @@
         """
         if self.closed_reason:
             raise Refused(self.closed_reason, 0.0)
+        self.check_send()
         service_s = self._expected_service_s(request)
         run_s = self._possible_run_s(request, service_s)
         deadline = now + request.remaining_s
@@ -464,16 +498,16 @@
     def _check_expected_wait(self, request, now, service_s, late_s):
         waiters = self._waiters.values()
         order = (request.priority, now + request.latency_goal_s)
-        ahead_s = sum(
+        ahead = [
             w.service_s
             for w in waiters
             if (w.priority, w.latency_goal_at) <= order
             and now + w.service_s <= w.late_at
-        )
+        ]
         queued_s, slots = self._queued_work_s(), self.usable_slots
         retry_after_s = refusal(
-            expected_wait(self._mean_service_s, ahead_s, slots),
-            expected_wait(self._mean_service_s, queued_s, slots),
+            self._expected_wait_s(sum(ahead), len(ahead), slots, now),
+            self._expected_wait_s(queued_s, len(waiters), slots, now),
             service_s,
             late_s,
             request.remaining_s,
@@ -485,6 +519,13 @@
                 f"queue of {queued_s / (slots or 1):.2f} s{limited}", retry_after_s
             )
 
+    def _expected_wait_s(self, ahead_s, ahead, slots, now):
+        """Return the expected wait behind ``ahead`` requests that run ``ahead_s``."""
+        wait_s = expected_wait(self._mean_service_s, ahead_s, slots)
+        if self.cold_target is None:
+            return wait_s
+        return max(wait_s, self.cold_target.wait_s(ahead, now))
+
     async def _wait(self, request, now, service_s, late_s, run_s):
         self._last_number += 1
         number = self._last_number
@@ -525,7 +566,7 @@
         self._check_key(request.key, trio.current_time())
         raise Refused("no slot came free in time", RETRY_AFTER_MIN_S)
 
-    def release(self, request=None, took_s=None):
+    def release(self, request=None, took_s=None, sent=False):
         """Free a slot.
 
         Parameters
@@ -533,8 +574,12 @@
         request : ForwardRequest, default=None
         took_s : float, default=None
             Time that the target took, in seconds; None if it is not known.
+        sent : bool, default=False
+            Whether ``count_send`` was called.
         """
         self._running -= 1
+        if self.cold_target is not None and not sent:
+            self.cold_target.cancel()
         if took_s is not None:
             route = request.route
             if request.key is not None:
@@ -561,9 +606,9 @@
 
     def dispatch(self):
         """Start waiting requests while slots are free and the rate limit permits."""
-        if self.closed_reason:
-            return
         now = trio.current_time()
+        if self.closed_reason or now >= self.closes_at:
+            return
         for waiter in self._waiters.values():
             if self._waiter_may_outlast_node(waiter, now):
                 waiter.event.set()
--- a/packages/router/src/jujuberudder_router/_client_requests.py
+++ b/packages/router/src/jujuberudder_router/_client_requests.py
@@ -38,6 +38,8 @@
 RETRY_AFTER_S = 0.3
 # Longest wait for memory of a request whose client states no time-out.
 DEFAULT_ROOM_WAIT_S = 1.0
+# Reason of a refusal while no target of a service may get requests.
+ALL_EVACUATED = "all zones of the service are evacuated"
 # Statuses of the router's own responses: after 502 and 504 the request may have run,
 # 503 states that it has not run.
 IN_DOUBT, NOT_SERVED, TIMED_OUT = 502, 503, 504
@@ -223,6 +225,8 @@
                     continue
                 if state.owner_hint and state.sends < MAX_OWNER_HINTS:
                     continue
+            elif node.evacuated(service):
+                state.reason = ALL_EVACUATED
             elif request.key is not None:
                 state.reason = node.owner_problem(service, request.key)
             if (
@@ -234,7 +238,9 @@
             await trio.sleep(OWNER_POLL_S)
 
     def may_wait_for_owner(request, service):
-        return request.key is not None and node.owner_may_change(service, request.key)
+        if request.key is None or node.evacuated(service):
+            return False
+        return node.owner_may_change(service, request.key)
 
     def choose_vm(request, service, state):
         """Return the name of the VM to send the request to next, or None."""
--- a/packages/router/src/jujuberudder_router/_follower.py
+++ b/packages/router/src/jujuberudder_router/_follower.py
@@ -117,7 +117,11 @@
         records = [r for r in self._newest.values() if r.offset >= since]
         return sorted(records, key=lambda record: record.offset)
 
-    def merge(self, since, end, records):
+    def keys(self):
+        """Return the keys that have a value."""
+        return [r.key for r in self._newest.values() if r.value]
+
+    def merge(self, since, end, records, keys=None):
         """Apply records that another node has read.
 
         Parameters
@@ -125,6 +129,8 @@
         since, end : int
             The records are the newest ones of all keys with offsets in [since, end).
         records : list of (offset, key, value)
+        keys : list of str, default=None
+            All keys that have a value at ``end``, if the other node told them.
 
         Returns
         -------
@@ -138,6 +144,8 @@
             return True
         for offset, key, value in records:
             self._apply_newer(Record(offset, key, value))
+        if keys is not None:
+            self._apply_deletions(set(keys), end)
         self.end = end
         self._record_change()
         return True
@@ -154,6 +162,16 @@
             self._newest[record.key] = record
             self._apply(record)
 
+    def _apply_deletions(self, keys, end):
+        """Apply an empty record for each known key that is not in ``keys``.
+
+        These are all keys that had a record with an offset below ``end``.
+        """
+        for record in list(self._newest.values()):
+            if record.key not in keys and record.value and record.offset < end:
+                # All nodes that do not know of the deletion yet get it with this.
+                self._apply_newer(Record(max(end - 1, 0), record.key, b""))
+
     def _record_change(self):
         if self.end >= self._known_end:
             self._behind_since = None
@@ -294,6 +312,7 @@
         for record in page.records:
             self._apply_newer(record)
         if newest:
+            self._apply_deletions({r.key for r in page.records}, page.end)
             self.end = max(self.end or 0, page.end)
         elif page.records:
             self.end = max(self.end, page.records[-1].offset + 1)
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -169,12 +169,16 @@
 
 
 class Update(msgspec.Struct, array_like=True, tag="w"):
-    """Newest records (offset, key, value) of a topic with offsets in [since, end)."""
+    """Newest records (offset, key, value) of a topic with offsets in [since, end).
+
+    ``keys`` lists all keys that have a value at ``end``; None if that is not told.
+    """
 
     topic: str
     since: int
     end: int
     records: list[tuple[int, str, bytes]]
+    keys: list[str] | None = None
 
 
 class ReleaseReport(msgspec.Struct, array_like=True, tag="h"):
--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -37,6 +37,12 @@
     "release_calls": "calls that release a key range at the target",
     "release_calls_unanswered": "such calls without a response that could be read",
     "grants_disowned": "ranges not used because the target stated not to hold a key",
+    "evacuation_begins": "evacuations of a zone that this node read",
+    "evacuation_ends": "ends of evacuations that this node read",
+    "refused_evacuated": "requests refused because the target's zone is evacuated",
+    "target_cold": "times that the target became cold",
+    "sent_to_cold_target": "requests sent to the target while it was cold",
+    "health_checks": "health checks of the target, to learn whether it is cold",
     "store_failures": "failed calls to the store",
     "store_relays": "calls to the store made for another node",
 }
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -1,5 +1,6 @@
 """Node of the router: the state shared by its tasks, and the tasks themselves."""
 
+import math
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -7,14 +8,20 @@
 import msgspec
 import trio
 
-from ._admission import AdmissionQueue
+from ._admission import EVACUATED, AdmissionQueue
 from ._choice import Candidate, sample
 from ._client_requests import (
     make_body_admission,
     make_client_handler,
     make_run_ahead_check,
 )
+from ._cold_rate import (
+    ColdTarget,
+    check_health_while_unsettled,
+    dispatch_while_cold,
+)
 from ._directory import Directory
+from ._evacuation import Evacuations, watch_evacuations
 from ._follower import Follower
 from ._frames import Ping, ReadProgress
 from ._grant_calls import GrantCaller
@@ -110,6 +117,9 @@
     evacuated_zone : callable
         ``evacuated_zone(key)`` returns the availability zone that a record with this
         key in the operator topic evacuates while its value is not empty, or None.
+    health_cold_s : callable
+        ``health_cold_s(response)`` returns for how many more seconds the target is cold
+        according to its response to a health check, or None if it does not tell.
     """
 
     parse_request: Callable
@@ -122,6 +132,7 @@
     make_grant_calls: Callable
     configuration_key: str
     evacuated_zone: Callable = lambda key: None
+    health_cold_s: Callable = lambda response: None
 
 
 class Node:
@@ -185,6 +196,11 @@
         self.admission = AdmissionQueue(
             self.target.held.covers, self.target.held.distrusted_s
         )
+        self.cold_target = ColdTarget(
+            settings.cold_rate_factor, settings.cold_rate_slack, log, self.metrics
+        )
+        self.evacuations = Evacuations(settings.zone, settings.evacuation_s)
+        self._ignored_operator_keys = set()
         self.stopping = False
         self.store = with_relays(store, self)
         self.membership = Membership(self, self.store)
@@ -193,6 +209,7 @@
             self._is_known_keyed, self._is_suspected,
             lambda: self.membership_follower.started,
             lambda vms: self.sharing.set_sources(vms),
+            lambda zone: zone in self.evacuations,
         )  # fmt: skip
         self.membership_follower = Follower(
             self.store, MEMBERSHIP_TOPIC, self._membership_wait_s,
@@ -305,7 +322,10 @@
         return _keymap_encoder.encode(keymap)
 
     def _apply_configuration(self, record):
-        if record.key != self.adapter.configuration_key or not record.value:
+        if record.key != self.adapter.configuration_key:
+            self._apply_operator_record(record)
+            return
+        if not record.value:
             return
         try:
             configuration = self.adapter.parse_configuration(record.value)
@@ -320,6 +340,13 @@
         ):
             self.peers.choose_again()
         self.configuration = configuration
+        self.cold_target.configure(
+            configuration.services.get(self.settings.service), self.target.sequence,
+            trio.current_time(),
+        )  # fmt: skip
+        self.admission.cold_target = (
+            self.cold_target if self.cold_target.active else None
+        )
         routes = sum(len(r) for r in configuration.routes.values())
         self.log(
             "configuration", version=configuration.version, offset=record.offset,
@@ -329,6 +356,53 @@
         if configuration.ignored:
             self.log("configuration_values_ignored", values=configuration.ignored)
 
+    def _apply_operator_record(self, record):
+        """Apply a record that begins or ends the evacuation of a zone."""
+        zone = self.adapter.evacuated_zone(record.key)
+        if zone is None:
+            if record.key not in self._ignored_operator_keys:
+                self._ignored_operator_keys.add(record.key)
+                self.log("operator_record_ignored", key=record.key)
+            return
+        now, evacuations = trio.current_time(), self.evacuations
+        if self.configuration_follower.read_at is not None:
+            evacuations.confirm(self.configuration_follower.read_at)
+        if not evacuations.apply(zone, bool(record.value), now):
+            return
+        if zone in evacuations:
+            self.metrics.count("evacuation_begins")
+            self.log(
+                "evacuation_begins", zone=zone, offset=record.offset,
+                closes_in_s=evacuations.closes_at(zone) - now,
+            )  # fmt: skip
+        else:
+            self.metrics.count("evacuation_ends")
+            self.log("evacuation_ends", zone=zone, offset=record.offset)
+        self.peers.choose_again()
+        if zone == self.settings.zone:
+            self._apply_own_evacuation(now)
+
+    def _apply_own_evacuation(self, now):
+        self.target.evacuated = self.evacuations.own_zone_evacuated
+        self.admission.closes_at = self._evacuation_closes_at()
+        if self.evacuations.own_zone_evacuated:
+            open_or_close = now >= self.admission.closes_at
+        else:
+            self.cold_target.on_evacuation_end(self.target.sequence, now)
+            open_or_close = self.target.id and not self.target.heartbeat_overdue(now)
+        if open_or_close:
+            self.update_admission()
+        self.grant_caller.check_now()
+
+    def _evacuation_closes_at(self):
+        """Return from when on the target gets no requests because of an evacuation."""
+        evacuations = self.evacuations
+        if not evacuations.own_zone_evacuated:
+            return math.inf
+        if self.is_keyed(self.settings.service):
+            return evacuations.closes_at(self.settings.zone)
+        return -math.inf
+
     def _configuration_wait_s(self):
         return self._random_wait_s(*CONFIG_WAIT_S)
 
@@ -398,6 +472,10 @@
         self._observe_ends(progress)
         self.sharing.on_progress(vm, progress)
         if progress.membership_age_s >= 0:
+            end = self.configuration_follower.end
+            if end is not None and progress.operator_end <= end:
+                # That node reads both topics, and knows no more operator records.
+                self.evacuations.confirm(sent_at - progress.membership_age_s)
             self.membership_follower.confirm_read(
                 progress.membership_end, sent_at - progress.membership_age_s
             )
@@ -433,6 +511,11 @@
             return False
         return owner == self.settings.vm or self.unreachable_s(owner) < SUSPECT_AFTER_S
 
+    def evacuated(self, service):
+        """Whether all zones of a service are evacuated."""
+        zones = self.vms.zones(service) if self.evacuations else {}
+        return bool(zones) and all(zone in self.evacuations for zone in zones)
+
     def owner_problem(self, service, key):
         """Return why no VM can be sent a request for a key of a service."""
         keymap = self.keymaps.get(service)
@@ -455,6 +538,15 @@
         """
         if service != self.settings.service:
             return f"this VM belongs to {self.settings.service}, not {service}", ""
+        if self.configuration is None:
+            # Nor is it known whether the zone is evacuated.
+            return "no configuration is known yet", ""
+        if (
+            self.evacuations.own_zone_evacuated
+            and trio.current_time() >= self._evacuation_closes_at()
+        ):
+            self.metrics.count("refused_evacuated")
+            return EVACUATED, ""
         if not self.is_keyed(service):
             return None
         if key is None:
@@ -485,9 +577,12 @@
 
     def accepts_requests(self, vm):
         """Whether a VM is this one, or may be reached and is not known to refuse."""
+        now, entry = trio.current_time(), self.vms.get(vm)
+        if entry is not None and self.evacuations.closed(entry.zone, now):
+            return False
         if vm == self.settings.vm:
             return True
-        load = self.loads.get(vm, trio.current_time())
+        load = self.loads.get(vm, now)
         return self.peers.may_reach(vm) and (load is None or load.accepting)
 
     def unreachable_s(self, vm):
@@ -514,7 +609,7 @@
         """Return the VMs of a keyed service that may own keys, sorted by name."""
         owners, now = [], trio.current_time()
         for vm in self.vms.of_service(service):
-            if vm.leaving or not vm.target_incarnation:
+            if vm.leaving or not vm.target_incarnation or vm.zone in self.evacuations:
                 continue
             if vm.name == self.settings.vm:
                 if (
@@ -575,7 +670,8 @@
         """
         own, same_zone, other_zones = [], [], []
         settings = self.settings
-        if settings.service == service and settings.vm not in refused:
+        own_usable = not self.evacuations.own_zone_evacuated
+        if own_usable and settings.service == service and settings.vm not in refused:
             entry = self.vms.get(settings.vm)
             if entry is not None and self._known_to_accept(settings.vm):
                 own.append(entry)
@@ -585,6 +681,8 @@
             vm = self.vms.get(name)
             if vm is None or vm.leaving or vm.service != service:
                 continue
+            if vm.zone in self.evacuations:
+                continue
             (same_zone if vm.zone == settings.zone else other_zones).append(vm)
         drawn = sample(same_zone, other_zones, self._random.sample)
         now = trio.current_time()
@@ -602,6 +700,7 @@
             if vm.name not in excluded
             and vm.target_incarnation
             and not vm.leaving
+            and vm.zone not in self.evacuations
             and self.peers.may_reach(vm.name)
         ]
         return self._random.choice(others) if others else None
@@ -648,7 +747,8 @@
                 "target_life", target=self.target.incarnation, slots=heartbeat.slots
             )
             self.check_leaving()
-        self._update_admission()
+        self.cold_target.on_heartbeat(heartbeat, now)
+        self.update_admission()
         self.membership.announce()
         self.ownership.on_heartbeat(heartbeat, now)
         if self.grants_by_call:
@@ -705,14 +805,20 @@
         """Send no more to the present start of the target, and release its keys."""
         self.target.leaving = True
         self.log("target_leaves", target=self.target.incarnation, reason=reason)
-        self._update_admission()
+        self.update_admission()
         self.membership.announce()
 
-    def _update_admission(self):
+    def update_admission(self):
+        """Open or close the admission queue after a change of what decides it."""
         target, admission = self.target, self.admission
+        admission.closes_at = self._evacuation_closes_at()
         if self.draining:
             return
-        if target.leaving:
+        if trio.current_time() >= admission.closes_at:
+            if admission.closed_reason != EVACUATED:
+                self.log("gate_closed", target=target.incarnation, reason=EVACUATED)
+            admission.close(EVACUATED)
+        elif target.leaving:
             if not admission.closed_reason:
                 self.log(
                     "gate_closed", target=target.incarnation, reason="target is leaving"
@@ -777,6 +883,9 @@
         nursery.start_soon(log_route_times, node)
         nursery.start_soon(watch_memory, node)
         nursery.start_soon(node.membership.run)
+        nursery.start_soon(watch_evacuations, node)
+        nursery.start_soon(dispatch_while_cold, node)
+        nursery.start_soon(check_health_while_unsettled, node)
         await stopping.wait()
         await _stop(node, client_server)
         nursery.cancel_scope.cancel("the node has stopped")
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -325,7 +325,7 @@
         """Record the ranges that a heartbeat reports as released, and plan moves."""
         for start, end, handover in heartbeat.released:
             self.record_release(start, end, handover)
-        if not self._node.target.leaving and self._may_grant(now):
+        if not self._node.target.gives_up_keys and self._may_grant(now):
             self._plan_move(now)
 
     def record_release(self, start, end, handover, usable_at=0.0):
@@ -365,13 +365,12 @@
         -------
         tuple of KeyRange, or None if nothing may be granted
         """
-        target = self._node.target
         if not self._node.is_keyed(self._service) or not self._follower.started:
             return None
         if not self._may_grant(now):
             self._record_withheld(now)
             return None
-        if target.leaving:
+        if self._node.target.gives_up_keys:
             return ()
         key_ranges = _keymap.subtract(tuple(self._own_ranges()), self._pending_moves)
         if self._handing_over_undecided():
@@ -395,12 +394,13 @@
         """Return the ranges that the target is to release, as ``HeldRange``.
 
         They are ranges that it may hold although the key map does not assign them to
-        it, or that move to other VMs; all ranges of a target that is leaving.
+        it, or that move to other VMs; all ranges of a target that is leaving or in an
+        evacuated zone.
         """
         if not self._may_grant(now):
             return ()
         own = tuple(self._own_ranges())
-        kept = () if self._node.target.leaving else own
+        kept = () if self._node.target.gives_up_keys else own
         kept = [(r.start, r.end) for r in _keymap.subtract(kept, self._pending_moves)]
         to_release = []
         for held in self._node.target.held.possible(now):
@@ -561,7 +561,7 @@
             for start, end, token in self._handovers(now)
             if not _overlaps(start, end, moved)
         ]
-        target_gone = target.leaving or target.heartbeat_overdue(now)
+        target_gone = self._node.target.gives_up_keys or target.heartbeat_overdue(now)
         if target_gone and now > target.held.expiry() + SAFETY_MARGIN_S:
             released += [
                 (key_range.start, key_range.end, "")
@@ -654,7 +654,7 @@
         """Return the releases that this VM writes, and report the others."""
         moved = self._moved_ranges(now)
         others = self._other_releases(now, moved)
-        if self._node.target.leaving:
+        if self._node.target.gives_up_keys:
             # None of these ranges is granted again either.
             moved, others = moved + others, []
         written_here = self._report_to_writer(moved, owners, now)
--- a/packages/router/src/jujuberudder_router/_peers.py
+++ b/packages/router/src/jujuberudder_router/_peers.py
@@ -70,6 +70,8 @@
     on_sources : callable
         ``on_sources(vms)`` gets the VMs that read the store for this one; none if it
         reads for others.
+    is_evacuated : callable
+        ``is_evacuated(zone)`` returns whether no requests are sent to a zone.
 
     Attributes
     ----------
@@ -78,7 +80,7 @@
 
     def __init__(
         self, own_vm, own_zone, own_service, directory, make_link, is_keyed,
-        is_suspected, can_choose, on_sources,
+        is_suspected, can_choose, on_sources, is_evacuated=lambda zone: False,
     ):  # fmt: skip
         self.links = {}
         self._own_vm, self._own_zone = own_vm, own_zone
@@ -89,6 +91,7 @@
         self._is_suspected = is_suspected
         self._can_choose = can_choose
         self._on_sources = on_sources
+        self._is_evacuated = is_evacuated
         self._source_links = set()
         self._nursery = None
         self._scopes = {}
@@ -289,7 +292,9 @@
 
     def _serves(self, vm):
         entry = self._directory.get(vm)
-        return bool(entry.target_incarnation) and not entry.leaving
+        if entry.leaving or self._is_evacuated(entry.zone):
+            return False
+        return bool(entry.target_incarnation)
 
     def _usable(self, vm):
         link = self.links.get(vm)
--- a/packages/router/src/jujuberudder_router/_sharing.py
+++ b/packages/router/src/jujuberudder_router/_sharing.py
@@ -107,7 +107,7 @@
         """Apply an ``Update`` of another node."""
         follower = self._followers.get(update.topic)
         if follower is not None:
-            follower.merge(update.since, update.end, update.records)
+            follower.merge(update.since, update.end, update.records, update.keys)
 
     def on_subscribe(self, number, frame, send):
         """Apply a ``Subscribe`` frame of a connection, or its end if it is None."""
@@ -139,4 +139,6 @@
         """Return an ``Update`` with the newest records from an offset on."""
         follower = self._followers[topic]
         records = [tuple(record) for record in follower.records_since(since)]
-        return Update(topic, since, follower.end, records)
+        # This node may not know of records that were deleted before it read the topic.
+        keys = follower.keys() if topic == OPERATOR_TOPIC else None
+        return Update(topic, since, follower.end, records, keys)
--- a/packages/router/src/jujuberudder_router/_status.py
+++ b/packages/router/src/jujuberudder_router/_status.py
@@ -24,6 +24,7 @@
         "process": node.node_incarnation,
         "ready": node.ready,
         "configuration": node.config_version,
+        "evacuated_zones": node.evacuations.zones,
         "target": {
             "incarnation": target.incarnation,
             "leaving": target.leaving,
@@ -32,6 +33,7 @@
             "running": load.running,
             "queued": load.queued,
             "closed": node.admission.closed_reason,
+            "cold": node.cold_target.is_cold(now),
         },
         "key_map": {
             "end": follower.end,
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -5,6 +5,7 @@
 import trio
 
 from ._admission import Refused
+from ._cold_rate import LONG_BODY_BYTES
 from ._connection_pool import ConnectionPool
 from ._frames import ANSWERED, NOT_RUN, UNKNOWN, ForwardReply
 from ._held_keys import HeldKeys
@@ -74,6 +75,8 @@
         Time of the last heartbeat on the node's clock, in seconds.
     leaving : bool
         Whether the target announced that it is about to stop.
+    evacuated : bool
+        Whether the availability zone of the target is evacuated.
     held : HeldKeys
         Keys that this node has granted to the target.
     """
@@ -86,7 +89,7 @@
         self.started_ms = -1
         self.sequence = -1
         self.slots = 0
-        self.leaving = False
+        self.leaving = self.evacuated = False
         self.heartbeat_at = None
         self.held = HeldKeys()
 
@@ -95,6 +98,11 @@
         """Name of the target's incarnation; empty while no target is known."""
         return f"{self.id}@{self.started_ms}" if self.id else ""
 
+    @property
+    def gives_up_keys(self):
+        """Whether all keys leave the target."""
+        return self.leaving or self.evacuated
+
     def heartbeat_overdue(self, now):
         """Whether no heartbeat has arrived for ``HEARTBEAT_TIMEOUT_S``."""
         return (
@@ -220,11 +228,13 @@
         await admission.acquire(request, arrived_at)
         started_at = trio.current_time()
         metrics.observe("gate_wait", started_at - arrived_at, request.route)
-        took_s = None
+        took_s, sends = None, []
         reply = ForwardReply(request.id, UNKNOWN, reason="no answer by the deadline")
         try:
             with trio.move_on_at(deadline + DEADLINE_MARGIN_S):
-                reply = await send_to_target(request, deadline - started_at, hold)
+                reply = await send_to_target(
+                    request, deadline - started_at, hold, sends
+                )
             if reply.outcome == ANSWERED:
                 took_s = trio.current_time() - started_at
                 metrics.observe("target", took_s, request.route)
@@ -236,10 +246,12 @@
                 )  # fmt: skip
             raise
         finally:
-            admission.release(request, took_s)
+            if sends and len(request.body) > LONG_BODY_BYTES:
+                admission.count_send()
+            admission.release(request, took_s, bool(sends))
         return reply
 
-    async def send_to_target(request, remaining_s, hold):
+    async def send_to_target(request, remaining_s, hold, sends):
         headers = adapter.target_request_headers(request, remaining_s, target.id)
         head = request_head(request.method, request.target, headers, len(request.body))
         result = None
@@ -249,10 +261,18 @@
             result = adapter.check_response(response, request.request_id)
             return result.invalid_reason
 
+        def start_send():
+            # To connect may have taken a while.
+            admission.check_send()
+            sends.append(trio.current_time())
+            if len(request.body) <= LONG_BODY_BYTES:
+                admission.count_send()
+            return head
+
         incarnation, sent_at = target.incarnation, trio.current_time()
         try:
             response = await target.pool.exchange(
-                head, "send to target", check, body=request.body, hold=hold
+                start_send, "send to target", check, body=request.body, hold=hold
             )
         except ExchangeError as error:
             failure = error.failure
--- a/tests/router/test_client_requests.py
+++ b/tests/router/test_client_requests.py
@@ -61,6 +61,7 @@
         peers=SimpleNamespace(forward=forward),
         draw_other_vm=lambda service, refused: None,
         record_result=lambda vm, success: None,
+        evacuated=lambda service: False,
     )  # fmt: skip
     return node, sent_to
 
