--- a/tests/adapter/test_soak.py
+++ b/tests/adapter/test_soak.py
@@ -21,13 +21,17 @@
 )
 from jujuberudder_emulator._checks import (
     Disturbance,
+    Evacuation,
     contradicted_responses,
+    late_arrivals,
     lost_requests,
     overlapping_owners,
+    overrun_targets,
 )
 from jujuberudder_emulator._soak_clients import Attempt, KeptClient
 from jujuberudder_emulator._soak_faults import FAULTS, make_schedule
 from jujuberudder_emulator._soak_log import LogPipe
+from jujuberudder_emulator._target import Arrival
 from jujuberudder_emulator.soak import has_handler, run
 
 # Seed, seconds and number of VMs of a run, and its purpose. A seed that failed stays
@@ -245,6 +249,33 @@
     assert events == sorted(events) and events[-1].at_s < 610.0
 
 
+@pytest.mark.parametrize(
+    "at, zone, excuses, found",
+    [
+        (14.9, "z", [], False), (15.1, "z", [], True), (15.1, "y", [], False),
+        (20.1, "z", [], False), (15.1, "z", [("vm-0", 9.0, 11.0)], False),
+        (15.1, "z", [("vm-1", 9.0, 11.0), ("vm-0", 1.0, 2.0)], True),
+    ],
+    ids=["in time", "late", "other zone", "after the end", "cut off", "others cut off"],
+)  # fmt: skip
+def test_requests_in_an_evacuated_zone(at, zone, excuses, found):
+    """Guards against a check that overlooks requests in an evacuated zone."""
+    arrival = Arrival(zone, "i", "q", at, 0, "vm-0")
+    evacuation = Evacuation("z", 10.0, 20.0)
+    excuses = [Disturbance(*excuse) for excuse in excuses]
+    assert bool(late_arrivals([arrival], [evacuation], 5.0, excuses)) == found
+
+
+@pytest.mark.parametrize(
+    "cold, stalls, found",
+    [(20, [], False), (21, [], True), (21, [(6.0, 9.5)], False), (21, [(1, 2)], True)],
+)
+def test_requests_at_a_cold_target(cold, stalls, found):
+    """Guards against a check that overlooks a cold target with too many requests."""
+    arrival = Arrival("z", "i", "q", 10.0, cold, "vm-0")
+    assert bool(overrun_targets([arrival], 20.75, stalls)) == found
+
+
 @pytest.mark.parametrize(
     "signals", [(signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM)], ids=str
 )
