--- a/packages/router/src/jujuberudder_router/_cold_rate.py
+++ b/packages/router/src/jujuberudder_router/_cold_rate.py
@@ -142,6 +142,7 @@
         if service is None or not service.cold_requests_per_s:
             self.active = self.unsettled = False
             self._sent.clear()
+            self._unsent = 0
             return
         self._limit = allowed_requests(
             service.cold_requests_per_s, self._factor, self._slack
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -545,7 +545,6 @@
             self.evacuations.own_zone_evacuated
             and trio.current_time() >= self._evacuation_closes_at()
         ):
-            self.metrics.count("refused_evacuated")
             return EVACUATED, ""
         if not self.is_keyed(service):
             return None
@@ -577,9 +576,11 @@
 
     def accepts_requests(self, vm):
         """Whether a VM is this one, or may be reached and is not known to refuse."""
-        now, entry = trio.current_time(), self.vms.get(vm)
-        if entry is not None and self.evacuations.closed(entry.zone, now):
-            return False
+        now = trio.current_time()
+        if self.evacuations:
+            entry = self.vms.get(vm)
+            if entry is not None and self.evacuations.closed(entry.zone, now):
+                return False
         if vm == self.settings.vm:
             return True
         load = self.loads.get(vm, now)
@@ -670,7 +671,9 @@
         """
         own, same_zone, other_zones = [], [], []
         settings = self.settings
-        own_usable = not self.evacuations.own_zone_evacuated
+        # A plain tuple, as this is asked for each VM of each request.
+        evacuated = self.evacuations.zones if self.evacuations else ()
+        own_usable = settings.zone not in evacuated
         if own_usable and settings.service == service and settings.vm not in refused:
             entry = self.vms.get(settings.vm)
             if entry is not None and self._known_to_accept(settings.vm):
@@ -681,7 +684,7 @@
             vm = self.vms.get(name)
             if vm is None or vm.leaving or vm.service != service:
                 continue
-            if vm.zone in self.evacuations:
+            if vm.zone in evacuated:
                 continue
             (same_zone if vm.zone == settings.zone else other_zones).append(vm)
         drawn = sample(same_zone, other_zones, self._random.sample)
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ._admission import Refused
+from ._admission import EVACUATED, Refused
 from ._cold_rate import LONG_BODY_BYTES
 from ._connection_pool import ConnectionPool
 from ._frames import ANSWERED, NOT_RUN, UNKNOWN, ForwardReply
@@ -216,6 +216,8 @@
                 retry_after_s=refused.retry_after_s, owner=owner,
                 node_s=refused.node_s,
             )  # fmt: skip
+        if reply.outcome == NOT_RUN and reply.reason == EVACUATED:
+            metrics.count("refused_evacuated")
         reply.load = admission.load()
         return reply
 
--- a/tests/router/test_evacuation.py
+++ b/tests/router/test_evacuation.py
@@ -11,10 +11,20 @@
 from result import Ok
 
 from jujuberudder_emulator import CONFIGURATION, Deployment
-from jujuberudder_router import OPERATOR_TOPIC, VM, Page, Record
+from jujuberudder_router import (
+    OPERATOR_TOPIC,
+    VM,
+    ExchangeError,
+    Page,
+    Record,
+)
+from jujuberudder_router._admission import EVACUATED, AdmissionQueue
 from jujuberudder_router._evacuation import Evacuations, closing_time
 from jujuberudder_router._follower import Follower
+from jujuberudder_router._frames import NOT_RUN, ForwardRequest
+from jujuberudder_router._metrics import Metrics
 from jujuberudder_router._sharing import RecordSharing
+from jujuberudder_router._target import Target, make_target_handler
 
 EVACUATION_S = 5.0
 COLD_LIMIT = 20.75
@@ -164,6 +174,56 @@
         assert [(key, value) for _, key, value in passed_on] == expected
 
 
+@pytest.mark.parametrize("connect_s, sent", [(0.4, 1), (0.9, 0)])
+async def test_request_at_the_last_moment(autojump_clock, nursery, connect_s, sent):
+    """Guards against a request sent late because its connection took a while.
+
+    One more waits in the queue, and one arrives after the closing time, before the task
+    that closes the queue has run.
+    """
+    target, sends, replies = Target("127.0.0.1:1"), [], []
+
+    async def exchange(data, step, check, body, hold):
+        await trio.sleep(connect_s)
+        data()
+        sends.append(trio.current_time())
+        await trio.sleep(1.0)
+        raise ExchangeError(step, "target", "reset")
+
+    target.pool = SimpleNamespace(exchange=exchange)
+    admission = AdmissionQueue(lambda key, now: True)
+    admission.open(1)
+    admission.closes_at = trio.current_time() + 0.5
+    metrics = Metrics()
+    handle = make_target_handler(
+        target, admission,
+        SimpleNamespace(target_request_headers=lambda *arguments: []),
+        *[lambda *arguments, **fields: None] * 4, metrics,
+    )  # fmt: skip
+
+    async def send():
+        request = ForwardRequest(
+            1, "r", b"GET", b"/", [], b"", 3.0, 3.0, 1, None, "s", "s", "r"
+        )
+        replies.append(await handle(request, None))
+
+    nursery.start_soon(send)
+    await trio.sleep(0.1)
+    nursery.start_soon(send)
+    await trio.sleep(0.5)
+    await send()
+    admission.close(EVACUATED)
+    await trio.sleep(3.0)
+    assert len(sends) == sent and len(replies) == 3
+    refused = [reply for reply in replies if reply.outcome == NOT_RUN]
+    assert [(r.reason, r.retry_after_s) for r in refused] == [(EVACUATED, 0.0)] * (
+        3 - sent
+    )
+    assert admission.running == 0
+    text = f'event="refused_evacuated"}} {3 - sent}'
+    assert text in metrics.text({})
+
+
 async def test_evacuation_under_load():
     """Guards against requests in the zone, and against a loss of service elsewhere.
 
