--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -75,6 +75,8 @@
 DISPLACED = "more urgent requests fill the slots"
 # Reason of a refusal after the target stated twice that it does not hold a key.
 KEY_NOT_HELD = "the target does not hold the key"
+# Reason of a refusal while the availability zone of the target is evacuated.
+EVACUATED = "the zone of the target is evacuated"
 
 
 class Waiter(NamedTuple):
@@ -252,6 +254,10 @@
     keyed_drain_deadline : float or None
         The same for requests with a key: no other VM can serve them before the key
         has moved.
+    cold_target : ColdTarget or None
+        Rate of the target while it is cold; None if it is not limited.
+    closes_at : float
+        Time on the node's clock, in seconds, from which nothing is sent to the target.
     closed_reason : str
         Reason for which all requests are refused; empty while requests are admitted.
     """
@@ -282,12 +288,21 @@
         self.rate_limiter = RateLimiter()
         self.work_time = WorkTime()
         self.drain_deadline = self.keyed_drain_deadline = None
+        self.cold_target, self.closes_at = None, math.inf
         self.closed_reason = "no target has announced itself"
 
     @property
     def usable_slots(self):
-        """Number of slots that the target's rate limit keeps busy; all without one."""
-        return usable_slots(self.slots, self._mean_service_s, self.rate_limiter.limit)
+        """Number of slots that the target's rate limit keeps busy; all without one.
+
+        A cold target limits its rate as well.
+        """
+        limit = self.rate_limiter.limit
+        if self.cold_target is not None:
+            rate = self.cold_target.rate(trio.current_time())
+            limits = [per_s for per_s in (limit, rate) if per_s is not None]
+            limit = min(limits, default=None)
+        return usable_slots(self.slots, self._mean_service_s, limit)
 
     @property
     def usage(self):
@@ -354,8 +369,12 @@
         return max(1, self.slots - untracked)
 
     def _may_start(self, now):
-        """Whether a slot is free and the target's rate limit permits a request."""
-        return self._running < self._capacity(now) and self.rate_limiter.permits(now)
+        """Whether a slot is free and the target's rate permits a request."""
+        return (
+            self._running < self._capacity(now)
+            and self.rate_limiter.permits(now)
+            and (self.cold_target is None or self.cold_target.permits(now))
+        )
 
     def _start(self, now, request=None):
         """Take a slot for a request that is sent to the target."""
@@ -363,6 +382,18 @@
         if self.room is not None and request is not None:
             self.room.on_start(request, now)
         self.rate_limiter.count_request(now)
+        if self.cold_target is not None:
+            self.cold_target.reserve()
+
+    def check_send(self):
+        """Raise ``Refused`` if nothing is sent to the target any more."""
+        if trio.current_time() >= self.closes_at:
+            raise Refused(EVACUATED, 0.0)
+
+    def count_send(self):
+        """Count an admitted request that is sent to the target now."""
+        if self.cold_target is not None:
+            self.cold_target.count_send(trio.current_time())
 
     def sample_usage(self, now):
         """Sample the usage and drop old service times; to be called every 0.1 s.
@@ -411,6 +442,8 @@
         if queued or self._running >= slots:
             wait = expected_wait(self._mean_service_s, self._queued_work_s(), slots)
             wait = slowed_wait(wait, self.work_time.factor(now))
+        if self.cold_target is not None:
+            wait = max(wait, self.cold_target.wait_s(queued, now))
         measured_s = self._mean_service_s if self._service_s else 0.0
         return Load(
             self._running, queued, slots, wait, measured_s,
@@ -445,6 +478,7 @@
         """
         if self.closed_reason:
             raise Refused(self.closed_reason, 0.0)
+        self.check_send()
         if self.room is not None:
             self.room.classify(request)
         service_s = self._expected_service_s(request)
@@ -509,29 +543,26 @@
     def _outlasts_node(self, key, now):
         return Refused(OUTLASTS_NODE, 0.0, max(0.0, self._node_end(key) - now))
 
-    def _ahead_s(self, request, now, service_s, late_s):
+    def _ahead(self, request, now, service_s, late_s):
         """Return the service times of the requests that run before a new one."""
         waiters = self._waiters.values()
         if self.room is not None:
-            return self.room.ahead_s(request, now, service_s, late_s, waiters)
+            return self.room.ahead(request, now, service_s, late_s, waiters)
         order = (request.priority, now + request.latency_goal_s)
-        return sum(
+        return [
             w.service_s
             for w in waiters
             if (w.priority, w.latency_goal_at) <= order
             and now + w.service_s <= w.late_at
-        )
+        ]
 
     def _check_expected_wait(self, request, now, service_s, late_s):
         queued_s, slots = self._queued_work_s(), self.usable_slots
-        ahead_s = self._ahead_s(request, now, service_s, late_s)
-        factor = self.work_time.factor(now)
-        wait_s = slowed_wait(
-            expected_wait(self._mean_service_s, ahead_s, slots), factor
-        )
+        ahead = self._ahead(request, now, service_s, late_s)
+        wait_s = self._expected_wait_s(sum(ahead), len(ahead), slots, now)
         retry_after_s = refusal(
             wait_s,
-            slowed_wait(expected_wait(self._mean_service_s, queued_s, slots), factor),
+            self._expected_wait_s(queued_s, len(self._waiters), slots, now),
             service_s,
             late_s,
             request.remaining_s,
@@ -550,6 +581,14 @@
         rate = self.usable_slots / self._mean_service_s
         return self.room.refuse(request, wait_s, rate, now)
 
+    def _expected_wait_s(self, ahead_s, ahead, slots, now):
+        """Return the expected wait behind ``ahead`` requests that run ``ahead_s``."""
+        wait_s = expected_wait(self._mean_service_s, ahead_s, slots)
+        wait_s = slowed_wait(wait_s, self.work_time.factor(now))
+        if self.cold_target is None:
+            return wait_s
+        return max(wait_s, self.cold_target.wait_s(ahead, now))
+
     async def _wait(self, request, now, service_s, late_s, run_s):
         self._last_number += 1
         number = self._last_number
@@ -600,8 +639,9 @@
             raise Refused(DISPLACED, retry_after_s)
         retry_after_s = RETRY_AFTER_MIN_S
         if self.room is not None:
-            ahead_s = self._ahead_s(request, now, service_s, late_s)
-            wait_s = expected_wait(self._mean_service_s, ahead_s, self.usable_slots)
+            ahead = self._ahead(request, now, service_s, late_s)
+            slots = self.usable_slots
+            wait_s = self._expected_wait_s(sum(ahead), len(ahead), slots, now)
             retry_after_s = self._room_retry_after_s(request, wait_s, now)
         raise Refused("no slot came free in time", retry_after_s)
 
@@ -616,7 +656,7 @@
     def _take_displaced(self, number):
         return None if self.room is None else self.room.take_displaced(number)
 
-    def release(self, request=None, took_s=None):
+    def release(self, request=None, took_s=None, sent=False):
         """Free a slot.
 
         Parameters
@@ -624,10 +664,14 @@
         request : ForwardRequest, default=None
         took_s : float, default=None
             Time that the target took, in seconds; None if it is not known.
+        sent : bool, default=False
+            Whether ``count_send`` was called.
         """
         self._running -= 1
         if self.room is not None and request is not None:
             self.room.on_release(request)
+        if self.cold_target is not None and not sent:
+            self.cold_target.cancel()
         if took_s is not None:
             route = request.route
             if request.key is not None:
@@ -654,9 +698,9 @@
 
     def dispatch(self):
         """Start waiting requests while slots are free and the rate limit permits."""
-        if self.closed_reason:
-            return
         now = trio.current_time()
+        if self.closed_reason or now >= self.closes_at:
+            return
         for waiter in self._waiters.values():
             if self._waiter_may_outlast_node(waiter, now):
                 waiter.event.set()
--- a/packages/router/src/jujuberudder_router/_follower.py
+++ b/packages/router/src/jujuberudder_router/_follower.py
@@ -137,7 +137,11 @@
         records = [r for r in self._newest.values() if r.offset >= since]
         return sorted(records, key=lambda record: record.offset)
 
-    def merge(self, since, end, records, era=0):
+    def keys(self):
+        """Return the keys that have a value."""
+        return [r.key for r in self._newest.values() if r.value]
+
+    def merge(self, since, end, records, era=0, keys=None):
         """Apply records that another node has read.
 
         Parameters
@@ -147,6 +151,8 @@
         records : list of (offset, key, value)
         era : int, default=0
             Era in which the node read them, 0 if it states none.
+        keys : list of str, default=None
+            All keys that have a value at ``end``, if the other node told them.
 
         Returns
         -------
@@ -163,6 +169,8 @@
             return True
         for offset, key, value in records:
             self._apply_newer(Record(offset, key, value))
+        if keys is not None:
+            self._apply_deletions(set(keys), end)
         self.end = end
         self._record_change()
         return True
@@ -228,6 +236,16 @@
             self._newest[record.key] = record
             self._apply(record)
 
+    def _apply_deletions(self, keys, end):
+        """Apply an empty record for each known key that is not in ``keys``.
+
+        These are all keys that had a record with an offset below ``end``.
+        """
+        for record in list(self._newest.values()):
+            if record.key not in keys and record.value and record.offset < end:
+                # All nodes that do not know of the deletion yet get it with this.
+                self._apply_newer(Record(max(end - 1, 0), record.key, b""))
+
     def _record_change(self):
         if self.end >= self._known_end:
             self._behind_since = None
@@ -381,6 +399,7 @@
         for record in page.records:
             self._apply_newer(record)
         if newest:
+            self._apply_deletions({r.key for r in page.records}, page.end)
             self.end = max(self.end or 0, page.end)
         elif page.records:
             self.end = max(self.end, page.records[-1].offset + 1)
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -194,7 +194,8 @@
 class Update(msgspec.Struct, array_like=True, tag="w"):
     """Newest records (offset, key, value) of a topic with offsets in [since, end).
 
-    ``era`` is as in ``ReadProgress``.
+    ``era`` is as in ``ReadProgress``. ``keys`` lists all keys that have a value at
+    ``end``; None if that is not told.
     """
 
     topic: str
@@ -202,6 +203,7 @@
     end: int
     records: list[tuple[int, str, bytes]]
     era: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)] = 0
+    keys: list[str] | None = None
 
 
 class ReleaseReport(msgspec.Struct, array_like=True, tag="h"):
--- a/packages/router/src/jujuberudder_router/_link_pacing.py
+++ b/packages/router/src/jujuberudder_router/_link_pacing.py
@@ -101,7 +101,7 @@
 
     def __init__(self, bytes_per_s):
         self._bytes_per_s = bytes_per_s
-        part_bytes = int(bytes_per_s * PART_S)
+        part_bytes = int(min(bytes_per_s * PART_S, MAX_PART_BYTES))
         self.part_bytes = min(MAX_PART_BYTES, max(MIN_PART_BYTES, part_bytes))
         self.paced = part_bytes < MAX_PART_BYTES
         # When the link has sent all that was handed over.
--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -55,6 +55,12 @@
     "key_map_old": "key maps read that are older than the known one",
     "key_map_restored": "key maps appended because the store lacked them in a new era",
     "key_map_settled": "key maps appended that end the wait after a new era",
+    "evacuation_begins": "evacuations of a zone that this node read",
+    "evacuation_ends": "ends of evacuations that this node read",
+    "refused_evacuated": "requests refused because the target's zone is evacuated",
+    "target_cold": "times that the target became cold",
+    "sent_to_cold_target": "requests sent to the target while it was cold",
+    "health_checks": "health checks of the target, to learn whether it is cold",
     "store_failures": "failed calls to the store",
     "store_relays": "calls to the store made for another node",
 }
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -420,7 +420,7 @@
         for start, end, handover in heartbeat.released:
             self.record_release(start, end, handover)
         if (
-            not self._node.target.leaving
+            not self._node.target.gives_up_keys
             and self._may_grant(now)
             and not self._is_unsettled(now)
         ):
@@ -463,13 +463,12 @@
         -------
         tuple of KeyRange, or None if nothing may be granted
         """
-        target = self._node.target
         if not self._node.is_keyed(self._service) or not self._follower.started:
             return None
         if not self._may_grant(now):
             self._record_withheld(now)
             return None
-        if target.leaving:
+        if self._node.target.gives_up_keys:
             return ()
         key_ranges = _keymap.subtract(tuple(self._own_ranges()), self._pending_moves)
         if self._handing_over_undecided():
@@ -493,12 +492,13 @@
         """Return the ranges that the target is to release, as ``HeldRange``.
 
         They are ranges that it may hold although the key map does not assign them to
-        it, or that move to other VMs; all ranges of a target that is leaving.
+        it, or that move to other VMs; all ranges of a target that is leaving or in an
+        evacuated zone.
         """
         if not self._may_grant(now):
             return ()
         own = tuple(self._own_ranges())
-        kept = () if self._node.target.leaving else own
+        kept = () if self._node.target.gives_up_keys else own
         kept = [(r.start, r.end) for r in _keymap.subtract(kept, self._pending_moves)]
         to_release = []
         for held in self._node.target.held.possible(now):
@@ -661,7 +661,7 @@
             for start, end, token in self._handovers(now)
             if not _overlaps(start, end, moved)
         ]
-        target_gone = target.leaving or target.heartbeat_overdue(now)
+        target_gone = target.gives_up_keys or target.heartbeat_overdue(now)
         target_gone = target_gone and not waits_for_leases(self._era_state(now))
         if target_gone and now > target.held.expiry() + SAFETY_MARGIN_S:
             released += [
@@ -757,7 +757,7 @@
             return []
         moved = self._moved_ranges(now)
         others = self._other_releases(now, moved)
-        if self._node.target.leaving:
+        if self._node.target.gives_up_keys:
             # None of these ranges is granted again either.
             moved, others = moved + others, []
         written_here = self._report_to_writer(moved, owners, now)
--- a/packages/router/src/jujuberudder_router/_service_room.py
+++ b/packages/router/src/jujuberudder_router/_service_room.py
@@ -334,14 +334,14 @@
             route=request.route, arrived_at=now, request=request,
         )  # fmt: skip
 
-    def ahead_s(self, request, now, service_s, late_s, waiters):
+    def ahead(self, request, now, service_s, late_s, waiters):
         """Return the service times of the waiters that run before an arrival."""
         arrival = Waiter(
             self.level(request), now + request.latency_goal_s, now + late_s, service_s,
             request.key, None, math.inf, returning=request.returning,
         )  # fmt: skip
         order = queue_order(arrival, now)
-        return sum(w.service_s for w in waiters if queue_order(w, now) < order)
+        return [w.service_s for w in waiters if queue_order(w, now) < order]
 
     def next_waiter(self, waiters, now, ready):
         """Return the request to run next, or None, as ``_admission.next_waiter``."""
