Split the keys of a hot range by the demand of the last half second

Cause: a range of keys that became hot was split at the first heartbeat by the demand over 2 s, most of which was not there yet. Too little moved, or a move by usage gave the whole range to one VM, and the next split of the same VM had to wait for 2.5 s.

Change: a demand of 2 times the slots over 0.5 s, with at least 16 requests, splits the keys at once, 0.8 s after an earlier split from 1.3 on. A rising demand is scaled up. Targets that are granted keys by calls do not wait for the heartbeat. Receivers get what their targets can serve by free slots and speed, the most capable first; a single hot key moves only to a VM with 1.8 times the rate. Ownership (leases, fences, releases, takeovers) is not changed.

The fake node of test_ownership_protocol.py gets the new method of the admission queue; its checks are the same.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -12,6 +12,7 @@
 import trio
 
 from ._frames import Load
+from ._placement import sudden_demand
 from ._rate_limit import RateLimiter, usable_slots
 from ._speeds import (
     REPORTED_WORK_TIME_VALID_S,
@@ -382,6 +383,11 @@
         capacity_s = (self.usable_slots or 1) * DEMAND_WINDOW_S
         return {key: seconds / capacity_s for key, seconds in demand.items()}
 
+    def sudden_demand(self, now):
+        """Return the ``SuddenDemand`` for keys, refused requests included."""
+        slots = self.usable_slots or 1
+        return sudden_demand(reversed(self._arrivals), slots, now)
+
     def _queued_work_s(self):
         """Return the sum of the expected service times of all waiting requests."""
         return sum(waiter.service_s for waiter in self._waiters.values())
--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -31,6 +31,7 @@
     "target_refusals": "requests refused by the target itself",
     "key_map_changes": "changes to the key map appended by this node",
     "keys_given_up": "key ranges handed over to another VM because of load",
+    "sudden_splits": "splits of keys because of a demand that rose suddenly",
     "grants": "heartbeats answered with a grant",
     "grants_withheld": "heartbeats of a keyed service answered without a grant",
     "grant_calls": "calls that grant or renew a key range at the target",
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -25,7 +25,16 @@
 from ._frames import ReleaseReport
 from ._held_keys import HeldRange
 from ._keymap import Owner
-from ._placement import VMLoad, plan_move, plan_split
+from ._placement import (
+    MIN_SUDDEN_DEMAND,
+    MIN_SUDDEN_DEMAND_AGAIN,
+    SERVICE_WEIGHT,
+    SUDDEN_WINDOW_S,
+    VMLoad,
+    plan_move,
+    plan_split,
+    plan_sudden_split,
+)
 from ._store import MEMBERSHIP_TOPIC, Appended, Conflict
 from ._types import Grant, KeyMap
 
@@ -56,6 +65,11 @@
 # Seconds that a node waits after its start and after each move before it moves keys:
 # the averaged usage needs that long to show the effect of a move.
 FIRST_MOVE_DELAY_S, MOVE_INTERVAL_S = 4.0, 2.5
+# The same after a move if the demand is sudden: it is measured over half a second, and
+# only for keys that are still here. A heartbeat interval is 0.87 s.
+SPLIT_INTERVAL_S = 0.8
+# Seconds between two samples of the service times of other VMs.
+SERVICE_SAMPLE_INTERVAL_S = 1.0
 # Each VM of a service, in the order of names, waits this many seconds longer than the
 # previous one, so that the previous one can change the key map first.
 RANK_DELAY_S = 0.5
@@ -294,7 +308,11 @@
         self._last_keymap, self._key_counts, self._grown_at = None, {}, {}
         self._next_withheld_log_at = 0.0
         self._started = now = trio.current_time()
-        self._next_move_at = self._started + FIRST_MOVE_DELAY_S
+        self._next_move_at = self._next_split_at = self._started + FIRST_MOVE_DELAY_S
+        # Whether the last move was a split, and since when the demand is sudden.
+        self._split, self._sudden_since = False, None
+        # Mean service time of each VM of the service, and when the next sample is due.
+        self._service_s, self._next_sample_at = {}, 0.0
         node.target.held.assume_granted(now, now + GRANT_TTL_S * CLOCK_DRIFT_FACTOR)
 
     @property
@@ -471,7 +489,11 @@
     def _plan_move(self, now):
         """Start to move ranges to other VMs if that evens out the load."""
         node = self._node
-        if self._pending_moves or now < self._next_move_at:
+        if self._pending_moves or now < self._next_split_at:
+            return
+        sudden = node.admission.sudden_demand(now)
+        again = self._split and now < self._next_move_at
+        if now < self._next_move_at and sudden.total < MIN_SUDDEN_DEMAND_AGAIN:
             return
         vm = node.settings.vm
         loads = [self._vm_load(o.vm, now) for o in node.owners(self._service)]
@@ -482,23 +504,72 @@
             (key_range.start, key_range.end) for key_range in self._own_ranges()
         ]
         others = [load for load in loads if load.vm != vm]
-        demand = node.admission.demand()
-        moves = plan_split(own, others, key_ranges, demand)
+        moves = plan_sudden_split(own, others, key_ranges, sudden, again)
+        is_sudden, is_split, demand = bool(moves), bool(moves), sudden.by_key
+        if not moves:
+            if now < self._next_move_at:
+                return
+            demand = node.admission.demand()
+            moves = plan_split(own, others, key_ranges, demand)
+            is_split = bool(moves)
         if not moves:
             move = plan_move(own, others, key_ranges, node.admission.recent_work())
             moves = [move] if move else []
+            # A move by the work of the last seconds would give a range that has just
+            # become hot to one VM as a whole.
+            hot = moves and plan_sudden_split(own, others, key_ranges, sudden, True)
+            if hot:
+                moves, is_sudden, is_split, demand = hot, True, True, sudden.by_key
+        if is_sudden:
+            node.metrics.count("sudden_splits")
+        self._split = is_split
         usages = {load.vm: load.usage for load in others}
         for move in moves:
             self._pending_moves[(move.start, move.end)] = move.vm
             node.target.held.withdraw(move.start, move.end)
             self._next_move_at = now + MOVE_INTERVAL_S
+            self._next_split_at = now + SPLIT_INTERVAL_S
             node.metrics.count("keys_given_up")
             node.log(
                 "keys_given_up", start=move.start, end=move.end, to=move.vm,
                 usage=own.usage, demand=sum(demand.values()),
-                receiver_usage=usages[move.vm],
+                receiver_usage=usages[move.vm], sudden=is_sudden,
             )  # fmt: skip
 
+    def _check_sudden_demand(self, now):
+        """Split keys between two heartbeats, if grants do not wait for the next one.
+
+        The demand has to stand for half of the window in which it is measured, so that
+        it is not measured too low.
+        """
+        node = self._node
+        if not node.grants_by_call or self._pending_moves or now < self._next_split_at:
+            return
+        if node.admission.sudden_demand(now).total < MIN_SUDDEN_DEMAND:
+            self._sudden_since = None
+            return
+        self._sudden_since = self._sudden_since or now
+        if now - self._sudden_since < SUDDEN_WINDOW_S / 2:
+            return
+        if not node.target.leaving and self._may_grant(now):
+            self._plan_move(now)
+            if self._pending_moves:
+                node.grant_caller.check_now()
+
+    def _sample_service_times(self, now):
+        """Average the service times that the VMs of the service report."""
+        if now < self._next_sample_at:
+            return
+        self._next_sample_at = now + SERVICE_SAMPLE_INTERVAL_S
+        means, self._service_s = self._service_s, {}
+        for vm in [owner.vm for owner in self._node.owners(self._service)]:
+            load = self._node.load_of(vm, now)
+            if load is not None and load.service_s > 0:
+                mean_s = means.get(vm, load.service_s)
+                self._service_s[vm] = mean_s + SERVICE_WEIGHT * (
+                    load.service_s - mean_s
+                )
+
     def _record_growth(self, now):
         """Record when VMs last got more keys than in the previous key map."""
         keymap = self._keymap()
@@ -518,7 +589,8 @@
         load = node.load_of(vm, now)
         if load is None:
             return VMLoad(vm, 0.0, count, 0.0, settled)
-        return VMLoad(vm, load.usage, count, load.service_s, settled, load.slots)
+        service_s = self._service_s.get(vm, load.service_s)
+        return VMLoad(vm, load.usage, count, service_s, settled, load.slots)
 
     def _split_by_key_range(self, pieces, receiver=""):
         """Return a release for each part of (start, end, token) that this VM owns."""
@@ -705,6 +777,8 @@
             self._record_growth(now)
             if not self._follower.started or not self._node.is_keyed(self._service):
                 continue
+            self._sample_service_times(now)
+            self._check_sudden_demand(now)
             if not self._node.store_failing:
                 await self._apply_next_change()
 
--- a/packages/router/src/jujuberudder_router/_placement.py
+++ b/packages/router/src/jujuberudder_router/_placement.py
@@ -5,6 +5,9 @@
 the highest usage moves keys to the one with the lowest, the second highest to the
 second lowest, and so on. Only a VM whose requests need far more than its slots moves
 keys to several VMs at once.
+
+It handles hot ranges: the demand for 60 to 200 adjacent keys, or for one, that rises
+within a fraction of a second to several times what their owner can run.
 """
 
 from typing import NamedTuple
@@ -30,6 +33,26 @@
 MAX_USAGE_TO_RECEIVE = 0.7
 # Most receivers of one split.
 MAX_SPLIT_RECEIVERS = 16
+# Seconds over which a sudden demand is measured. A VM of the users gets 20 to 50
+# requests per second, so that shorter windows contain too few.
+SUDDEN_WINDOW_S = 0.5
+# Demand in that window from which a VM splits its keys at once, and the least number of
+# requests in it. Where 20 requests with a demand of 1.0 are usual, chance reaches this
+# in 0.00005 of the windows, and where 5 with a demand of 0.6 are, in 0.00007.
+MIN_SUDDEN_DEMAND, MIN_SUDDEN_REQUESTS = 2.0, 16
+# The same after a split, which may have been planned while the demand still rose.
+# Chance reaches it more often, but a split has shown that the demand is not usual.
+MIN_SUDDEN_DEMAND_AGAIN = MIN_DEMAND_TO_SPLIT
+# Greatest factor by which a demand that rises within the window is scaled up.
+MAX_GROWTH = 2.0
+# Bounds of the ratio of service times that counts in a split.
+MIN_SPEED_RATIO, MAX_SPEED_RATIO = 0.25, 4.0
+# Least ratio of the rates of two VMs for which a single hot key moves to the faster
+# one: the key is not served for about 1 s, and averaged times vary by 16 %.
+MIN_RATE_RATIO_FOR_KEY = 1.8
+# Weight of the newest sample in the mean service time of each VM, which is sampled once
+# per second: targets may be three times as slow for 0.4 s.
+SERVICE_WEIGHT = 0.15
 
 
 class VMLoad(NamedTuple):
@@ -50,6 +73,26 @@
     slots: float = 0.0
 
 
+class SuddenDemand(NamedTuple):
+    """Demand for keys in the last ``SUDDEN_WINDOW_S`` seconds.
+
+    ``by_key`` is the share of the VM's slots that the requests for each key need, and
+    ``requests`` their number.
+    ``growth`` is the demand in the second half of the window as a multiple of that in
+    the whole of it, in [1, MAX_GROWTH].
+    """
+
+    by_key: dict
+    requests: int
+    growth: float
+
+    @property
+    def total(self):
+        """Demand for all keys, 0 if there are too few requests to tell."""
+        enough = self.requests >= MIN_SUDDEN_REQUESTS
+        return sum(self.by_key.values()) if enough else 0.0
+
+
 class Move(NamedTuple):
     """A range of keys [start, end] to be moved to another VM."""
 
@@ -94,6 +137,58 @@
     return Move(*piece, receiver.vm) if piece else None
 
 
+def sudden_demand(arrivals, slots, now):
+    """Return the ``SuddenDemand`` of a VM.
+
+    Parameters
+    ----------
+    arrivals : iterable of (time, key, seconds)
+        Requests and their expected service times, the newest one first.
+    slots : float
+        Slots of the VM that may be used.
+    now : float
+        Time on the node's clock, in seconds.
+    """
+    by_key, requests, total_s, recent_s = {}, 0, 0.0, 0.0
+    capacity_s = slots * SUDDEN_WINDOW_S
+    for at, key, service_s in arrivals:
+        if now - at > SUDDEN_WINDOW_S:
+            break
+        by_key[key] = by_key.get(key, 0.0) + service_s / capacity_s
+        requests += 1
+        total_s += service_s
+        if now - at <= SUDDEN_WINDOW_S / 2:
+            recent_s += service_s
+    growth = 2 * recent_s / total_s if total_s else 1.0
+    return SuddenDemand(by_key, requests, min(MAX_GROWTH, max(1.0, growth)))
+
+
+def plan_sudden_split(own, others, key_ranges, demand, again):
+    """Return the moves of a VM whose requests suddenly need far more than its slots.
+
+    Parameters
+    ----------
+    own, others, key_ranges
+        As for ``plan_split``.
+    demand : SuddenDemand
+    again : bool
+        Whether this VM split its keys a short time ago.
+
+    Returns
+    -------
+    list of Move
+    """
+    least = MIN_SUDDEN_DEMAND_AGAIN if again else MIN_SUDDEN_DEMAND
+    by_key = _of_ranges(demand.by_key, key_ranges)
+    if not demand.total or sum(by_key.values()) < least:
+        return []
+    # A receiver that gets too many keys has to split them again, so that the demand is
+    # taken one standard deviation higher than it was counted.
+    scale = demand.growth * (1 + demand.requests**-0.5)
+    grown = {key: share * scale for key, share in by_key.items()}
+    return plan_split(own, others, key_ranges, grown)
+
+
 def plan_split(own, others, key_ranges, demand):
     """Return the moves of a VM whose requests need far more than its slots.
 
@@ -112,12 +207,7 @@
     list of Move
         Empty if the demand is lower, or no VM can receive keys.
     """
-    # Requests for keys that have just moved may still arrive.
-    demand = {
-        key: share
-        for key, share in demand.items()
-        if any(start <= key <= end for start, end in key_ranges)
-    }
+    demand = _of_ranges(demand, key_ranges)
     if sum(demand.values()) < MIN_DEMAND_TO_SPLIT:
         return []
     givers = sorted(
@@ -134,10 +224,71 @@
     receivers = sorted(
         (r for r in receivers if r[0] >= min_room), key=lambda r: (-r[0], r[1])
     )
-    # Each giver has receivers of its own.
+    # Each giver has receivers of its own. Those that can serve the most come first.
     receivers = receivers[givers.index(own.vm) :: len(givers)][:MAX_SPLIT_RECEIVERS]
+    loads = {load.vm: load for load in others}
+    receivers = [(room * _speed_ratio(own, loads[vm]), vm) for room, vm in receivers]
+    receivers.sort(key=lambda r: (-r[0], r[1]))
+    hot_move = _plan_hot_key(own, loads, key_ranges, demand, receivers)
+    moves = []
+    if hot_move is not None:
+        moves.append(hot_move)
+        key_ranges = _without_key(key_ranges, hot_move.start)
+        demand = _of_ranges(demand, key_ranges)
+        receivers = [r for r in receivers if r[1] != hot_move.vm]
     pieces = _cut_pieces(key_ranges, demand, [room for room, _ in receivers])
-    return [Move(start, end, vm) for (start, end), (_, vm) in zip(pieces, receivers)]
+    return moves + [
+        Move(start, end, vm) for (start, end), (_, vm) in zip(pieces, receivers)
+    ]
+
+
+def _plan_hot_key(own, loads, key_ranges, demand, receivers):
+    """Return the move of a single hot key to a far faster VM, or None.
+
+    Its demand exceeds what a VM can serve beside other keys, so that it stays where it
+    is unless another VM can serve far more of it.
+    """
+    key = max(demand, key=lambda key: (demand[key], -key))
+    if demand[key] < SPLIT_DEMAND:
+        return None
+    faster = [
+        (room, vm)
+        for room, vm in receivers
+        if room > SPLIT_DEMAND
+        and _room_ratio(own, loads[vm]) * _speed_ratio(own, loads[vm])
+        >= MIN_RATE_RATIO_FOR_KEY
+    ]
+    return Move(key, key, faster[0][1]) if faster else None
+
+
+def _of_ranges(demand, key_ranges):
+    """Return the demand for the keys in some ranges.
+
+    Requests for keys that have just moved may still arrive.
+    """
+    return {
+        key: share
+        for key, share in demand.items()
+        if any(start <= key <= end for start, end in key_ranges)
+    }
+
+
+def _without_key(key_ranges, key):
+    """Return key ranges (start, end) without one key."""
+    return [
+        (low, high)
+        for start, end in key_ranges
+        for low, high in ((start, min(end, key - 1)), (max(start, key + 1), end))
+        if low <= high and not (low <= key <= high)
+    ]
+
+
+def _speed_ratio(own, receiver):
+    """Return the speed of a receiver divided by that of this VM, 1 if unknown."""
+    if not (own.service_s > 0 and receiver.service_s > 0):
+        return 1.0
+    ratio = own.service_s / receiver.service_s
+    return min(MAX_SPEED_RATIO, max(MIN_SPEED_RATIO, ratio))
 
 
 def _room_ratio(own, receiver):
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -38,6 +38,7 @@
 from jujuberudder_router._held_keys import HeldKeys
 from jujuberudder_router._keymap import Owner
 from jujuberudder_router._ownership import OwnershipManager
+from jujuberudder_router._placement import SuddenDemand
 from jujuberudder_router._target import Target
 
 VMS = ("a", "b", "c")
@@ -289,6 +290,7 @@
             metrics=SimpleNamespace(count=lambda event: None),
             admission=SimpleNamespace(
                 load=lambda: None, recent_work=lambda: [], demand=dict,
+                sudden_demand=lambda now: SuddenDemand({}, 0, 1.0),
                 sample_usage=lambda now: None, dispatch=lambda: None,
             ),
         )  # fmt: skip
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -1,8 +1,22 @@
 """Decisions on moves of keys between VMs."""
 
+import random
+import re
+import time
+
 import pytest
+import trio
 
-from jujuberudder_router._placement import Move, VMLoad, plan_move, plan_split
+from jujuberudder_emulator import run_deployment
+from jujuberudder_router._placement import (
+    Move,
+    SuddenDemand,
+    VMLoad,
+    plan_move,
+    plan_split,
+    plan_sudden_split,
+    sudden_demand,
+)
 
 KEY_RANGES = [(0, 999)]
 # Ten keys, each with a tenth of the work.
@@ -172,3 +186,143 @@
             ranges[receiver].append((start, end))
     served = sum(min(1.0, sum(needed(vm).values())) for vm in vms)
     assert served >= 0.9 * total
+
+
+@pytest.mark.parametrize(
+    "demand, others, expected",
+    [
+        ({0: 0.8, 9: 0.8, 99: 0.5}, {"b": 0.1, "c": 0.05}, [Move(10, 999, "c")]),
+        ({0: 3.0, 9: 0.5}, {"b": 0.1}, [Move(1, 999, "b")]),
+        (
+            {0: 0.5, 5: 0.5, 9: 3.0, 99: 0.5}, {"b": 0.1, "c": 0.05},
+            [Move(9, 9, "c"), Move(10, 999, "b")],
+        ),
+        ({9: 3.0}, {"c": 0.05}, [Move(9, 9, "c")]),
+        ({9: 3.0}, {"c": 0.06}, []),
+        ({9: 3.0}, {"b": 0.4, "c": 0.06}, []),
+    ],
+    ids=[
+        "fastest first", "a hot key stays where targets are as fast",
+        "a hot key goes to a fast target", "only a hot key", "little faster",
+        "no faster VM",
+    ],
+)  # fmt: skip
+def test_split_prefers_fast_targets(demand, others, expected):
+    """Guards against hot keys on slow targets, and moves of them without a gain."""
+    loads = [VMLoad(vm, 0.1, 100, service_s) for vm, service_s in others.items()]
+    assert plan_split(load("a", 1.5), loads, KEY_RANGES, demand) == expected
+
+
+def test_receiver_gets_what_its_target_can_serve():
+    """Guards against slow targets that get as many keys as fast ones."""
+    demand = {key: 0.099 for key in range(40)}
+    loads = [VMLoad("b", 0.0, 9, 0.2), VMLoad("c", 0.0, 9, 0.05)]
+    moves = plan_split(load("a", 2.0), loads, KEY_RANGES, demand)
+    sizes = {vm: sum(start <= key <= end for key in demand) for start, end, vm in moves}
+    assert sizes == {"c": 19, "b": 4}
+
+
+@pytest.mark.parametrize(
+    "ages_s, expected_total, expected_growth",
+    [
+        ([0.01 * n for n in range(50)], 2.5, 1.04),
+        ([0.01 * n for n in range(20)], 1.0, 2.0),
+        ([0.3 + 0.01 * n for n in range(20)], 1.0, 1.0),
+        ([0.01 * n for n in range(15)], 0.0, 2.0),
+        ([0.6 + 0.01 * n for n in range(50)], 0.0, 1.0),
+    ],
+    ids=["even", "rises", "falls", "too few", "long ago"],
+)
+def test_sudden_demand(ages_s, expected_total, expected_growth):
+    """Guards against a hot range that is split by the demand of its first moments."""
+    arrivals = [(10.0 - age_s, 7, 0.1) for age_s in ages_s]
+    demand = sudden_demand(arrivals, 4, 10.0)
+    assert demand.total == pytest.approx(expected_total)
+    assert demand.growth == pytest.approx(expected_growth)
+
+
+@pytest.mark.parametrize(
+    "by_key, requests, again, split",
+    [
+        ({0: 0.6, 9: 0.6, 99: 0.6}, 40, False, False),
+        ({0: 0.6, 9: 0.6, 99: 0.6}, 40, True, True),
+        ({0: 0.7, 9: 0.7, 99: 0.7}, 40, False, True),
+        ({0: 0.7, 9: 0.7, 99: 0.7}, 10, False, False),
+        ({0: 0.7, 9: 0.7, 5000: 0.7}, 40, False, False),
+    ],
+    ids=["not sudden", "after a split", "sudden", "too few requests", "moved key"],
+)
+def test_plan_sudden_split(by_key, requests, again, split):
+    """Guards against splits by chance, and for keys that have moved."""
+    demand = SuddenDemand(by_key, requests, 1.0)
+    moves = plan_sudden_split(
+        load("a", 0.9), [load("b", 0.1)], KEY_RANGES, demand, again
+    )
+    assert bool(moves) == split
+
+
+def test_calm_load_is_not_split():
+    """Guards against more moves than before while no range is hot.
+
+    An hour of a VM at 0.8 of its slots, with a check at each heartbeat.
+    """
+    rng, arrivals, now, splits = random.Random(5), [], 0.0, 0
+    others = [load("b", 0.1)]
+    while now < 3600:
+        checked_at = now + 0.87
+        while (now := now + rng.expovariate(32)) < checked_at:
+            arrivals.append((now, rng.randrange(1000), 0.1))
+        demand = sudden_demand(reversed(arrivals[-100:]), 4, now)
+        splits += bool(plan_sudden_split(load("a", 0.8), others, KEY_RANGES, demand, 0))
+    assert splits == 0
+
+
+def split_at(lines):
+    """Return the Unix time of the first split in batches of log lines."""
+    return min(
+        float(re.match(r"time=([0-9.]+)", line)[1])
+        for batch in lines
+        for line in batch.splitlines()
+        if "sudden=True" in line
+    )
+
+
+@pytest.mark.parametrize("service", ["sheets", "jobs"])
+@pytest.mark.parametrize("writer_lost", [False, True])
+async def test_hot_range_is_spread(service, writer_lost):
+    """Guards against refusals for seconds while slots of other VMs are free.
+
+    150 adjacent keys suddenly need 3.5 times the slots of their owner. The VM that
+    writes the key map may be lost when that begins.
+    """
+    rng, results = random.Random(3), []
+    async with run_deployment() as deployment:
+        deployment.node_settings = {"heartbeatS": 0.87}
+        for number in range(5):
+            vm = deployment.add(f"vm-{number}", service, slots=4, work_s=0.2)
+            vm.start_node()
+        await deployment.wait_until(deployment.serves_keys)
+        clients = list(deployment.vms.values())[1:]
+
+        async def send(key):
+            sent_at = trio.current_time()
+            response = await rng.choice(clients).send_request(
+                f"/{service}/x", key=key, deadline_ms=1000
+            )
+            results.append((sent_at, response.status == 200))
+
+        await trio.sleep(5.0)
+        started, started_at = trio.current_time(), time.time()
+        if writer_lost:
+            deployment.vms["vm-0"].node_scope.cancel()
+            deployment.vms["vm-0"].target_scope.cancel()
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < started + 4.5:
+                nursery.start_soon(send, rng.randrange(20000, 20150))
+                await trio.sleep(rng.expovariate(70))
+        lines = [line for vm in clients for line in vm.lines if "sudden=True" in line]
+        # The second heartbeat shows the whole demand, and only one VM needs to split.
+        assert split_at(lines) - started_at <= 2.0
+        served = [ok for sent_at, ok in results if sent_at > started + 3.0]
+        assert sum(served) >= 0.75 * len(served)
+        assert deployment.double_owners() == []
