--- a/packages/router/src/jujuberudder_router/_evacuation.py
+++ b/packages/router/src/jujuberudder_router/_evacuation.py
@@ -15,8 +15,8 @@
 # Time before the end of that time, in seconds, at which keys are served no more even if
 # the node may have read the record late: a request on its way has to arrive.
 CLOSING_MARGIN_S = 0.5
-# Interval of the check whether a zone of an evacuation has VMs, in seconds, while the
-# membership is not known.
+# Interval in seconds, during evacuations, of the checks whether their zones have VMs,
+# and whether they are missing in a new era of the store.
 ZONE_CHECK_S = 1.0
 
 
@@ -109,8 +109,13 @@
 
 
 async def watch_evacuations(node):
-    """Close the admission queue in time, and log zones without VMs, until cancelled."""
-    evacuations, logged = node.evacuations, set()
+    """Close the admission queue in time, and log zones without VMs, until cancelled.
+
+    After the store came back from an older copy, evacuations that it does not have any
+    more end when the operator has had the time to write them again.
+    """
+    evacuations, logged, checked_era = node.evacuations, set(), 0
+    operator_topic = node.configuration_follower
     own_zone = node.settings.zone
     while True:
         changed, now = evacuations.changed, trio.current_time()
@@ -127,7 +132,12 @@
                 node.update_admission()
             else:
                 wake_at = evacuations.closes_at(own_zone)
-        if unknown and not known:
+        if evacuations and operator_topic.era_changed:
+            era = operator_topic.era
+            if checked_era != era and not node.keeps_missing_operator_records():
+                checked_era = era
+                node.end_missing_evacuations()
+        if evacuations or unknown and not known:
             wake_at = min(wake_at, now + ZONE_CHECK_S)
         with trio.move_on_at(wake_at):
             await changed.wait()
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -427,20 +427,31 @@
                 self._ignored_operator_keys.add(record.key)
                 self.log("operator_record_ignored", key=record.key)
             return
+        self._apply_evacuation(zone, bool(record.value), record.offset)
+
+    def end_missing_evacuations(self):
+        """End the evacuations that the store does not have in the present era."""
+        follower = self.configuration_follower
+        present = {self.adapter.evacuated_zone(key) for key in follower.keys()}
+        for zone in self.evacuations.zones:
+            if zone not in present:
+                self._apply_evacuation(zone, False, follower.end)
+
+    def _apply_evacuation(self, zone, evacuated, offset):
         now, evacuations = trio.current_time(), self.evacuations
         if self.configuration_follower.read_at is not None:
             evacuations.confirm(self.configuration_follower.read_at)
-        if not evacuations.apply(zone, bool(record.value), now):
+        if not evacuations.apply(zone, evacuated, now):
             return
-        if zone in evacuations:
+        if evacuated:
             self.metrics.count("evacuation_begins")
             self.log(
-                "evacuation_begins", zone=zone, offset=record.offset,
+                "evacuation_begins", zone=zone, offset=offset,
                 closes_in_s=evacuations.closes_at(zone) - now,
             )  # fmt: skip
         else:
             self.metrics.count("evacuation_ends")
-            self.log("evacuation_ends", zone=zone, offset=record.offset)
+            self.log("evacuation_ends", zone=zone, offset=offset)
         self.peers.choose_again()
         if zone == self.settings.zone:
             self._apply_own_evacuation(now)
--- a/tests/router/test_evacuation.py
+++ b/tests/router/test_evacuation.py
@@ -377,3 +377,26 @@
         assert vm.target.acknowledged
         await trio.sleep(4.0)
         assert reached(deployment, "z-1", started) == []
+
+
+@pytest.mark.parametrize("written_again", [True, False])
+async def test_evacuation_that_a_restored_store_lacks(written_again):
+    """Guards against a lost evacuation that ends at once, or that never ends."""
+    async with run_zones("orders") as deployment:
+        vms = list(deployment.vms.values())
+
+        async def all_have(event):
+            return all(has_line(vm, event) for vm in vms)
+
+        copy_of_store = deployment.store.copy()
+        evacuate(deployment, "z-0")
+        await deployment.wait_until(lambda: all_have("evacuation_begins"))
+        deployment.store.restore(copy_of_store)
+        await deployment.wait_until(lambda: all_have("store_era"))
+        await trio.sleep(2.0)
+        assert not any(has_line(vm, "evacuation_ends") for vm in vms)
+        if written_again:
+            evacuate(deployment, "z-0")
+        await trio.sleep(6.0)
+        ended = [has_line(vm, "evacuation_ends") for vm in vms]
+        assert ended == [not written_again] * len(vms)
