Keep the slots of a target that refuses requests while slots are free

Cause: each refusal by a target took one of its slots out of use for 0.3 s. Change: a refusal that states free slots takes none out of use.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -358,8 +358,20 @@
         if untracked >= self._untracked or now > self._untracked_until:
             self._untracked, self._untracked_until = untracked, now + UNTRACKED_TTL_S
 
-    def record_target_shed(self, now):
-        """Record that the target refused a request although a slot seemed free."""
+    def record_target_shed(self, now, load=None):
+        """Record that the target refused a request although a slot seemed free.
+
+        If the target states free slots with the refusal, it is not full: a target that
+        refuses a share of all requests would otherwise be left with one slot in use.
+
+        Parameters
+        ----------
+        now : float
+        load : TargetLoad, default=None
+            Load stated with the refusal.
+        """
+        if load is not None and load.running + load.waiting < load.slots:
+            return
         untracked = self._untracked if now < self._untracked_until else 0
         self._untracked = min(untracked + 1, max(0, self.slots - 1))
         self._untracked_until = now + SHED_TTL_S
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -355,7 +355,7 @@
                 if incarnation == target.incarnation:
                     disown(request)
             else:
-                admission.record_target_shed(trio.current_time())
+                admission.record_target_shed(trio.current_time(), result.load)
             return ForwardReply(request.id, NOT_RUN, reason=reason, reached_target=True)
         if pacer.paced:
             lengths.record(request.route, len(response.body))
--- a/tests/router/test_admission.py
+++ b/tests/router/test_admission.py
@@ -4,6 +4,7 @@
 import pytest
 import trio
 
+from jujuberudder_router import TargetLoad
 from jujuberudder_router._admission import (
     AdmissionQueue,
     Refused,
@@ -135,6 +136,28 @@
     assert (most, admission.running) == (2, 0)
 
 
+@pytest.mark.parametrize(
+    "load, usable",
+    [
+        (None, 3),
+        (TargetLoad(4, 2, 4), 3),
+        (TargetLoad(3, 1, 4), 3),
+        (TargetLoad(1, 0, 4), 4),
+    ],
+    ids=["not stated", "full", "just full", "free slots"],
+)
+async def test_refusals_of_a_target_with_free_slots(load, usable, autojump_clock):
+    """Guards against a target that refuses a share of all requests, also when idle.
+
+    Each refusal took a slot out of use for 0.3 s, so that one slot of six was left and
+    most requests were refused in its queue.
+    """
+    queue = AdmissionQueue(lambda key, now: True)
+    queue.open(4)
+    queue.record_target_shed(trio.current_time(), load)
+    assert queue._capacity(trio.current_time()) == usable
+
+
 async def test_cancelled_waiter_leaves_the_queue(autojump_clock):
     """Guards against slots that leak when clients disconnect while they wait."""
     admission = AdmissionQueue(lambda key, now: True)
