Use nine tenths of the retry budget

Cause: the nodes together spent all of the budget; a node that was killed and started again spent its part twice in a window. Change: each node uses 0.9 of its part.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -89,6 +89,9 @@
 # Longest wait of a deregistration for the write of the membership entry that says so: a
 # target counts a response after 1 s as none.
 LEAVING_WRITE_S = 0.5
+# Share of the retry budget that the nodes use: one that starts again does not know what
+# its earlier process spent in the window.
+RETRY_BUDGET_SHARE = 0.9
 # Interval of the log lines with the times of each route, in seconds, and the maximum
 # number of routes in them: the busiest ones.
 ROUTE_TIMES_INTERVAL_S, MAX_LOGGED_ROUTES = 5.0, 10
@@ -202,7 +205,9 @@
         self.speeds = SpeedTable(self._slots_of, log)
         self.splitter = TrafficSplitter()
         self.retry_budget = RetryBudget(
-            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+            RETRY_BUDGET_SHARE * settings.retry_ratio,
+            RETRY_BUDGET_SHARE * settings.retry_slack,
+            settings.retry_window_s,
         )
         self.hedging = Hedging(settings.hedging) if settings.hedging else None
         self._random = random.Random(settings.vm)
