Start no pipelined request before the first one of its connection

Cause: a second request that was read before the task that answers the first one had begun was checked against a current request of None. The check raised AttributeError, and the connection ended by a fault without a response.

Change: requests run ahead only once the first one has been taken.

--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -481,6 +481,8 @@
         Requests that may run only once wait for their turn, and those behind them: if
         an earlier response closes the connection, the client sends them again.
         """
+        if self._current is None:
+            return  # The task that answers has not taken the first request yet.
         messages, ahead = self._message_parser.messages, self._ahead
         may_run_ahead = self._server.may_run_ahead
         if len(messages) == len(ahead) or not may_run_ahead(self._current):
--- a/tests/router/test_pipelining.py
+++ b/tests/router/test_pipelining.py
@@ -106,6 +106,26 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_request_that_arrives_just_after_the_first_is_answered():
+    """Guards against a connection that ends by a fault.
+
+    The second request may be read before the task that answers the first one has begun.
+    """
+    async with trio.open_nursery() as nursery:
+        handler = Handler()
+        handler.finish(0)
+        handler.finish(1)
+        _, stream = await open_connection(nursery, handler)
+        for _ in range(40):
+            client = await trio.open_tcp_stream(*stream.socket.getpeername())
+            await client.send_all(GET % 0)
+            await client.send_all(GET % 1)
+            bodies, _ = await receive_bodies(client, 2)
+            assert bodies == [0, 1]
+            await client.aclose()
+        nursery.cancel_scope.cancel()
+
+
 async def test_end_of_the_client_cancels_what_runs_ahead():
     """Guards against work for a client that has left, and memory held for it."""
     async with trio.open_nursery() as nursery:
