Let no further pipelined requests run ahead during a stop

Cause: a connection closes after a response only if no request runs ahead, and each response started further ones, so that a connection on which requests keep arriving stayed in use until the end of the stop. Requests that were started at that moment were cut.

Change: from the time at which connections close after their next response, what runs already is answered, and nothing more is started ahead.

--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -483,6 +483,8 @@
         """
         if self._current is None:
             return  # The task that answers has not taken the first request yet.
+        if self._server.closing:
+            return  # The connection closes after what runs already.
         messages, ahead = self._message_parser.messages, self._ahead
         may_run_ahead = self._server.may_run_ahead
         if len(messages) == len(ahead) or not may_run_ahead(self._current):
--- a/tests/router/test_pipelining.py
+++ b/tests/router/test_pipelining.py
@@ -126,6 +126,23 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_nothing_more_runs_ahead_during_a_stop():
+    """Guards against a connection that stays in use until the end of a stop."""
+    async with trio.open_nursery() as nursery:
+        handler = Handler()
+        server, stream = await open_connection(nursery, handler)
+        await stream.send_all(b"".join(GET % n for n in range(MAX_RUN_AHEAD + 3)))
+        await trio.sleep(0.1)
+        server.closing = True
+        for number in range(MAX_RUN_AHEAD + 3):
+            handler.finish(number)
+        bodies, data = await receive_bodies(stream, MAX_RUN_AHEAD + 1)
+        assert bodies == list(range(MAX_RUN_AHEAD + 1)) == sorted(handler.started)
+        assert data.count(b"connection: close") == 1
+        assert await stream.receive_some(1000) == b""
+        nursery.cancel_scope.cancel()
+
+
 async def test_end_of_the_client_cancels_what_runs_ahead():
     """Guards against work for a client that has left, and memory held for it."""
     async with trio.open_nursery() as nursery:
