--- a/packages/router/src/jujuberudder_router/_hedging.py
+++ b/packages/router/src/jujuberudder_router/_hedging.py
@@ -72,10 +72,14 @@
 
 
 def has_free_slot(candidate):
-    """Whether a ``Candidate`` can run a request at once, as far as is known."""
+    """Whether a ``Candidate`` can run a second send at once, as far as is known.
+
+    The rate of a cold target is left to first sends.
+    """
     c = candidate
-    running = max(c.running, c.own_requests)
-    return not c.queued and running + 1 <= c.slots and not c.failure_share
+    if c.cold or c.queued or c.failure_share:
+        return False
+    return max(c.running, c.own_requests) + 1 <= c.slots
 
 
 def succeeded(reply):
