Refuse no response for the link because of a short frame

Cause: a response that takes too long on an idle link is tried if nothing is sent before it. Any ping within the last milliseconds, and rounding in the sum of expected bytes, counted as a body before it, so that it was refused by chance.

Result: the new case of the table failed before; test_link_pacing and test_long_bodies pass.

--- a/packages/router/src/jujuberudder_router/_link_pacing.py
+++ b/packages/router/src/jujuberudder_router/_link_pacing.py
@@ -59,7 +59,8 @@
     if run_s + send_s <= latency_goal_s:
         limit_s = min(limit_s, latency_goal_s)
     late_s = max(run_s, wait_s) + send_s - limit_s
-    if late_s <= 0 or wait_s <= 0:
+    # A short frame that was just sent, as a ping, is no body before this one.
+    if late_s <= 0 or wait_s <= BURST_S:
         return None
     return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, late_s))
 
--- a/tests/router/test_link_pacing.py
+++ b/tests/router/test_link_pacing.py
@@ -99,6 +99,7 @@
         (0.1, 2.5, 1.5, 1.1, 4.0, 0.6),
         # Without others before it, a response is at least tried.
         (0.1, 0.0, 5.0, 1.1, 4.0, None),
+        (0.1, 0.004, 5.0, 1.1, 4.0, None),
         (0.1, 0.3, 0.15, 1.1, 0.4, 0.11),
     ],
 )
