Count no body before others that its receiver does not read

Cause: the rest of a long body counted as waiting for the link while the node that gets it read nothing. Others were refused for the link, which was idle.

--- a/packages/router/src/jujuberudder_router/_frame_stream.py
+++ b/packages/router/src/jujuberudder_router/_frame_stream.py
@@ -15,6 +15,7 @@
     encode_frame,
 )
 from ._http import READ_BYTES
+from ._memory import STALL_S
 
 # Maximum number of bytes that are passed to the system at once.
 WRITE_BYTES = 262144
@@ -133,7 +134,7 @@
                 if paced is not None:
                     await paced.wait(len(part))
                 while len(self._unsent) >= QUEUED_PARTS_BYTES:
-                    await self._sent_event.wait()
+                    await self._wait_sent(paced)
                 if self._send_error is not None or not wanted():
                     return math.inf
                 position = self.send(BodyPart(call_id, part))
@@ -141,6 +142,19 @@
         # before the caller knows this position.
         return position
 
+    async def _wait_sent(self, paced):
+        """Wait until queued bytes have been sent, or cannot be sent any more.
+
+        While the other node receives nothing for long, its body is not counted as one
+        that others have to wait for.
+        """
+        sent_event = self._sent_event
+        with trio.move_on_after(STALL_S):
+            await sent_event.wait()
+        if not sent_event.is_set():
+            with contextlib.nullcontext() if paced is None else paced.stalled():
+                await sent_event.wait()
+
     def _send_some(self, data):
         """Send without waiting and return the number of bytes sent."""
         try:
--- a/packages/router/src/jujuberudder_router/_link_pacing.py
+++ b/packages/router/src/jujuberudder_router/_link_pacing.py
@@ -188,6 +188,16 @@
     def __exit__(self, *error):
         self._pacer.unsent_bytes -= self._unsent_bytes
 
+    @contextlib.contextmanager
+    def stalled(self):
+        """Do not count the rest of the body, which its receiver does not read."""
+        unsent_bytes = self._unsent_bytes
+        self._pacer.unsent_bytes -= unsent_bytes
+        try:
+            yield
+        finally:
+            self._pacer.unsent_bytes += unsent_bytes
+
     async def wait(self, size):
         """Wait until the next part may be sent, and count it."""
         if self._pacer.paced:
--- a/tests/router/test_link_pacing.py
+++ b/tests/router/test_link_pacing.py
@@ -1,5 +1,6 @@
 """Long bodies on a slow network link, beside short frames."""
 
+import select
 import socket
 
 import pytest
@@ -87,6 +88,38 @@
     receiver.close()
 
 
+async def test_body_that_is_not_received_does_not_count(autojump_clock):
+    """Guards against refusals for the link because one node does not read.
+
+    The link is idle meanwhile.
+    """
+    sender, receiver = socket.socketpair()
+    for sock in (sender, receiver):
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 20_000)
+    pacer = LinkPacer(625_000)
+    stream = FrameStream(
+        trio.SocketStream(trio.socket.from_stdlib_socket(sender)), None, pacer
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stream.run_writer)
+        nursery.start_soon(stream.send_body, 1, bytes(5_000_000), lambda: True)
+        await trio.sleep(0.9)
+        assert pacer.body_wait_s(trio.current_time()) > 5.0
+        await trio.sleep(1.5)
+        assert pacer.body_wait_s(trio.current_time()) == 0.0
+        while receiver in select.select([receiver], [], [], 0)[0]:
+            receiver.recv(1_000_000)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            if pacer.unsent_bytes:
+                break
+        assert pacer.body_wait_s(trio.current_time()) > 5.0
+        nursery.cancel_scope.cancel()
+    assert pacer.unsent_bytes == 0
+    stream.close()
+    receiver.close()
+
+
 @pytest.mark.parametrize(
     "run_s, wait_s, send_s, goal_s, remaining_s, retry_after_s",
     [
