Release the memory of a response that ends with its connection

Cause: if a connection ends at the moment at which a pipelined request is answered, the task that waits for its response may close the hold first, and the bytes counted afterwards were never released. Long bodies were counted as short ones as well, although room for them is reserved.

Change: nothing is counted after a cancellation, nor for reserved bodies.

--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -18,7 +18,7 @@
     parse,
     response_parts,
 )
-from ._memory import CLIENT_REQUEST, MemoryAccount
+from ._memory import CLIENT_REQUEST, SMALL_BYTES, MemoryAccount
 from ._tcp_stream import TcpStream
 
 # Listen backlog: holds a burst of new connections from the clients of one availability
@@ -249,8 +249,12 @@
     async def run(self, answer):
         """Run the request; the response is kept until its turn."""
         self._response = await answer(self._message)
-        hold = self._message.hold
-        hold.count(len(self._response[2]))
+        # The task that waits for the response may have closed the hold if the
+        # connection has ended; what is counted afterwards would never be released.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        hold, body_bytes = self._message.hold, len(self._response[2])
+        if body_bytes <= SMALL_BYTES:
+            hold.count(body_bytes)  # Room for longer ones is reserved.
         # The requests before it may wait for the room that its response holds.
         hold.on_evict = self._drop
         hold.progressed()
--- a/tests/router/test_pipelining.py
+++ b/tests/router/test_pipelining.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from jujuberudder_emulator import free_addresses
 from jujuberudder_router import Limits
@@ -22,6 +23,10 @@
         """Let a request end."""
         self._event(number).set()
 
+    def reset(self, number):
+        """Let the next requests of a number wait again."""
+        self._finish.pop(number, None)
+
     def _event(self, number):
         return self._finish.setdefault(number, trio.Event())
 
@@ -143,6 +148,26 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_response_at_the_end_of_its_connection_holds_no_memory():
+    """Guards against bytes that are counted for a connection that has ended."""
+    async with trio.open_nursery() as nursery:
+        handler = Handler()
+        handler.finish(0)
+        server, stream = await open_connection(nursery, handler)
+        for _ in range(20):
+            handler.reset(1)
+            client = await trio.open_tcp_stream(*stream.socket.getpeername())
+            await client.send_all(GET % 0 + GET % 1)
+            await receive_bodies(client, 1)
+            (connection,) = [c for c in server._connections if c.busy]
+            handler.finish(1)
+            connection.cancel("the client closed its connection")
+            await trio.testing.wait_all_tasks_blocked()
+            assert server.account.used_bytes == 0
+            await client.aclose()
+        nursery.cancel_scope.cancel()
+
+
 async def test_end_of_the_client_cancels_what_runs_ahead():
     """Guards against work for a client that has left, and memory held for it."""
     async with trio.open_nursery() as nursery:
