Remember long targets of refused requests by a hash

Cause: up to 5,000 refused requests are remembered with their targets, which may have 16 KB each, outside of the memory account.

Change: of targets over 64 bytes, a hash is remembered.

--- a/packages/router/src/jujuberudder_router/_service_room.py
+++ b/packages/router/src/jujuberudder_router/_service_room.py
@@ -40,6 +40,9 @@
 # Length of the intervals in which promised returns are counted, in seconds, and the
 # share of the requests that can start in an interval which may be returns.
 RETURN_INTERVAL_S, RETURN_SHARE = 0.1, 0.5
+# Longest target that is remembered of a refused request; of longer ones it is a hash of
+# 64 bits. Targets of up to 16 KB would take 80 MB.
+MAX_MARK_BYTES = 64
 # Number of log lines of one event in a second: enough to see which routes it concerns.
 MAX_LINES_PER_S = 5
 
@@ -537,4 +540,7 @@
 
 def _mark(request, route):
     """Return what identifies a request whose client returns."""
-    return route.name, request.target if request.key is None else request.key
+    if request.key is not None:
+        return route.name, request.key
+    target = request.target
+    return route.name, target if len(target) <= MAX_MARK_BYTES else hash(target)
--- a/tests/router/test_service_room.py
+++ b/tests/router/test_service_room.py
@@ -3,6 +3,7 @@
 import copy
 import random
 import re
+import tracemalloc
 from collections import Counter
 from types import SimpleNamespace
 
@@ -312,6 +313,22 @@
     assert {request.caller_priority for request in requests} == {0}
 
 
+async def test_remembered_requests_take_little_memory(autojump_clock):
+    """Guards against 80 MB for refused requests with long targets."""
+    node, _, _ = entry_node([])
+    route, room = SimpleNamespace(name="r"), node.entry_room
+    tracemalloc.start()
+    try:
+        for number in range(1000):
+            target = b"/%d" % number + bytes(9000)
+            request = SimpleNamespace(id="q", target=target, key=None)
+            room.on_refused(request, route, "s", False, False, 0.1, 0.0)
+        assert tracemalloc.get_traced_memory()[0] < 2_000_000
+    finally:
+        tracemalloc.stop()
+    assert room.take_return(request, route, 0.5) == 0.0
+
+
 def make_settings(contracts):
     """Return the settings of a node of the service s."""
     document = {
