--- a/packages/router/src/jujuberudder_router/_link_pacing.py
+++ b/packages/router/src/jujuberudder_router/_link_pacing.py
@@ -59,7 +59,8 @@
     if run_s + send_s <= latency_goal_s:
         limit_s = min(limit_s, latency_goal_s)
     late_s = max(run_s, wait_s) + send_s - limit_s
-    if late_s <= 0 or wait_s <= 0:
+    # A short frame that was just sent, as a ping, is no body before this one.
+    if late_s <= 0 or wait_s <= BURST_S:
         return None
     return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, late_s))
 
@@ -187,6 +188,16 @@
     def __exit__(self, *error):
         self._pacer.unsent_bytes -= self._unsent_bytes
 
+    @contextlib.contextmanager
+    def stalled(self):
+        """Do not count the rest of the body, which its receiver does not read."""
+        unsent_bytes = self._unsent_bytes
+        self._pacer.unsent_bytes -= unsent_bytes
+        try:
+            yield
+        finally:
+            self._pacer.unsent_bytes += unsent_bytes
+
     async def wait(self, size):
         """Wait until the next part may be sent, and count it."""
         if self._pacer.paced:
--- a/tests/router/test_pipelining.py
+++ b/tests/router/test_pipelining.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from jujuberudder_emulator import free_addresses
 from jujuberudder_router import Limits
@@ -22,6 +23,10 @@
         """Let a request end."""
         self._event(number).set()
 
+    def reset(self, number):
+        """Let the next requests of a number wait again."""
+        self._finish.pop(number, None)
+
     def _event(self, number):
         return self._finish.setdefault(number, trio.Event())
 
@@ -106,6 +111,63 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_request_that_arrives_just_after_the_first_is_answered():
+    """Guards against a connection that ends by a fault.
+
+    The second request may be read before the task that answers the first one has begun.
+    """
+    async with trio.open_nursery() as nursery:
+        handler = Handler()
+        handler.finish(0)
+        handler.finish(1)
+        _, stream = await open_connection(nursery, handler)
+        for _ in range(40):
+            client = await trio.open_tcp_stream(*stream.socket.getpeername())
+            await client.send_all(GET % 0)
+            await client.send_all(GET % 1)
+            bodies, _ = await receive_bodies(client, 2)
+            assert bodies == [0, 1]
+            await client.aclose()
+        nursery.cancel_scope.cancel()
+
+
+async def test_nothing_more_runs_ahead_during_a_stop():
+    """Guards against a connection that stays in use until the end of a stop."""
+    async with trio.open_nursery() as nursery:
+        handler = Handler()
+        server, stream = await open_connection(nursery, handler)
+        await stream.send_all(b"".join(GET % n for n in range(MAX_RUN_AHEAD + 3)))
+        await trio.sleep(0.1)
+        server.closing = True
+        for number in range(MAX_RUN_AHEAD + 3):
+            handler.finish(number)
+        bodies, data = await receive_bodies(stream, MAX_RUN_AHEAD + 1)
+        assert bodies == list(range(MAX_RUN_AHEAD + 1)) == sorted(handler.started)
+        assert data.count(b"connection: close") == 1
+        assert await stream.receive_some(1000) == b""
+        nursery.cancel_scope.cancel()
+
+
+async def test_response_at_the_end_of_its_connection_holds_no_memory():
+    """Guards against bytes that are counted for a connection that has ended."""
+    async with trio.open_nursery() as nursery:
+        handler = Handler()
+        handler.finish(0)
+        server, stream = await open_connection(nursery, handler)
+        for _ in range(20):
+            handler.reset(1)
+            client = await trio.open_tcp_stream(*stream.socket.getpeername())
+            await client.send_all(GET % 0 + GET % 1)
+            await receive_bodies(client, 1)
+            (connection,) = [c for c in server._connections if c.busy]
+            handler.finish(1)
+            connection.cancel("the client closed its connection")
+            await trio.testing.wait_all_tasks_blocked()
+            assert server.account.used_bytes == 0
+            await client.aclose()
+        nursery.cancel_scope.cancel()
+
+
 async def test_end_of_the_client_cancels_what_runs_ahead():
     """Guards against work for a client that has left, and memory held for it."""
     async with trio.open_nursery() as nursery:
