Split no hot range while the owners of keys have to stay

Between two heartbeats, the check for sudden demand planned moves also while the key map was unsettled in a new era. The target released the hot keys, and nobody got them for up to 10 s. The check now has the condition of the one that heartbeats make.

The new test fails before the change and passes with it.

--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -437,12 +437,16 @@
         """Record the ranges that a heartbeat reports as released, and plan moves."""
         for start, end, handover in heartbeat.released:
             self.record_release(start, end, handover)
-        if (
+        if self._may_move(now):
+            self._plan_move(now)
+
+    def _may_move(self, now):
+        """Whether keys that are given up now can be handed over."""
+        return (
             not self._node.target.gives_up_keys
             and self._may_grant(now)
             and not self._is_unsettled(now)
-        ):
-            self._plan_move(now)
+        )
 
     def record_release(self, start, end, handover, usable_at=0.0):
         """Record that the target has released the keys [start, end].
@@ -649,7 +653,7 @@
         self._sudden_since = self._sudden_since or now
         if now - self._sudden_since < SUDDEN_WINDOW_S / 2:
             return
-        if not node.target.leaving and self._may_grant(now):
+        if self._may_move(now):
             self._plan_move(now)
             if self._pending_moves:
                 node.grant_caller.check_now()
--- a/tests/router/test_era.py
+++ b/tests/router/test_era.py
@@ -47,6 +47,7 @@
 from jujuberudder_router._grant_calls import GrantCaller
 from jujuberudder_router._membership import Membership
 from jujuberudder_router._ownership import TAKEOVER_DELAY_S, OwnershipManager
+from jujuberudder_router._placement import SuddenDemand
 from jujuberudder_router._relay import decode_result, encode_result
 from jujuberudder_router._types import KeyRange
 
@@ -300,6 +301,24 @@
     assert events.count("key_map_restored") == events.count("key_map_settled") == 1
 
 
+def test_no_split_of_a_hot_range_while_the_owners_stay(monkeypatch):
+    """Guards against hot keys that are given up 10 s before they can be handed over."""
+    make_node_of, planned = EraSimulation._make_node, []
+
+    def make_hot_node(self, vm):
+        node = make_node_of(self, vm)
+        node.admission.sudden_demand = lambda now: SuddenDemand({1: 9.0}, 100, 1.0)
+        return node
+
+    monkeypatch.setattr(EraSimulation, "_make_node", make_hot_node)
+    monkeypatch.setattr(
+        OwnershipManager, "_plan_move",
+        lambda manager, now: planned.append(manager._is_unsettled(now)),
+    )  # fmt: skip
+    run([("copy", "a", 1), ("restore", "a", 0)], TAKEOVER_DELAY_S + 4.0, "call")
+    assert planned and not any(planned)
+
+
 def forget_given_up(manager, previous_end):
     """Keep none of what the VM gave up in the previous era."""
     manager._knew_keymap = manager._held_lease_at_era = True
