--- a/tests/router/test_era.py
+++ b/tests/router/test_era.py
@@ -576,6 +576,25 @@
     assert len(store.reads) - count <= 10.0 / PEER_ERA_INTERVAL_S + 1
 
 
+async def test_first_read_of_a_slow_store(autojump_clock, nursery):
+    """Guards against a node that never starts, since others state the era meanwhile."""
+
+    async def newest(topic, on_data=None):
+        await trio.sleep(2.0)
+        return Ok(Page(records_of(b"a"), 1, 1))
+
+    follower = Follower(
+        Store(None, None, newest), MEMBERSHIP_TOPIC, lambda: 1.0,
+        lambda record: None, lambda *a, **k: None,
+        read_delay_s=lambda f: 0.0 if f.end is None else 1e3,
+    )  # fmt: skip
+    nursery.start_soon(follower.run)
+    for _ in range(20):
+        await trio.sleep(0.5)
+        follower.same_era(1)
+    assert follower.started
+
+
 @pytest.mark.parametrize("era, expected", [(0, 2), (2, 2), (1, 0), (3, 0)])
 async def test_read_progress_of_another_era(era, expected, autojump_clock):
     """Guards against a lease that a read of another era extends."""
