Confirm evacuation records only by ends of the same era

The read progress of another node confirmed that no record was unread here also if that node had not read the operator topic (end 0), or if the end was of another era. Keys in an evacuated zone could be served too long then.

Three cases of the new test fail before the change, and all pass with it.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -548,8 +548,12 @@
         if progress.membership_age_s >= 0 and self.membership_follower.same_era(
             progress.era
         ):
-            end = self.configuration_follower.end
-            if end is not None and progress.operator_end <= end:
+            operator_topic = self.configuration_follower
+            if (
+                operator_topic.same_era(progress.era)
+                and operator_topic.end is not None
+                and 0 < progress.operator_end <= operator_topic.end
+            ):
                 # That node reads both topics, and knows no more operator records.
                 self.evacuations.confirm(sent_at - progress.membership_age_s)
             self.membership_follower.confirm_read(
--- a/tests/router/test_era.py
+++ b/tests/router/test_era.py
@@ -595,6 +595,22 @@
     assert follower.started
 
 
+@pytest.mark.parametrize("operator_era", [1, 2])
+@pytest.mark.parametrize("operator_end, confirmed", [(0, False), (3, True), (6, False)])
+async def test_read_progress_without_operator_records(
+    operator_era, operator_end, confirmed, autojump_clock
+):
+    """Guards against keys served too long in a zone whose record was read late."""
+    node = make_node("vm-0", Store(None, None, None))
+    node.membership_follower.accept_era(2)
+    node.configuration_follower.accept_era(operator_era)
+    node.configuration_follower.end = 5
+    progress = ReadProgress(operator_end, 2, 0.0, False, 2)
+    node.on_pong("vm-1", progress, trio.current_time())
+    known = node.evacuations._current_at is not None
+    assert known == (confirmed and operator_era == 2)
+
+
 @pytest.mark.parametrize("era, expected", [(0, 2), (2, 2), (1, 0), (3, 0)])
 async def test_read_progress_of_another_era(era, expected, autojump_clock):
     """Guards against a lease that a read of another era extends."""
