--- a/packages/router/src/jujuberudder_router/_follower.py
+++ b/packages/router/src/jujuberudder_router/_follower.py
@@ -191,7 +191,7 @@
         now = trio.current_time()
         if era > self.era and now - self._peer_era_read_at >= PEER_ERA_INTERVAL_S:
             self._peer_era = era
-            # As in ``observe_end``: a slow store needs time, above all for a first read.
+            # As in ``observe_end``: a slow store needs time, also for a first read.
             if not self._received_bytes and self._cancelled_reads < MAX_CANCELLED_READS:
                 deadline = now + BEHIND_READ_LIMIT_S
                 self._read_scope.deadline = min(self._read_scope.deadline, deadline)
