Send no second request to cold targets

The new case of test_no_second_send and the new check of the load report fail without the change; tests of cold rates, hedging, the choice of VMs, explain, admission and odd frames pass.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -456,6 +456,7 @@
             not self.closed_reason, self.usage,
             () if self.room is None else self.room.refusals(trio.current_time()),
             self.work_time.factor(now, REPORTED_WORK_TIME_VALID_S),
+            self.cold_target is not None and self.cold_target.is_cold(now),
         )  # fmt: skip
 
     def returns(self, request, now):
--- a/packages/router/src/jujuberudder_router/_choice.py
+++ b/packages/router/src/jujuberudder_router/_choice.py
@@ -37,7 +37,7 @@
     age of the load report in seconds, ``failure_share`` the share of requests that
     fail, in [0, 1], ``round_trip_s`` the time of a ping and its pong in seconds, and
     ``byte_s`` the time that a byte takes on the link of this node, or 0 if the VM is
-    this node's own.
+    this node's own. ``cold`` is whether its target is cold.
     """
 
     vm: str
@@ -52,6 +52,7 @@
     round_trip_s: float = 0.0
     byte_s: float = 0.0
     run_s: float = 0.0
+    cold: bool = False
 
 
 def cost(candidate, body_bytes):
--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -27,7 +27,7 @@
     ``refusals`` are pairs of an urgency and the number of requests of it that were
     refused in the last second because of the queue.
     ``work_time_factor`` is how long work takes there at present, as a multiple of the
-    usual time.
+    usual time. ``cold`` is whether the rate of the target is limited as it is cold.
     """
 
     running: int
@@ -39,6 +39,7 @@
     usage: float = 0.0
     refusals: tuple[tuple[int, int], ...] = ()
     work_time_factor: float = 1.0
+    cold: bool = False
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/router/src/jujuberudder_router/_hedging.py
+++ b/packages/router/src/jujuberudder_router/_hedging.py
@@ -72,10 +72,14 @@
 
 
 def has_free_slot(candidate):
-    """Whether a ``Candidate`` can run a request at once, as far as is known."""
+    """Whether a ``Candidate`` can run a second send at once, as far as is known.
+
+    A cold target gets none, as its rate is needed for first sends.
+    """
     c = candidate
     running = max(c.running, c.own_requests)
-    return not c.queued and running + 1 <= c.slots and not c.failure_share
+    free = not c.queued and running + 1 <= c.slots
+    return free and not c.failure_share and not c.cold
 
 
 def succeeded(reply):
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -861,7 +861,7 @@
             vm.name, vm.zone == self.settings.zone, load.running, load.queued,
             load.slots, load.service_s * factor, in_flight, age_s,
             self._failure_share(vm.name, now), round_trip_s, byte_s,
-            run_s * factor,
+            run_s * factor, load.cold,
         )  # fmt: skip
 
     def handle_heartbeat(self, heartbeat):
--- a/tests/router/test_cold_rate.py
+++ b/tests/router/test_cold_rate.py
@@ -213,6 +213,8 @@
         await trio.sleep(1 / 60)
     assert len(world.arrivals) >= 0.9 * LIMIT * 10.0 / WINDOW_S - LIMIT
     load = world.admission.load()
+    # Other nodes send it nothing a second time.
+    assert load.cold
     assert load.slots == pytest.approx(
         LIMIT / WINDOW_S * load.service_s
     ) and load.wait_s >= world.cold_target.wait_s(load.queued, trio.current_time())
--- a/tests/router/test_hedging.py
+++ b/tests/router/test_hedging.py
@@ -140,11 +140,12 @@
         ({"free": {"own_requests": 4}}, {}),
         ({"free": {"slots": 0.5}}, {}),
         ({"free": {"failure_share": 0.9}}, {}),
+        ({"free": {"cold": True}}, {}),
     ],
     ids=[
         "keyed", "not repeatable", "one attempt", "too few times", "too late",
         "share spent", "retry budget spent", "queue", "no free slot",
-        "own requests in all slots", "rate limit", "failing",
+        "own requests in all slots", "rate limit", "failing", "cold",
     ],
 )  # fmt: skip
 async def test_no_second_send(options, counts, autojump_clock):
