Raise settled fences by a step that grows with the era

Two restores may lose the key map that was settled between them. If no process that knew it is left, the map of the copy was settled again under the same fences, and changes made after the first settled map had used higher ones. The step is now era x 2^20.

The new check fails before the change; tests/router/test_era.py passes with it.

--- a/packages/router/src/jujuberudder_router/_era.py
+++ b/packages/router/src/jujuberudder_router/_era.py
@@ -24,12 +24,14 @@
 # newest key map may be the last in the order of names; it keeps its lease only if the
 # key map is in the store again within 7.6 s after its last read of the earlier era.
 MAX_RESTORE_DELAY_S = 4.0
-# Least increase of the next fence when a key map is settled. Each lost change raised
-# the fence by one, or doubled it; a second holds less than 1000 changes.
+# Least increase of the next fence when a key map is settled, for each era. Each lost
+# change raised the fence by one, or doubled it; a second holds less than 1000 changes.
 FENCE_STEP = 2**20
 # Fence above which it only rises by this step: doubled at each restore, it would leave
 # the range of fences, and that of whole numbers in JSON (2**53), after 33 restores.
 MAX_DOUBLED_FENCE = 2**40
+# Era up to which the step grows, so that fences stay in their range in any era.
+MAX_STEP_ERA = 1024
 
 
 class EraState(NamedTuple):
@@ -175,12 +177,14 @@
 def settled_keymap(keymap, state):
     """Return the newer of the known key map and the stored one, settled in this era.
 
-    All ranges get a fence above those of changes that were lost.
+    All ranges get a fence above those of changes that were lost. The step grows with
+    the era, since a restore may also lose the settled key map of an earlier era, and
+    the changes made after it.
     """
     stored, era = state.stored, state.era
     if stored is not None and stored.next_fence > keymap.next_fence:
         keymap = stored
-    fence = keymap.next_fence + FENCE_STEP
+    fence = keymap.next_fence + FENCE_STEP * min(era, MAX_STEP_ERA)
     if keymap.next_fence < MAX_DOUBLED_FENCE:
         fence += keymap.next_fence
     key_ranges = tuple(
--- a/tests/router/test_era.py
+++ b/tests/router/test_era.py
@@ -462,6 +462,11 @@
     for era in range(3, 200):
         settled = settled_keymap(settled, KNEW._replace(era=era))
     assert settled.next_fence < 2**53
+    # A restore may lose the settled key map too, with the changes made after it.
+    known = keymap_of(9, 1)
+    lost = settled_keymap(known, EraState(2, stored=known))
+    again = settled_keymap(known, EraState(3, stored=known))
+    assert again.ranges[0].fence >= lost.next_fence + 1000
     # In the first era, a service without a key map is new, and waits for nothing.
     assert not is_unsettled(KeyMap(SERVICE), EraState(1, 0.0))
     assert is_unsettled(KeyMap(SERVICE), EraState(2, 0.0))
