--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -526,3 +526,10 @@
         if PLATFORM_NAMES.search(line)
     ]
     assert uses == []
+
+
+@pytest.mark.parametrize("mbps, bytes_per_s", [(5.0, 625e3), (0, 125e6), (-1, 125e6)])
+def test_capacity_of_the_network_link(mbps, bytes_per_s):
+    """Guards against a division by a capacity of 0, and negative times."""
+    text = SETTINGS.replace("linkMbps = 5.0", f"linkMbps = {mbps}")
+    assert parse_settings(tomllib.loads(text)).link_bytes_per_s == bytes_per_s
--- a/tests/router/test_era.py
+++ b/tests/router/test_era.py
@@ -47,6 +47,7 @@
 from jujuberudder_router._grant_calls import GrantCaller
 from jujuberudder_router._membership import Membership
 from jujuberudder_router._ownership import TAKEOVER_DELAY_S, OwnershipManager
+from jujuberudder_router._placement import SuddenDemand
 from jujuberudder_router._relay import decode_result, encode_result
 from jujuberudder_router._types import KeyRange
 
@@ -300,6 +301,24 @@
     assert events.count("key_map_restored") == events.count("key_map_settled") == 1
 
 
+def test_no_split_of_a_hot_range_while_the_owners_stay(monkeypatch):
+    """Guards against hot keys that are given up 10 s before they can be handed over."""
+    make_node_of, planned = EraSimulation._make_node, []
+
+    def make_hot_node(self, vm):
+        node = make_node_of(self, vm)
+        node.admission.sudden_demand = lambda now: SuddenDemand({1: 9.0}, 100, 1.0)
+        return node
+
+    monkeypatch.setattr(EraSimulation, "_make_node", make_hot_node)
+    monkeypatch.setattr(
+        OwnershipManager, "_plan_move",
+        lambda manager, now: planned.append(manager._is_unsettled(now)),
+    )  # fmt: skip
+    run([("copy", "a", 1), ("restore", "a", 0)], TAKEOVER_DELAY_S + 4.0, "call")
+    assert planned and not any(planned)
+
+
 def forget_given_up(manager, previous_end):
     """Keep none of what the VM gave up in the previous era."""
     manager._knew_keymap = manager._held_lease_at_era = True
@@ -443,6 +462,11 @@
     for era in range(3, 200):
         settled = settled_keymap(settled, KNEW._replace(era=era))
     assert settled.next_fence < 2**53
+    # A restore may lose the settled key map too, with the changes made after it.
+    known = keymap_of(9, 1)
+    lost = settled_keymap(known, EraState(2, stored=known))
+    again = settled_keymap(known, EraState(3, stored=known))
+    assert again.ranges[0].fence >= lost.next_fence + 1000
     # In the first era, a service without a key map is new, and waits for nothing.
     assert not is_unsettled(KeyMap(SERVICE), EraState(1, 0.0))
     assert is_unsettled(KeyMap(SERVICE), EraState(2, 0.0))
@@ -557,6 +581,41 @@
     assert len(store.reads) - count <= 10.0 / PEER_ERA_INTERVAL_S + 1
 
 
+async def test_first_read_of_a_slow_store(autojump_clock, nursery):
+    """Guards against a node that never starts, since others state the era meanwhile."""
+
+    async def newest(topic, on_data=None):
+        await trio.sleep(2.0)
+        return Ok(Page(records_of(b"a"), 1, 1))
+
+    follower = Follower(
+        Store(None, None, newest), MEMBERSHIP_TOPIC, lambda: 1.0,
+        lambda record: None, lambda *a, **k: None,
+        read_delay_s=lambda f: 0.0 if f.end is None else 1e3,
+    )  # fmt: skip
+    nursery.start_soon(follower.run)
+    for _ in range(20):
+        await trio.sleep(0.5)
+        follower.same_era(1)
+    assert follower.started
+
+
+@pytest.mark.parametrize("operator_era", [1, 2])
+@pytest.mark.parametrize("operator_end, confirmed", [(0, False), (3, True), (6, False)])
+async def test_read_progress_without_operator_records(
+    operator_era, operator_end, confirmed, autojump_clock
+):
+    """Guards against keys served too long in a zone whose record was read late."""
+    node = make_node("vm-0", Store(None, None, None))
+    node.membership_follower.accept_era(2)
+    node.configuration_follower.accept_era(operator_era)
+    node.configuration_follower.end = 5
+    progress = ReadProgress(operator_end, 2, 0.0, False, 2)
+    node.on_pong("vm-1", progress, trio.current_time())
+    known = node.evacuations._current_at is not None
+    assert known == (confirmed and operator_era == 2)
+
+
 @pytest.mark.parametrize("era, expected", [(0, 2), (2, 2), (1, 0), (3, 0)])
 async def test_read_progress_of_another_era(era, expected, autojump_clock):
     """Guards against a lease that a read of another era extends."""
