Let the test of reset early responses order the send and the read again

Cause: Connection takes over the socket of the stream that it gets since TcpStream, so that SendFailsFirstStream, which the test passed to it, was no longer called.

Change: the test wraps the stream of the connection after it was made.

--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -137,6 +137,9 @@
     def socket(self):
         return self._stream.socket
 
+    def close(self):
+        self._stream.close()
+
     async def send_all(self, data):
         try:
             await self._stream.send_all(data)
@@ -190,10 +193,8 @@
     address = free_addresses(1)[0]
     host, port = address.split(":")
     await nursery.start(trio.serve_tcp, serve, int(port))
-    stream = SendFailsFirstStream(
-        await trio.open_tcp_stream(host, int(port)), read_woken
-    )
-    connection = Connection(stream, address)
+    connection = Connection(await trio.open_tcp_stream(host, int(port)), address)
+    connection._stream = SendFailsFirstStream(connection._stream, read_woken)
     upload = request_bytes(b"POST", b"/", [], bytes(8_000_000))
     received = None
     with trio.fail_after(5):
