Take a reset after the end of a stream as a broken response

Cause: a peer that shuts down its side and then resets the connection is reported to sends as EPIPE, and to reads as an end of the stream. EPIPE was not counted as a failure, and a read that saw the end first cancelled the send, so that a response without a length was complete in either order. Whether the peer had sent all of it is not known then; by RFC 9112, section 8, it is complete only if the connection reports no error.

Change: each error of a send counts. At the end of a stream the error of the socket is checked. While the request is still being sent, the read waits up to 0.5 s for the send to end or fail. An early response whose target reads the rest and then closes is delivered as before.

The cases 'no length, shut down, reset' of test_early_response_that_is_reset expected the part as a success; they expect a failure now.

--- a/packages/router/src/jujuberudder_router/_http.py
+++ b/packages/router/src/jujuberudder_router/_http.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 messages on trio streams, parsed by httptools."""
 
-import errno
+import os
 import socket
 from http import HTTPStatus
 from typing import NamedTuple
@@ -35,6 +35,10 @@
 # Bytes of chunk framing that are accepted for each byte of a body, beside the limit of
 # the head: a chunk of one byte has five (RFC 9112, section 7.1).
 CHUNK_FRAMING_BYTES = 5
+# Time for a reset to follow the end of a response without a length, while the request
+# is still being sent. Without one, the response is complete; the target is on the same
+# VM, so that nothing but its own pause delays a reset.
+RESET_WAIT_S = 0.5
 
 # Account of exchanges whose responses are not counted.
 _UNLIMITED = MemoryAccount()
@@ -427,6 +431,8 @@
         self._max_body_bytes = max_body_bytes
         # Error of a send that was reset while the response was being read.
         self._send_error = None
+        # Whether the end of the connection has ended a response without a length.
+        self._ended = False
         self.idle_since = trio.current_time()
         self.idle_limit_s = 0.0
 
@@ -504,11 +510,16 @@
 
         Returns whether the response was complete before all of the request was sent.
         """
-        responded_early = False
+        responded_early, send_ended = False, trio.Event()
 
         async def read():
             while not message_parser.messages:
                 await self._receive(message_parser, step, on_data)
+            if self._ended:
+                # The reset of a peer that failed may follow the end of its stream.
+                with trio.move_on_after(RESET_WAIT_S):
+                    await send_ended.wait()
+                self._check_end(step)
             nonlocal responded_early
             responded_early = True
             nursery.cancel_scope.cancel()
@@ -519,15 +530,29 @@
                 try:
                     await self._send(parts, step)
                 except ExchangeError as error:
-                    if not _peer_shut_down(error):
-                        self._send_error = error
+                    self._send_error = error
                 else:
-                    if not responded_early:
+                    if not (responded_early or self._ended):
                         nursery.cancel_scope.cancel()
+                send_ended.set()
         except* ExchangeError as group:
             raise group.exceptions[0] from None
         return responded_early
 
+    def _check_end(self, step):
+        """Raise ``ExchangeError`` if the connection was reset.
+
+        The system reports a reset once: after a send that failed with it, a read
+        returns an end of the stream. A reset after the peer has shut down its side is
+        reported to sends only, and as the error of the socket.
+        """
+        if self._send_error is not None:
+            raise self._send_error
+        code = self._stream.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            reason = f"reset after its end: {os.strerror(code)}"
+            raise ExchangeError(step, self._peer, reason)
+
     async def _receive(self, message_parser, step, on_data):
         try:
             data = await self._stream.receive_some(READ_BYTES)
@@ -536,12 +561,10 @@
         if on_data is not None:
             on_data(len(data))
         if not data:
-            # The system reports a reset once: after a send that failed with it, a read
-            # returns an end of the stream.
-            if self._send_error is not None:
-                raise self._send_error
+            self._check_end(step)
             if not finish_at_eof(message_parser):
                 raise ExchangeError(step, self._peer, "closed before the answer's end")
+            self._ended = True
             return
         try:
             parse(message_parser, data)
@@ -559,19 +582,6 @@
             message_parser.add_room(missing_bytes)
 
 
-def _peer_shut_down(error):
-    """Whether a send failed after the peer had shut down its side of the connection.
-
-    Parameters
-    ----------
-    error : ExchangeError
-        Raised by ``Connection._send``. The system reports EPIPE in this case, and the
-        bytes that the peer sent before are complete.
-    """
-    system_error = error.__cause__.__cause__
-    return isinstance(system_error, OSError) and system_error.errno == errno.EPIPE
-
-
 def finish_at_eof(message_parser):
     """Complete a response at the end of its connection.
 
