Use one check for a free slot, and one name for the expected run time

Cause: the choice of a VM and the second send each stated when a VM has a free slot; the admission queue had a public function that only called a private one, and read the clock twice for a load report. Change: `has_free_slot` in `_choice` serves both, `expected_service_s` is public, and the time is read once. Behaviour is the same.

--- a/packages/router/src/jujuberudder_router/_admission.py
+++ b/packages/router/src/jujuberudder_router/_admission.py
@@ -466,7 +466,7 @@
         return Load(
             self._running, queued, slots, wait, measured_s,
             not self.closed_reason, self.usage,
-            () if self.room is None else self.room.refusals(trio.current_time()),
+            () if self.room is None else self.room.refusals(now),
             self.work_time.factor(now, REPORTED_WORK_TIME_VALID_S),
             self.cold_target is not None and self.cold_target.is_cold(now),
         )  # fmt: skip
@@ -500,7 +500,7 @@
         self.check_send()
         if self.room is not None:
             self.room.classify(request)
-        service_s = self._expected_service_s(request)
+        service_s = self.expected_service_s(request)
         run_s = self._possible_run_s(request, service_s)
         deadline = now + request.remaining_s
         if self._may_outlast_node(request.key, run_s, deadline, now):
@@ -518,11 +518,8 @@
         self._check_expected_wait(request, now, service_s, late_s)
         await self._wait(request, now, service_s, late_s, run_s)
 
-    def mean_service_s(self, request):
+    def expected_service_s(self, request):
         """Return the time that a request is expected to run, in seconds."""
-        return self._expected_service_s(request)
-
-    def _expected_service_s(self, request):
         if not self._service_s:
             return self._mean_service_s
         assumed_s = INITIAL_SERVICE_SHARE * request.latency_goal_s
--- a/packages/router/src/jujuberudder_router/_choice.py
+++ b/packages/router/src/jujuberudder_router/_choice.py
@@ -117,14 +117,15 @@
     return [c if c.service_s > 0 else c._replace(service_s=assumed) for c in candidates]
 
 
+def has_free_slot(candidate):
+    """Return whether a VM has a free slot and no queue, as far as is known."""
+    c = candidate
+    return not c.queued and max(c.running, c.own_requests) + 1 <= c.slots
+
+
 def has_free_other(candidates, chosen):
     """Return whether a VM other than the chosen one has a free slot and no queue."""
-    return any(
-        c.vm != chosen.vm
-        and not c.queued
-        and max(c.running, c.own_requests) + 1 <= c.slots
-        for c in candidates
-    )
+    return any(c.vm != chosen.vm and has_free_slot(c) for c in candidates)
 
 
 def choose(candidates, body_bytes, jitter):
--- a/packages/router/src/jujuberudder_router/_hedging.py
+++ b/packages/router/src/jujuberudder_router/_hedging.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from ._choice import choose
+from ._choice import choose, has_free_slot
 from ._frames import ANSWERED, NOT_RUN, UNKNOWN
 from ._routes import RetryBudget
 
@@ -71,15 +71,13 @@
         return self._share.try_spend(service, 1, now)
 
 
-def has_free_slot(candidate):
+def may_get_second_send(candidate):
     """Whether a ``Candidate`` can run a second send at once, as far as is known.
 
     The rate of a cold target is left to first sends.
     """
     c = candidate
-    if c.cold or c.queued or c.failure_share:
-        return False
-    return max(c.running, c.own_requests) + 1 <= c.slots
+    return has_free_slot(c) and not (c.cold or c.failure_share)
 
 
 def succeeded(reply):
@@ -182,7 +180,7 @@
         def choose_second():
             excluded = state.refused | {vm}
             candidates = node.candidates(service, excluded, route.name)
-            free = [c for c in candidates if has_free_slot(c)]
+            free = [c for c in candidates if may_get_second_send(c)]
             second = choose(free, len(request.body), node.jitter)
             if second is None:
                 return None
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -246,7 +246,7 @@
     def check_link(request, expected_bytes):
         """Raise ``Refused`` if the link has no room for a response in time."""
         retry_after_s = link_refusal(
-            admission.mean_service_s(request),
+            admission.expected_service_s(request),
             pacer.body_wait_s(trio.current_time()),
             pacer.send_s(expected_bytes),
             request.latency_goal_s,
