--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -612,10 +612,10 @@
             # Connections that end with the loop are of no interest.
             runner.get_loop().set_exception_handler(lambda loop, context: None)
             broken = runner.run(limited())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # Also faults of the script: none shows a broken rule.
         record("cannot_run", reason=repr(error))
-        print(f"could not run: {error!r}")
-        sys.exit(2)
+        print(f"could not run: {error!r}", flush=True)
+        os._exit(2)
     record("result", broken=broken)
     print("rule broken" if broken else "rule held", flush=True)
     os._exit(1 if broken else 0)
