--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -605,6 +605,9 @@
     record = Record(Path(sys.argv[0]).resolve().parent / "record.txt")
 
     async def limited():
+        # A case that is stopped from outside ends its nodes as well.
+        stop = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         return await asyncio.wait_for(run(record, trouble), limit_s)
 
     try:
@@ -612,7 +615,8 @@
             # Connections that end with the loop are of no interest.
             runner.get_loop().set_exception_handler(lambda loop, context: None)
             broken = runner.run(limited())
-    except Exception as error:  # Also faults of the script: none shows a broken rule.
+    # Also faults of the script and a stop from outside: none shows a broken rule.
+    except (Exception, asyncio.CancelledError) as error:
         record("cannot_run", reason=repr(error))
         print(f"could not run: {error!r}", flush=True)
         os._exit(2)
