Log reported releases, and keys that are granted again

Change: the lines releases_reported, releases_received and keys_granted_again name the ranges with their fences, 20 at most.

--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -81,6 +81,8 @@
 # Seconds after a report of a release until it is reported to another writer: a check of
 # the writer, an append and a read of the change, with a margin.
 REPORT_TIMEOUT_S = 0.6
+# Maximum number of key ranges in a log line.
+MAX_LOGGED_RANGES = 20
 # Number of writers to which a release is reported before the VM writes it itself.
 MAX_REPORTS = 2
 # Seconds for which a VM that did not write a release in time gets no further reports: a
@@ -573,6 +575,13 @@
         A previous process of this node may have planned to move them.
         """
         granted = [(r.start, r.end) for r in key_ranges]
+        again = [
+            (r.start, r.end, r.fence)
+            for r in key_ranges
+            if _overlaps(r.start, r.end, [(s, e, "") for s, e in self._released])
+        ]
+        if again:
+            self._node.log("keys_granted_again", ranges=format_ranges(again))
         self._released = {
             part: released
             for (start, end), released in self._released.items()
@@ -755,6 +764,10 @@
             release = Release(report.vm, start, end, handover, receiver, fence)
             key = (report.vm, start, end, fence)
             self._reports[key] = (release, report.node_incarnation, now)
+        self._node.log(
+            "releases_received", reported_by=report.vm, process=report.node_incarnation,
+            ranges=format_ranges(report.ranges),
+        )  # fmt: skip
 
     def _reported_releases(self, now):
         """Return the reported releases that are valid, and drop those that are done.
@@ -816,6 +829,9 @@
                 self._node.settings.vm, self._node.node_incarnation, ranges
             )
             self._node.peers.send_soon(writer, report)
+            self._node.log(
+                "releases_reported", writer=writer, ranges=format_ranges(ranges)
+            )
         return own
 
     def _writer(self, owners, now):
@@ -1006,6 +1022,15 @@
     return any(s <= end and start <= e for s, e, _ in ranges)
 
 
+def format_ranges(ranges):
+    """Return the bounds and fences of ranges (start, end, fence, ...) for the log."""
+    shown = [f"{start}-{end}/{fence}" for start, end, fence, *_ in ranges]
+    more = len(shown) - MAX_LOGGED_RANGES
+    if more > 0:
+        shown = [*shown[:MAX_LOGGED_RANGES], f"and {more} more"]
+    return ", ".join(shown)
+
+
 def _format_outcome(result):
     match result:
         case Ok(Appended(offset, _)):
