Grant reported keys again only after the key map has changed

Cause: a node whose target gives up its keys reports the releases to another VM, which writes the handover. A report cannot be withdrawn, but the node kept no record of it: when the evacuation ended before the handover was read, it granted the keys again under the same fence. Planned moves were protected, evacuations were not.

Not the time-out of a writer, the era, or a new process of the node: there was one process, and one report was enough.

Change: reported ranges are remembered with their fences (_given_up.py), before the report is sent. They are granted only under another fence, and their handover goes on when its reason has ended. No time limit is involved, since reports and appends may be late without bound. If no other VM may own keys, they go back to their target under a new fence, and moves that are not reported yet end. The same holds for leaving, planned moves and grants by call; a new process of the node relies on its entry, as before.

The simulation of the protocol knows evacuations, slow stores, a topic in which others append, writers without reports, and the prompt heartbeats after a release.

"what was given up is not granted again" in test_era.py removes the new record as well when it disables that rule, since either of the two is enough.

--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -213,7 +213,7 @@
     ``ranges`` lists (start, end, fence, handover, receiver): ``fence`` is that of the
     key range in the key map, ``receiver`` the VM that is to get the keys. The report
     holds only for the process ``node_incarnation`` of the VM, which grants none of
-    these ranges again.
+    these ranges again under their fences.
     """
 
     vm: str
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -12,7 +12,8 @@
 
 A VM that moves keys releases them first: its target is granted them no more. The VM
 reports the released ranges to the first VM of the service, the writer, which hands over
-those of all VMs by one change of the key map.
+those of all VMs by one change of the key map. What was reported is granted again only
+after the key map has changed, see ``_given_up``.
 """
 
 import secrets
@@ -24,6 +25,7 @@
 from . import _era, _keymap
 from ._era import EraState
 from ._frames import ReleaseReport
+from ._given_up import GivenUpKeys
 from ._held_keys import HeldRange
 from ._keymap import Owner
 from ._placement import (
@@ -149,6 +151,8 @@
         Ranges of this VM whose fence the target refused, as the key map still has them.
     era : EraState
         Present era of the store.
+    given_up : list of GivenUpRange
+        Ranges of this VM whose release was reported.
     """
 
     now: float
@@ -164,6 +168,7 @@
     caught_up_s: float
     refused_fences: list = []
     era: EraState = EraState()
+    given_up: list = []
 
 
 class KeyMapChange(NamedTuple):
@@ -252,11 +257,22 @@
 
 
 def _hand_over_all(view):
-    """Return the key map after all releases, as one change."""
+    """Return the key map after all releases, as one change.
+
+    What this VM has given up goes back to it, under a new fence, if no other VM may own
+    keys.
+    """
     keymap = view.keymap
+    given_up = [(r.start, r.end, "") for r in view.given_up]
     for release in view.released:
         others = [o for o in view.owners if o.vm != release.vm]
         receivers = [o for o in others if o.vm == release.receiver] or others
+        if (
+            view.owner
+            and release.vm == view.vm
+            and _overlaps(release.start, release.end, given_up)
+        ):
+            receivers = receivers or [view.owner]
         keymap = _keymap.hand_over(
             keymap,
             release.vm,
@@ -338,6 +354,8 @@
         self._handing_over = _HandingOver((), -1)
         # (VM, start, end, fence) to (release, node incarnation, time of the report).
         self._reports = {}
+        # Own ranges whose release was reported.
+        self._given_up_keys = GivenUpKeys()
         # (start, end) of a release to its _SentReport.
         self._sent_reports = {}
         # Writer that failed to the time until which it gets no reports.
@@ -494,7 +512,7 @@
             return None
         if self._node.target.gives_up_keys:
             return ()
-        key_ranges = _keymap.subtract(tuple(self._own_ranges()), self._pending_moves)
+        key_ranges = self._kept_ranges()
         if self._handing_over_undecided():
             key_ranges = _keymap.subtract(key_ranges, self._handing_over.ranges)
         self._forget_granted_again(key_ranges)
@@ -522,8 +540,8 @@
         if not self._may_grant(now):
             return ()
         own = tuple(self._own_ranges())
-        kept = () if self._node.target.gives_up_keys else own
-        kept = [(r.start, r.end) for r in _keymap.subtract(kept, self._pending_moves)]
+        kept = () if self._node.target.gives_up_keys else self._kept_ranges()
+        kept = [(r.start, r.end) for r in kept]
         to_release = []
         for held in self._node.target.held.possible(now):
             for start, end in _keymap.uncovered(held.start, held.end, kept):
@@ -597,6 +615,11 @@
             ):
                 yield key_range
 
+    def _kept_ranges(self):
+        """Return the own ranges that do not move to other VMs."""
+        kept = self._given_up_keys.without(self._own_ranges())
+        return _keymap.subtract(kept, self._pending_moves)
+
     def _plan_move(self, now):
         """Start to move ranges to other VMs if that evens out the load."""
         node = self._node
@@ -612,7 +635,7 @@
         if own is None:
             return
         key_ranges = [
-            (key_range.start, key_range.end) for key_range in self._own_ranges()
+            (key_range.start, key_range.end) for key_range in self._kept_ranges()
         ]
         others = [load for load in loads if load.vm != vm]
         moves = plan_sudden_split(own, others, key_ranges, sudden, again)
@@ -725,7 +748,11 @@
         """Return the releases of ranges that this VM moves away."""
         held, releases = self._node.target.held, []
         waits = waits_for_leases(self._era_state(now))
-        for (start, end), receiver in self._pending_moves.items():
+        moves = dict(self._pending_moves)
+        for given_up in self._given_up_keys.ranges:
+            for part in _keymap.uncovered(given_up.start, given_up.end, list(moves)):
+                moves[part] = ""
+        for (start, end), receiver in moves.items():
             pieces = [
                 (max(low, start), min(high, end), token)
                 for low, high, token in self._handovers(now)
@@ -820,6 +847,7 @@
                 own.append(release)
                 continue
             self._sent_reports[key] = _SentReport(writer, now, sent.count + 1)
+            self._given_up_keys.add(release.start, release.end, release.fence)
             to_report.setdefault(writer, []).append(release)
         for writer, releases in to_report.items():
             ranges = [
@@ -850,7 +878,6 @@
         moved = self._moved_ranges(now)
         others = self._other_releases(now, moved)
         if self._node.target.gives_up_keys:
-            # None of these ranges is granted again either.
             moved, others = moved + others, []
         written_here = self._report_to_writer(moved, owners, now)
         return others + written_here + self._reported_releases(now)
@@ -863,11 +890,17 @@
         node = self._node
         owners = node.owners(self._service)
         keymap = self._keymap()
+        self._given_up_keys.apply(keymap, node.settings.vm)
         names = {key_range.vm for key_range in keymap.ranges} - {node.settings.vm}
         present = {suspicion for _, suspicion in keymap.suspicions}
         known = {s: t for s, t in self._suspicions.items() if s in present}
         self._suspicions = {s: known.get(s, now) for s in present}
         self._refused_fences &= set(keymap.ranges)
+        if not self._is_unsettled(now) and all(
+            o.vm == node.settings.vm for o in owners
+        ):
+            # What is not reported yet can be granted again.
+            self._pending_moves.clear()
         return OwnershipView(
             now, node.settings.vm, keymap,
             next((o for o in owners if o.vm == node.settings.vm), None),
@@ -877,6 +910,7 @@
             self._releases_to_write(owners, now), self._suspicions,
             now - self._started - self._follower.batch_delay_s,
             sorted(self._refused_fences), self._era_state(now),
+            self._given_up_keys.ranges,
         )  # fmt: skip
 
     def _log_standing_suspicions(self, view):
--- a/tests/router/test_era.py
+++ b/tests/router/test_era.py
@@ -44,6 +44,7 @@
 )
 from jujuberudder_router._follower import PEER_ERA_INTERVAL_S, Follower
 from jujuberudder_router._frames import ReadProgress, Update
+from jujuberudder_router._given_up import GivenUpKeys
 from jujuberudder_router._grant_calls import GrantCaller
 from jujuberudder_router._membership import Membership
 from jujuberudder_router._ownership import TAKEOVER_DELAY_S, OwnershipManager
@@ -110,8 +111,8 @@
 class EraSimulation(protocol.Simulation):
     """Simulation with the real ``Membership`` and a ``CopiedStore``."""
 
-    def __init__(self, nursery, transport):
-        super().__init__(nursery, transport)
+    def __init__(self, nursery, transport, heartbeats):
+        super().__init__(nursery, transport, heartbeats)
         self.store = CopiedStore(nursery)
         # Events of all nodes that were logged: (time, VM, event).
         self.events = []
@@ -230,6 +231,18 @@
     run(events)
 
 
+@pytest.mark.parametrize("transport", TRANSPORTS)
+@given(
+    protocol.event_lists(
+        protocol.EVENTS + protocol.EVACUATION_EVENTS + ERA_EVENTS,
+        protocol.SHORT_PAUSES,
+    )
+)
+def test_no_two_targets_serve_a_key_after_evacuations(transport, events):
+    """Guards against keys granted again after a release, or its handover, was lost."""
+    run(events, transport=transport)
+
+
 @given(protocol.event_lists(protocol.EVENTS + protocol.CALL_EVENTS + ERA_EVENTS))
 def test_no_two_targets_serve_a_key_granted_by_call(events):
     """Guards against the same with grants by calls."""
@@ -323,6 +336,7 @@
     """Keep none of what the VM gave up in the previous era."""
     manager._knew_keymap = manager._held_lease_at_era = True
     manager._released, manager._pending_moves = {}, {}
+    manager._given_up_keys = GivenUpKeys()
 
 
 def settle_with_old_fences(keymap, state):
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -10,6 +10,7 @@
 
 import itertools
 from types import SimpleNamespace
+from typing import NamedTuple
 from unittest import mock
 
 import msgspec
@@ -53,6 +54,9 @@
 NETWORK_EVENTS = (
     "partition", "reconnect", "freeze", "thaw", "move keys", "delay reports",
 )  # fmt: skip
+EVACUATION_EVENTS = (
+    "evacuate", "end evacuation", "store slow", "stop reports", "topic busy",
+)  # fmt: skip
 CALL_EVENTS = (
     "calls ok", "calls unsent", "grants lost", "grants late", "releases lost",
     "releases late", "calls slow",
@@ -63,6 +67,18 @@
 TRANSPORTS = ("heartbeat", "call")
 # Delay of the reports of released ranges by "delay reports", in seconds.
 REPORT_DELAY_S = 1.5
+# Delay of a call of a slow store, in seconds.
+SLOW_STORE_S = 0.3
+# Interval in seconds between two records of other VMs in a busy topic, most of which
+# make a change of the key map fail that waits for a slow store.
+BUSY_INTERVAL_S = 0.4
+
+
+class Heartbeats(NamedTuple):
+    """When targets send heartbeats: their phases, and the interval after a release."""
+
+    phases_s: tuple = (0.0, 0.0, 0.0)
+    release_interval_s: float = HEARTBEAT_INTERVAL_S
 
 
 class SimulatedStore:
@@ -82,12 +98,18 @@
         self.changed = trio.Event()
         return Appended(len(self.records) - 1)
 
+    async def append_for_others(self):
+        """Append records of other VMs until cancelled."""
+        while True:
+            self._append("other/z", b"", None)
+            await trio.sleep(BUSY_INTERVAL_S)
+
     def store_of(self, vm):
         """Return the store with the faults of one VM."""
 
         async def append(topic, key, value, expected_end):
             mode = self.modes[vm]
-            await trio.sleep(0.004)
+            await trio.sleep(SLOW_STORE_S if mode == "store slow" else 0.004)
             if mode == "store down":
                 await trio.sleep(1.0)
                 return Err(Failure("append", "store", "down", True))
@@ -101,6 +123,8 @@
                 await trio.sleep(1.0)
                 return Err(Failure("append", "store", "late", True))
             done = self._append(key, value, expected_end)
+            if mode == "store slow":
+                await trio.sleep(SLOW_STORE_S)
             if mode == "store lost":
                 await trio.sleep(1.0)
                 return Err(Failure("append", "store", "lost", True))
@@ -118,7 +142,8 @@
             ]
             page = Page(records, len(self.records))
             # Reads from every third offset are answered only after 0.5 s.
-            await trio.sleep(0.004 if start % 3 else 0.5)
+            slow = self.modes[vm] == "store slow"
+            await trio.sleep(SLOW_STORE_S if slow else 0.004 if start % 3 else 0.5)
             return Ok(page)
 
         async def newest(topic, on_data=None):
@@ -185,9 +210,9 @@
 class Simulation:
     """Nodes, targets and partitions, with a check after each grant."""
 
-    def __init__(self, nursery, transport):
+    def __init__(self, nursery, transport, heartbeats=Heartbeats()):
         self.nursery = nursery
-        self.transport = transport
+        self.transport, self.heartbeats = transport, heartbeats
         self.store = SimulatedStore(nursery)
         # Mode of the calls to each target, and incarnation at the other end of the
         # connection of each node.
@@ -201,10 +226,13 @@
         self.displaced = {}
         self.last_processes = {}
         self.frozen = dict.fromkeys(VMS, False)
+        self.evacuated = dict.fromkeys(VMS, False)
         # All incarnations so far.
         self.incarnations = []
         self._process_numbers = itertools.count(1)
         self.reports_delayed = dict.fromkeys(VMS, False)
+        # VMs that get no reports and records from others, but still read and append.
+        self.reports_stopped = dict.fromkeys(VMS, False)
 
     def add_target(self, vm, late=False):
         """Start a new incarnation of a target, which sends a heartbeat at once.
@@ -295,7 +323,11 @@
             ),
         )  # fmt: skip
 
+        node.target.evacuated = self.evacuated[vm]
+
         def apply(record):
+            if record.key.startswith("other/"):
+                return
             if record.key.startswith("vm/"):
                 entry = (record.value, record.offset)
                 node.entries[record.key.removeprefix("vm/")] = entry
@@ -335,7 +367,8 @@
         """Deliver a report of released ranges, or records."""
         await trio.sleep(REPORT_DELAY_S if self.reports_delayed[vm] else 0.01)
         reachable = not (self._unreachable_s(vm) or self._unreachable_s(other))
-        if self.nodes[other] is None or not reachable:
+        stopped = self.reports_stopped[other]
+        if self.nodes[other] is None or not reachable or stopped:
             return
         node = self.nodes[other][0]
         if isinstance(frame, Update):
@@ -349,6 +382,8 @@
             node = self.nodes[name]
             if target is None or target.leaving or node is None:
                 continue
+            if self.evacuated[name]:
+                continue
             if name != vm and self._unreachable_s(name) > 0:
                 continue
             if node[0].target.incarnation == target.incarnation:
@@ -393,8 +428,13 @@
 
     async def send_heartbeats(self, vm):
         """Send the heartbeats of a VM's targets until cancelled."""
+        await trio.sleep(self.heartbeats.phases_s[VMS.index(vm)])
         while True:
-            await trio.sleep(HEARTBEAT_INTERVAL_S)
+            target = self.targets[vm]
+            released = target is not None and target.released
+            await trio.sleep(
+                self.heartbeats.release_interval_s if released else HEARTBEAT_INTERVAL_S
+            )
             target, node = self.targets[vm], self.nodes[vm]
             if target is None or node is None:
                 continue
@@ -546,6 +586,16 @@
                 self.unreachable_since[vm] = None
         elif kind in ("freeze", "thaw"):
             self.frozen[vm] = kind == "freeze"
+        elif kind in ("evacuate", "end evacuation"):
+            self.evacuated[vm] = kind == "evacuate"
+            if self.nodes[vm] is not None:
+                node = self.nodes[vm][0]
+                node.target.evacuated = self.evacuated[vm]
+                node.grant_caller.check_now()
+        elif kind == "topic busy":
+            self.nursery.start_soon(self.store.append_for_others)
+        elif kind == "stop reports":
+            self.reports_stopped[vm] = True
         elif kind == "delay reports":
             self.reports_delayed[vm] = True
         elif kind == "move keys" and self.nodes[vm] is not None:
@@ -561,10 +611,10 @@
             node.target.held.withdraw(key_range.start, middle)
 
 
-async def simulate(events, settle_s, transport):
+async def simulate(events, settle_s, transport, heartbeats):
     """Apply events with pauses between them and return the simulation."""
     async with trio.open_nursery() as nursery:
-        simulation = Simulation(nursery, transport)
+        simulation = Simulation(nursery, transport, heartbeats)
         for vm in VMS:
             simulation.start_node(vm)
             simulation.add_target(vm)
@@ -581,19 +631,23 @@
     return simulation
 
 
-def run(events, settle_s=0.0, transport="heartbeat"):
+def run(events, settle_s=0.0, transport="heartbeat", heartbeats=Heartbeats()):
     """Simulate events on a clock that skips idle time."""
     clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(simulate, events, settle_s, transport, clock=clock)
+    return trio.run(simulate, events, settle_s, transport, heartbeats, clock=clock)
 
 
 EVENTS = PROCESS_EVENTS + STORE_EVENTS + NETWORK_EVENTS
 
 
-def event_lists(kinds):
+# Pauses that are as long as heartbeats, reports and appends take.
+SHORT_PAUSES = (0, 0.05, 0.2, 0.45, 0.7, 3)
+
+
+def event_lists(kinds, pauses=(0, 1, 1, 3, 6)):
     """Return a strategy of lists of (kind, VM, pause)."""
     event = st.tuples(
-        st.sampled_from(kinds), st.sampled_from(VMS), st.sampled_from((0, 1, 1, 3, 6))
+        st.sampled_from(kinds), st.sampled_from(VMS), st.sampled_from(pauses)
     )
     return st.lists(event, min_size=2, max_size=14)
 
@@ -610,6 +664,60 @@
     run(events, transport="call")
 
 
+@pytest.mark.parametrize("transport", TRANSPORTS)
+@given(event_lists(EVENTS + EVACUATION_EVENTS + CALL_EVENTS, SHORT_PAUSES))
+def test_no_two_targets_serve_a_key_after_evacuations(transport, events):
+    """Guards against keys that are granted again after their release was reported."""
+    run(events, transport=transport)
+
+
+# Seconds by which the heartbeats of each VM follow those of the first one.
+PHASES_S = [(0.0, 0.3, 0.6), (0.3, 0.6, 0.0)]
+# What keeps the writer's change from the node, until the evacuation has ended.
+LATE_CHANGES = [
+    [("store slow", vm, 0) for vm in VMS],
+    [("topic busy", "a", 0)] + [("store slow", vm, 0) for vm in VMS],
+    [("topic busy", "a", 0.2)] + [("store slow", vm, 0) for vm in VMS],
+    [("delay reports", "b", 0)],
+    [("store late", "a", 0)],
+    [("store lost", "a", 0)],
+    [("stop reports", "b", 0), ("store slow", "b", 0)],
+    [("store late", "a", 0), ("stop reports", "a", 0), ("store slow", "c", 0)],
+]
+# What happens to the node or its target when it has ended.
+AFTER_EVACUATION = [
+    [],
+    [("evacuate", "b", 0.2), ("end evacuation", "b", 0)],
+    [("freeze", "b", 0.3), ("thaw", "b", 0)],
+    [("kill node", "b", 0), ("start node", "b", 0)],
+    [("kill target", "b", 0.1), ("start target", "b", 0)],
+    [("partition", "a", 1), ("reconnect", "a", 0)],
+    [("kill node", "a", 0)],
+    [("leave", "b", 0)],
+]
+
+
+@pytest.mark.parametrize(
+    "transport, heartbeats",
+    [("call", Heartbeats())] + [("heartbeat", Heartbeats(p, 0.1)) for p in PHASES_S],
+    ids=str,
+)
+@pytest.mark.parametrize("length", [0.3, 0.4, 0.5, 0.6])
+@pytest.mark.parametrize("after", AFTER_EVACUATION, ids=str)
+@pytest.mark.parametrize("late_change", LATE_CHANGES, ids=str)
+def test_evacuation_that_is_taken_back(
+    late_change, after, length, transport, heartbeats
+):
+    """Guards against keys granted again that another VM may still hand over."""
+    run(
+        [
+            *late_change, ("evacuate", "b", length), ("end evacuation", "b", 0),
+            *after, ("store ok", "b", 3),
+        ],
+        transport=transport, heartbeats=heartbeats,
+    )  # fmt: skip
+
+
 @pytest.mark.parametrize("transport", TRANSPORTS)
 @pytest.mark.parametrize("delay", [0.1, 0.35, 0.6, 0.85])
 @pytest.mark.parametrize("moves", [("b",), ("c", "b"), ("b", "b"), ("c", "c", "b")])
@@ -745,6 +853,10 @@
             run(events, transport=transport)
 
 
+BRIEFLY_EVACUATED = [("evacuate", "b", 0.3), ("end evacuation", "b", 0)]
+OTHERS_EVACUATED = [("evacuate", "a", 0), ("evacuate", "c", 0)]
+
+
 @pytest.mark.parametrize("transport", TRANSPORTS)
 @pytest.mark.parametrize(
     "events, settle_s",
@@ -764,6 +876,12 @@
         ([("calls unsent", "a", 3), ("calls ok", "a", 0)], 2.0),
         ([("releases late", "a", 0), ("move keys", "a", 0)], 16.0),
         ([("grants late", "a", 1), ("move keys", "a", 0), ("calls ok", "a", 0)], 6.0),
+        (BRIEFLY_EVACUATED, 5.0),
+        ([("delay reports", "b", 0), *BRIEFLY_EVACUATED], 6.0),
+        # No other VM may own keys when those of b come back.
+        ([*BRIEFLY_EVACUATED, *OTHERS_EVACUATED], 6.0),
+        ([("delay reports", "b", 0), *BRIEFLY_EVACUATED, *OTHERS_EVACUATED], 6.0),
+        ([("move keys", "b", 0), *OTHERS_EVACUATED], 6.0),
     ],
     ids=str,
 )
