Wait for the client before a connection is closed

Cause: the server closed a connection as soon as its last response was with the system. If the client sends its next request before it has read Connection: close, the system resets the connection and drops what is not sent yet.

Evidence: one exchange with the old server, 16 KB to a client with a small window. The response is whole if the client sends nothing more, and cut at 8192 bytes by a reset if it sends a request meanwhile. Nothing else differs.

Change: the node ends its sending side, and closes when its client has closed, has received nothing more for 2 s, or after 30 s (_lingering.py). After a last response, what arrives is read and discarded. After the idle and header time-outs, and for unused connections in a stop, a request that arrives stays unread, so that the client may send it again. At most 512 connections wait; a stop waits for them within its grace period only.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -1071,13 +1071,18 @@
         client_server.close_idle,
     )
     await client_server.drain(deadline)
-    log("stop_answers", busy=client_server.busy, running=node.admission.running)
+    log(
+        "stop_answers", busy=client_server.busy, running=node.admission.running,
+        lingering=client_server.lingering,
+    )  # fmt: skip
     for scope in list(node.active_scopes):
         scope.cancel()
     with trio.move_on_after(STOP_FINAL_RESPONSE_S / 2):
         while client_server.busy or node.replies_unsent:
             await trio.sleep(STOP_POLL_S)
         await _wait_until_received(node)
+        while client_server.lingering:
+            await trio.sleep(STOP_POLL_S)
 
 
 async def _wait_until_received(node):
--- a/packages/router/src/jujuberudder_router/_server.py
+++ b/packages/router/src/jujuberudder_router/_server.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 server: one task reads each client connection."""
 
-import contextlib
 import errno
 import socket
 import traceback
@@ -18,6 +17,7 @@
     parse,
     response_parts,
 )
+from ._lingering import LingeringConnections
 from ._memory import CLIENT_REQUEST, SMALL_BYTES, MemoryAccount
 from ._tcp_stream import TcpStream
 
@@ -42,9 +42,6 @@
 # connection in use gets its next request sooner, which is answered with
 # "Connection: close"; if it were closed, that request might be on its way.
 STOP_IDLE_S = 1.0
-# Time for which a connection whose client is still sending a refused request is read
-# after the refusal: a close would reset it, and the client might lose the refusal.
-LINGER_S = 2.0
 # Polling interval for open connections and unfinished requests during a stop.
 STOP_POLL_S = 0.03
 
@@ -105,6 +102,7 @@
         self.admit_body = admit_body or (lambda head: (0.0, lambda reason: []))
         self.may_run_ahead = may_run_ahead or (lambda message: False)
         self._connections = set()
+        self._lingering = LingeringConnections(log)
         self._open_listeners = 0
         self._accept_scope = trio.CancelScope()
         self.closing = False
@@ -114,6 +112,11 @@
         """Number of connections with an unanswered request."""
         return sum(1 for connection in self._connections if connection.busy)
 
+    @property
+    def lingering(self):
+        """Number of connections whose client may not have received all yet."""
+        return len(self._lingering)
+
     async def serve(self, address):
         """Accept connections until cancelled."""
         host, port = address
@@ -194,7 +197,7 @@
         self.stop_accepting()
         # The listeners close in tasks of their own, which accept what waits until then.
         while (
-            self._connections or self._open_listeners
+            self._connections or self._open_listeners or self.lingering
         ) and trio.current_time() < deadline:
             self.close_idle()
             await trio.sleep(STOP_POLL_S)
@@ -210,8 +213,9 @@
                 connection.stop_reading()
 
     async def _serve_connection(self, connection):
+        lingers = False
         try:
-            await connection.run()
+            lingers = await connection.run()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass  # The client disconnected; its request was cancelled with the nursery.
         except* Exception as group:
@@ -219,7 +223,11 @@
             self.log("connection_fault", **describe_fault(group))
         finally:
             self._connections.discard(connection)
-            connection.close()
+            connection.release()
+            if not lingers:
+                connection.stream.close()
+        if lingers:
+            await self._lingering.close(connection.stream, connection.answered_last)
 
     async def answer(self, message):
         """Return the handler's response, or a 502 if the handler raises."""
@@ -281,7 +289,7 @@
     """
 
     def __init__(self, stream, server):
-        self._stream = stream
+        self.stream = stream
         self._server = server
         self._message_parser = server.make_parser()
         self._nursery = None
@@ -300,7 +308,9 @@
         # Request whose response is next, and the answers to those after it that run.
         self._current = None
         self._ahead = deque()
-        self.busy = False
+        # Whether the client has closed its connection, or does not read.
+        self._client_lost = False
+        self.busy = self.answered_last = False
 
     @property
     def reading(self):
@@ -318,7 +328,7 @@
 
     def has_data(self):
         """Whether bytes have arrived that are not read yet."""
-        return is_readable(self._stream.socket)
+        return is_readable(self.stream.socket)
 
     def expired(self, now, limits):
         """Whether the idle or the header time-out has passed."""
@@ -328,9 +338,8 @@
             return now - self._last_used > limits.header_timeout_s
         return now - self._last_used > limits.idle_timeout_s
 
-    def close(self):
-        """Close the connection, and release the memory of unanswered requests."""
-        self._stream.close()
+    def release(self):
+        """Release the memory of unanswered requests."""
         self._message_parser.discard_body()
         for message in self._message_parser.messages:
             message.hold.close()
@@ -341,7 +350,13 @@
         self._read_scope.cancel()
 
     async def run(self):
-        """Read requests; a second task answers them in order."""
+        """Read requests; a second task answers them in order.
+
+        Returns
+        -------
+        lingers : bool
+            Whether the client may not have received all yet.
+        """
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
@@ -354,6 +369,7 @@
                 self._read_scope = trio.CancelScope()
             if not (self._read_scope.cancelled_caught and self.busy):
                 self.cancel(self._end_reason)
+        return not self._client_lost
 
     async def _read(self, nursery):
         messages = self._message_parser.messages
@@ -363,6 +379,7 @@
                 self._refuse("its body made no progress, and others wait for memory")
             elif not data:
                 self._end_reason = "the client closed its connection"
+                self._client_lost = True
                 return
             elif self._refusal is None:
                 self._parse(data)
@@ -384,10 +401,10 @@
     async def _receive(self):
         """Return received bytes, or None if a long body has lost its memory."""
         if not self._message_parser.reserved_bytes:
-            return await self._stream.receive_some(READ_BYTES)
+            return await self.stream.receive_some(READ_BYTES)
         with trio.CancelScope() as self._receive_scope:
             if not self._evicted:
-                return await self._stream.receive_some(READ_BYTES)
+                return await self.stream.receive_some(READ_BYTES)
         return None
 
     def _parse(self, data):
@@ -521,19 +538,20 @@
         if not await self._send(status, headers, body, keep_alive, message.hold):
             return False
         if not keep_alive:
-            self.cancel("the connection is not kept open")
+            self._end_after_response("the connection is not kept open")
         return keep_alive
 
+    def _end_after_response(self, reason):
+        """Close the connection; what the client sends from now on is not answered."""
+        self.answered_last = True
+        self.cancel(reason)
+
     async def _send_refusal(self):
-        """Refuse what was read last, and close when the client has stopped sending."""
+        """Refuse what was read last, and close the connection."""
         error, self._refused = self._refusal, True
         body = str(error).encode()
-        await self._send(error.status, error.headers, body, False)
-        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-            await self._stream.send_eof()
-        self.busy = False
-        await trio.sleep(LINGER_S)
-        self.cancel("a request was refused")
+        if await self._send(error.status, error.headers, body, False):
+            self._end_after_response("a request was refused")
 
     async def _send(self, status, headers, body, keep_alive, hold=None):
         """Send a response; close the connection and return False if it is not read."""
@@ -544,13 +562,13 @@
             if hold is not None:
                 hold.count(len(parts[0]))
             # Most responses fit in the buffer of the socket.
-            sent_bytes = self._stream.send_some(parts[0])
+            sent_bytes = self.stream.send_some(parts[0])
             if sent_bytes == len(parts[0]):
                 return True
             parts = [memoryview(parts[0])[sent_bytes:]]
         with trio.move_on_after(WRITE_TIMEOUT_S) as scope:
             for part in parts:
-                await self._stream.send_all(part)
+                await self.stream.send_all(part)
                 if len(parts) > 1:
                     hold.progressed()
                     await trio.lowlevel.checkpoint()
@@ -564,4 +582,5 @@
     def _report_unread(self, detail):
         reason = f"the client did not read the response {detail}"
         self._server.log("response_not_read", reason=reason)
+        self._client_lost = True
         self.cancel(reason)
--- a/packages/router/src/jujuberudder_router/_tcp_stream.py
+++ b/packages/router/src/jujuberudder_router/_tcp_stream.py
@@ -1,9 +1,14 @@
 """TCP connection whose short sends take neither a wait nor a checkpoint."""
 
+import fcntl
 import socket
+import struct
+import termios
 
 import trio
 
+from jujuberudder_base import is_ended
+
 
 class TcpStream:
     """A connected TCP socket, with the errors of ``trio.SocketStream``.
@@ -26,6 +31,24 @@
         """The socket, for checks of its state."""
         return self._socket
 
+    @property
+    def ended(self):
+        """Whether the other end has closed the connection or it is broken."""
+        return is_ended(self._socket)
+
+    @property
+    def unreceived_bytes(self):
+        """Bytes that the other end has not acknowledged; 0 if that is not known."""
+        try:
+            size = fcntl.ioctl(self._socket, termios.TIOCOUTQ, bytes(4))
+        except OSError:
+            return 0
+        return struct.unpack("i", size)[0]
+
+    async def wait_readable(self):
+        """Wait until bytes have arrived, or the other end has closed the connection."""
+        await trio.lowlevel.wait_readable(self._socket)
+
     async def receive_some(self, max_bytes):
         """Wait for bytes and return them; none at the end of the stream.
 
@@ -72,7 +95,7 @@
         except OSError as error:
             raise _broken(error) from error
 
-    async def send_eof(self):
+    def end_sending(self):
         """End the sending side of the connection.
 
         Raises
@@ -85,6 +108,14 @@
         except OSError as error:
             raise _broken(error) from error
 
+    def discard_received(self, max_bytes):
+        """Discard bytes that have arrived, without a wait."""
+        if self._socket.fileno() >= 0:
+            try:
+                self._socket.recv(max_bytes)
+            except OSError:
+                pass  # No bytes have arrived, or the connection is broken.
+
     def close(self):
         """Close the connection; a task that waits for it gets an error."""
         if self._socket.fileno() >= 0:
