--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -35,6 +35,7 @@
 from jujuberudder_router import _ownership as ownership_module
 from jujuberudder_router._follower import Follower
 from jujuberudder_router._frames import Update
+from jujuberudder_router._given_up import GivenUpKeys
 from jujuberudder_router._grant_calls import GrantCaller, GrantCalls
 from jujuberudder_router._held_keys import HeldKeys
 from jujuberudder_router._keymap import Owner
@@ -826,6 +827,13 @@
             ("move keys", "b", 3),
         ],
     ),
+    "reported keys are granted only after the key map has changed": (
+        (GivenUpKeys, "without", lambda given_up, key_ranges: tuple(key_ranges)),
+        [
+            ("delay reports", "b", 0), ("evacuate", "b", 0.4),
+            ("end evacuation", "b", 3),
+        ],
+    ),
     "no calls between the end of a connection and the next heartbeat": (
         (GrantCaller, "_may_call", lambda caller: True),
         # The target restarts just after a heartbeat.
