Keep the number of waiting connections bounded in a burst

Cause: beyond the bound, the oldest connection is closed, but it left the list only when its task ran. Connections that were added before that closed the same one again, and the bound was exceeded until the others gave up.

Change: the connection leaves the list when it is chosen.

Result: test_connections_that_begin_to_wait_at_the_same_time failed before with 7 instead of 3 connections, and passes.

--- a/packages/router/src/jujuberudder_router/_lingering.py
+++ b/packages/router/src/jujuberudder_router/_lingering.py
@@ -58,14 +58,16 @@
         scope = trio.CancelScope()
         self._scopes.append(scope)
         if len(self._scopes) > MAX_LINGERING:
-            self._scopes[0].cancel()
+            # Its task ends later; until then others may be added.
+            self._scopes.pop(0).cancel()
         try:
             with scope:
                 await _wait_for_client(stream, discard)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass  # The client has reset the connection.
         finally:
-            self._scopes.remove(scope)
+            if scope in self._scopes:
+                self._scopes.remove(scope)
             if discard:
                 stream.discard_received(FINAL_READ_BYTES)
             self._log_unreceived(stream)
--- a/tests/router/test_lingering.py
+++ b/tests/router/test_lingering.py
@@ -255,6 +255,20 @@
         self.events.append("closed")
 
 
+async def test_connections_that_begin_to_wait_at_the_same_time(
+    autojump_clock, nursery, monkeypatch
+):
+    """Guards against a bound that a burst of closes exceeds."""
+    monkeypatch.setattr(lingering_module, "MAX_LINGERING", 3)
+    connections = LingeringConnections(log_nothing)
+    streams = [SimulatedStream([], 99.0, False) for _ in range(8)]
+    for stream in streams:
+        nursery.start_soon(connections.close, stream, True)
+    await trio.sleep(0.5)
+    assert len(connections) == 3
+    assert sum("closed" in stream.events for stream in streams) == 5
+
+
 @pytest.mark.parametrize("discard", [False, True], ids=["unread", "discarded"])
 async def test_end_of_the_process_closes_what_waits(autojump_clock, discard):
     """Guards against bytes that are left unread, and reset the connection, at a close.
