Skip the work for releases when there are none, and restore a bound

Cause: each heartbeat and call of grants built lists of released and given up ranges, also when there were none.

--- a/packages/router/src/jujuberudder_router/_given_up.py
+++ b/packages/router/src/jujuberudder_router/_given_up.py
@@ -49,6 +49,8 @@
         -------
         tuple of KeyRange
         """
+        if not self._ranges:
+            return tuple(key_ranges)
         kept = []
         for key_range in key_ranges:
             given_up = [(r.start, r.end) for r in self._ranges if _is_in(r, key_range)]
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -592,14 +592,17 @@
 
         A previous process of this node may have planned to move them.
         """
+        if not self._released:
+            return
         granted = [(r.start, r.end) for r in key_ranges]
+        released = [(start, end, "") for start, end in self._released]
         again = [
             (r.start, r.end, r.fence)
             for r in key_ranges
-            if _overlaps(r.start, r.end, [(s, e, "") for s, e in self._released])
+            if _overlaps(r.start, r.end, released)
         ]
         if again:
-            self._node.log("keys_granted_again", ranges=format_ranges(again))
+            self._node.log("keys_granted_again", ranges=_format_ranges(again))
         self._released = {
             part: released
             for (start, end), released in self._released.items()
@@ -793,7 +796,7 @@
             self._reports[key] = (release, report.node_incarnation, now)
         self._node.log(
             "releases_received", reported_by=report.vm, process=report.node_incarnation,
-            ranges=format_ranges(report.ranges),
+            ranges=_format_ranges(report.ranges),
         )  # fmt: skip
 
     def _reported_releases(self, now):
@@ -858,7 +861,7 @@
             )
             self._node.peers.send_soon(writer, report)
             self._node.log(
-                "releases_reported", writer=writer, ranges=format_ranges(ranges)
+                "releases_reported", writer=writer, ranges=_format_ranges(ranges)
             )
         return own
 
@@ -1056,7 +1059,7 @@
     return any(s <= end and start <= e for s, e, _ in ranges)
 
 
-def format_ranges(ranges):
+def _format_ranges(ranges):
     """Return the bounds and fences of ranges (start, end, fence, ...) for the log."""
     shown = [f"{start}-{end}/{fence}" for start, end, fence, *_ in ranges]
     more = len(shown) - MAX_LOGGED_RANGES
--- a/tests/router/test_lingering.py
+++ b/tests/router/test_lingering.py
@@ -192,7 +192,7 @@
     assert setup.account.used_bytes == 0
     started = trio.current_time()
     await setup.server.drain(started + 0.5)
-    assert 0.5 <= trio.current_time() - started < 5.0
+    assert 0.5 <= trio.current_time() - started < 0.9
     setup.scope.cancel()
     await setup.wait_until(lambda: not setup.server.lingering)
 
@@ -218,8 +218,6 @@
 class SimulatedStream:
     """A connection whose client acknowledges bytes and closes at set times."""
 
-    socket = None
-
     def __init__(self, acknowledged_at, closed_at, sends):
         self._acknowledged_at, self._closed_at = acknowledged_at, closed_at
         self._sends = sends
