--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,96 +1,73 @@
-"""An upstream that sheds sends copies of some answers late; bookings may run once."""
+"""A heartbeat of another writer, without an address, names an upstream that leaves."""
 
 import asyncio
+import json
 import pathlib
-import random
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib-3"))
 
 import standins
-from standins import TROUBLE, encode, now
+from standins import TROUBLE
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-# Doses of the site file: an upstream sheds 0.45 of its requests for 6.5 s (srv_grey,
-# "shed"), and 0.03 of its answers come a second time, for 5 s (garble, "extra late").
-# Both come again after a pause.
-SHED_SHARE, SHED_S, COPY_SHARE, COPY_S, PAUSE_S = 0.45, 6.5, 0.03, 5.0, 1.0
-# The answer "a server sheds" as `fleetbench wire` prints it.
-SHED = encode("HTTP/1.1 503 Service Unavailable", {"Jujuberudder-Not-Executed": "1"})
-REQUESTS, RATE = 1800, 25
-random_ = random.Random(14)
+KEYS = (5, 30000, 60000)
+# "Two upstreams that are up hold the same keys for over half a second".
+MAX_OVERLAP_S = 0.5
 
 
 async def case(world):
     host, names = "h.example", ("m00", "m01", "m02")
-    route = (host, "/o/", "non_idempotent", "orders", 2.0, 2)
-    world.publish(3, [route], {"orders": False})
+    world.publish(3, [(host, "/j/", "idempotent", "jobs", 2.0, 2)], {"jobs": True})
     for name, zone in zip(names, "abc"):
-        await world.add_machine_running(name, zone, "orders", work_s=0.1)
-    answers = {}
+        await world.add_machine_running(name, zone, "jobs", keyed=True)
 
-    async def send():
-        name = random_.choice(names)
-        request_id, status, _ = await world.request(
-            name, host, "/o/1", 2000, method="POST", body=b"one booking"
+    async def send_all():
+        answers = await asyncio.gather(
+            *(
+                world.request(name, host, "/j/1", 2000, key=key)
+                for name in names
+                for key in KEYS
+            )
         )
-        answers[request_id] = status
-        return status
+        return [status for _, status, _ in answers]
 
     async def all_served():
-        return {await send() for _ in range(9)} == {200}
+        return set(await send_all()) == {200}
 
     await world.wait(all_served, 30, "service on all machines")
-    counts = {"answers": 0, "copies": 0, "copies of sheds": 0}
-    started = now()
-
-    def lasts(length_s):
-        """Whether a disruption of this length, with pauses between, lasts now."""
-        return (now() - started) % (length_s + PAUSE_S) < length_s
-
-    # Connection to the copy of its last answer that is still to come.
-    copies = {}
-
-    async def respond(upstream, message, reader, writer):
-        if writer in copies:
-            writer.write(copies.pop(writer))
-        request_id = message.headers["jujuberudder-request-id"]
-        shed = lasts(SHED_S) and random_.random() < SHED_SHARE
-        if shed:
-            answer = SHED
-            world.record(f"{upstream.id} sheds {request_id}")
-        else:
-            answer = await upstream.run(request_id, message)
-        counts["answers"] += 1
-        if TROUBLE and lasts(COPY_S) and random_.random() < COPY_SHARE:
-            counts["copies"] += 1
-            counts["copies of sheds"] += shed
-            copies[writer] = answer
-            world.record(f"a copy of the answer to {request_id} will come late")
-        writer.write(answer)
-        return True
-
-    world.upstreams["m01"].respond = respond
-    tasks = []
-    for _ in range(REQUESTS):
-        tasks.append(asyncio.create_task(send()))
-        await asyncio.sleep(1 / RATE)
-    await asyncio.gather(*tasks)
-    await asyncio.sleep(2)
-    broken = 0
-    for request_id, status in answers.items():
-        runs = [upstream for _, upstream, _ in world.runs.get(request_id, [])]
-        if len(runs) > 1:
-            broken += 1
-            world.record(f"TWICE: {request_id} ran at {runs}, its answer was {status}")
-        elif runs and status in (408, 421, 429, 503):
-            broken += 1
-            world.record(
-                f"REFUSED: {request_id} ran at {runs}, its answer was {status}"
-            )
-    world.record(f"{len(answers)} requests, upstream of m01: {counts}, {broken} broken")
-    print(f"{len(answers)} requests, upstream of m01: {counts}, {broken} broken")
-    return broken > 0
+    asyncio.create_task(world.watch_owners())
+    await asyncio.sleep(3)
+    upstream = world.upstreams["m01"]
+    world.record(f"{upstream.id} holds {upstream.held()} and serves")
+    if TROUBLE:
+        # All fields of a heartbeat but its address.
+        body = {
+            "born": int(time.time() * 1000),
+            "info": {
+                "service": "jobs", "version": "v1", "zone": "b", "slots": 6,
+            },
+            "status": {"state": "draining", "sequence": 1, "coldRemainingS": 0},
+        }  # fmt: skip
+        answer = await standins.post(
+            upstream.machine["control"], "/instances/i-other/heartbeat",
+            json.dumps(body).encode(), 1.0,
+        )  # fmt: skip
+        first, content = (answer.first, answer.body) if answer else (None, None)
+        world.record(f"heartbeat of i-other without address: {first} {content}")
+    statuses = []
+    for _ in range(60):
+        statuses += await send_all()
+        await asyncio.sleep(0.1)
+    served = statuses.count(200)
+    world.record(
+        f"{served} of {len(statuses)} requests served; longest time in which two "
+        f"upstreams held the same keys: {world.overlap_s:.2f} s; {upstream.id} holds "
+        f"{upstream.held()}"
+    )
+    print(f"two upstreams held the same keys for {world.overlap_s:.2f} s")
+    return world.overlap_s > MAX_OVERLAP_S
 
 
 standins.run_case(case, FOLDER)
