Keep the keys of a target from messages of other writers

Cause: the parser took defaults for missing fields, so that a message that names no target began a new incarnation; and a new incarnation counted as proof that the last one had ended, so that its grants were forgotten and its keys freed at once.

Change: all fields of a heartbeat and the start in a deregistration are checked, by type and range, and against this VM's service, zone and address; what fails changes nothing and is not acknowledged. Grants to earlier incarnations are kept until their latest end, and neither other VMs nor the new incarnation get their keys before. A sequence number that another writer stated ends to count when the target is overdue. Membership entries are checked as key maps were, and a VM writes its own again when it was replaced.

A deregistration with an unreadable body ended the target in two tests; that another writer may send one is stated in the protocol, and the tests now expect that it is not acknowledged and changes nothing. The heartbeats of two tests lacked fields and have them now. The test of odd addresses waits for the refusal of the entry; that such an address can be dialed without harm is a test of its own.

Simulation of the protocol with claimed incarnations: passes, and fails with either rule disabled.

--- a/packages/router/src/jujuberudder_router/__init__.py
+++ b/packages/router/src/jujuberudder_router/__init__.py
@@ -29,6 +29,7 @@
 from ._target import ResponseCheck, TargetLoad
 from ._tcp_stream import TcpStream
 from ._types import (
+    KEY_COUNT,
     VM,
     Configuration,
     Grant,
@@ -59,6 +60,7 @@
     "HedgingLimits",
     "HttpError",
     "HttpMessage",
+    "KEY_COUNT",
     "KeyMap",
     "KeyRange",
     "Limits",
--- a/packages/router/src/jujuberudder_router/_held_keys.py
+++ b/packages/router/src/jujuberudder_router/_held_keys.py
@@ -60,6 +60,8 @@
     def __init__(self):
         # Acknowledged grants up to their earliest end, and all grants up to the latest.
         self._usable, self._possible = [], []
+        # Grants to earlier incarnations of the target up to their latest end.
+        self._earlier = []
         self._open_calls = {}
         self._call_ids = itertools.count()
         self._distrusted = []
@@ -74,6 +76,11 @@
         self._drop_ended(now)
         return tuple(self._possible)
 
+    def earlier(self, now):
+        """Return the ranges that earlier incarnations may hold, as ``HeldRange``."""
+        self._drop_ended(now)
+        return tuple(self._earlier)
+
     def open_calls(self, now):
         """Return the grants without a response that may still be applied."""
         self._drop_ended(now)
@@ -133,8 +140,15 @@
     def reset(self):
         """Record that a new incarnation of the target holds nothing.
 
-        A grant without a response may reach it in place of its predecessor.
+        Its predecessor may hold its keys until their grants end: what names the new
+        incarnation does not show that the process of the earlier one has ended. A grant
+        without a response may reach either of them.
         """
+        self._earlier += self._possible
+        self._earlier += [
+            HeldRange(c.start, c.end, c.fence, c.until)
+            for c in self._open_calls.values()
+        ]
         self._usable, self._possible, self._distrusted = [], [], []
 
     def covers(self, key, now):
@@ -161,21 +175,19 @@
 
     def expiry(self, start=0, end=KEY_COUNT - 1):
         """Return by when all grants of keys [start, end] have ended; 0 without any."""
-        held = [*self._possible, *self._open_calls.values()]
-        ends = (h.until for h in held if h.start <= end and start <= h.end)
-        return max(ends, default=0.0)
+        held = [*self._possible, *self._earlier, *self._open_calls.values()]
+        return _latest_end(held, start, end)
+
+    def earlier_expiry(self, start, end):
+        """Return by when grants of the keys to earlier incarnations have ended."""
+        return _latest_end(self._earlier, start, end)
 
     def open_call_expiry(self, start, end):
         """Return by when grants of the keys without a response have ended; 0 if none.
 
         Until then the target may apply them, also after it has released the keys.
         """
-        ends = (
-            c.until
-            for c in self._open_calls.values()
-            if c.start <= end and start <= c.end
-        )
-        return max(ends, default=0.0)
+        return _latest_end(self._open_calls.values(), start, end)
 
     def disown(self, key, now):
         """Record that the target stated that it does not hold a key.
@@ -217,12 +229,19 @@
     def _drop_ended(self, now):
         self._usable = [r for r in self._usable if r.until > now]
         self._possible = [r for r in self._possible if r.until > now]
+        self._earlier = [r for r in self._earlier if r.until > now]
         self._distrusted = [
             d for d in self._distrusted if d.until > now - DISTRUST_MEMORY_S
         ]
         self._open_calls = {n: c for n, c in self._open_calls.items() if c.until > now}
 
 
+def _latest_end(held, start, end):
+    """Return the latest end of grants that overlap the keys [start, end]; 0 if none."""
+    ends = (h.until for h in held if h.start <= end and start <= h.end)
+    return max(ends, default=0.0)
+
+
 def _cut(ranges, start, end):
     """Return ranges without the keys [start, end]."""
     parts = []
--- a/packages/router/src/jujuberudder_router/_keymap.py
+++ b/packages/router/src/jujuberudder_router/_keymap.py
@@ -89,21 +89,21 @@
     )
 
 
-def assign_to_new_incarnation(keymap, owner):
+def assign_to_new_incarnation(keymap, owner, held=()):
     """Assign the ranges of a VM to the new incarnation of its target.
 
-    The new incarnation serves no keys yet, so its ranges get a new fence.
+    The new incarnation serves no keys yet, so its ranges get a new fence. Ranges that
+    overlap ``held``, a list of (start, end), stay unchanged: an earlier incarnation may
+    still hold them.
     """
-    kept = [
-        r
-        for r in keymap.ranges
-        if r.vm != owner.vm or r.target_incarnation == owner.target_incarnation
-    ]
     restarted = [
         r
         for r in keymap.ranges
-        if r.vm == owner.vm and r.target_incarnation != owner.target_incarnation
+        if r.vm == owner.vm
+        and r.target_incarnation != owner.target_incarnation
+        and not any(low <= r.end and r.start <= high for low, high in held)
     ]
+    kept = [r for r in keymap.ranges if r not in restarted]
     return _with_new_ranges(
         keymap, kept, [(r.start, r.end, owner, "") for r in restarted]
     )
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -1,6 +1,8 @@
 """Membership: this VM's entry in the store, and the entries of others."""
 
+import math
 import secrets
+from ipaddress import ip_address
 
 import msgspec
 import trio
@@ -8,6 +10,7 @@
 
 from ._era import may_apply
 from ._frames import Hello
+from ._http import parse_address
 from ._keymap import check_keymap
 from ._store import MEMBERSHIP_TOPIC
 from ._types import VM, KeyMap
@@ -19,12 +22,37 @@
 # written again. After a restart the entry names the target of the previous one without
 # a wait.
 FIRST_HEARTBEAT_WAIT_S = 2.0
+# Greatest port, and greatest number of slots in an entry.
+MAX_PORT, MAX_SLOTS = 65535, 65535
 
 _vm_encoder = msgspec.msgpack.Encoder()
 _vm_decoder = msgspec.msgpack.Decoder(VM)
 _keymap_decoder = msgspec.msgpack.Decoder(KeyMap)
 
 
+def check_vm(vm, name):
+    """Check the entry of a VM.
+
+    Raises
+    ------
+    ValueError
+        The message names the field that is invalid.
+    """
+    if vm.name != name:
+        raise ValueError(f"the entry of {vm.name!r}")
+    host, port = parse_address(vm.address)
+    ip_address(host)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"port {port}")
+    if not 0 <= vm.slots <= MAX_SLOTS:
+        raise ValueError(f"{vm.slots} slots")
+    if not 0 <= vm.link_mbps < math.inf:
+        raise ValueError(f"a link of {vm.link_mbps} Mbit/s")
+    for field in ("node_incarnation", "zone", "service"):
+        if not getattr(vm, field):
+            raise ValueError(f"the {field} is empty")
+
+
 class Membership:
     """Announces this VM and applies the entries of others.
 
@@ -138,10 +166,14 @@
                 "record_unreadable", key=record.key, offset=record.offset,
                 reason=str(error),
             )  # fmt: skip
+            if kind == "vm" and name == self._node.settings.vm:
+                self._write_again()
 
     def _apply_keymap(self, service, record):
         keymap = _keymap_decoder.decode(record.value)
         check_keymap(keymap)
+        if keymap.service != service:
+            raise ValueError(f"a key map of {keymap.service!r}")
         own = service == self._node.settings.service
         if own:
             self.stored_keymap = keymap
@@ -166,10 +198,14 @@
     def _apply_vm(self, name, record):
         vms, value = self._node.vms, record.value
         if not value:
+            if name == self._node.settings.vm:
+                self._write_again()
+                return
             vms.remove(name)
             self._node.peers.drop(name)
             return
         vm = _vm_decoder.decode(value)
+        check_vm(vm, name)
         previous = vms.get(name)
         vms.put(vm)
         if name == self._node.settings.vm:
@@ -196,8 +232,13 @@
         if self._entry_offset is None or node_incarnation in self._replaced:
             return
         self._replaced.add(node_incarnation)
-        self._written_entry = None
-        self._entry_changed.set()
+        self._write_again()
+
+    def _write_again(self):
+        """Write the entry again, which another record has replaced."""
+        if self._entry_offset is not None:
+            self._written_entry = None
+            self._entry_changed.set()
 
     async def run(self):
         """Write the entry whenever it changes, until cancelled."""
--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -53,6 +53,8 @@
     "starved_starts": "slots given to a route that had got none for too long",
     "called_route_changed": "routes found to be called by targets, or no more",
     "store_era": "topics read anew because the store came back from an older copy",
+    "heartbeats_ignored": "readable heartbeats that are not of the target beside the "
+    "node",
     "key_map_old": "key maps read that are older than the known one",
     "key_map_restored": "key maps appended because the store lacked them in a new era",
     "key_map_settled": "key maps appended that end the wait after a new era",
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -50,7 +51,12 @@
 from ._speeds import SpeedTable, draw_by_weight, reported_factor
 from ._status import key_status, node_status
 from ._store import MEMBERSHIP_TOPIC, OPERATOR_TOPIC
-from ._target import Target, make_target_handler
+from ._target import (
+    Target,
+    find_mismatch,
+    is_plausible_start,
+    make_target_handler,
+)
 from ._types import KEY_COUNT, Limits, Settings
 
 # Minimum and maximum time that a read of the configuration topic waits for a record.
@@ -210,6 +216,7 @@
             settings.retry_window_s,
         )
         self.hedging = Hedging(settings.hedging) if settings.hedging else None
+        self._unix_time = time.time
         self._random = random.Random(settings.vm)
         self.jitter = self._random.random
         self.account = MemoryAccount(body_limit(settings.memory_bytes), log)
@@ -870,19 +877,24 @@
         )  # fmt: skip
 
     def handle_heartbeat(self, heartbeat):
-        """Apply a heartbeat of the target on this VM; return its ``Grant`` or None."""
+        """Apply a heartbeat of the target on this VM.
+
+        Returns
+        -------
+        acknowledged : bool
+            False if the heartbeat is not one of the target on this VM.
+        grant : Grant or None
+        """
         now = trio.current_time()
-        if heartbeat.service != self.settings.service:
-            self.log(
-                "beat_of_other_service",
-                target=heartbeat.target,
-                service=heartbeat.service,
-            )
-            return None
+        mismatch = find_mismatch(heartbeat, self.settings, self._unix_time())
+        if mismatch is not None:
+            self.metrics.count("heartbeats_ignored")
+            self.log("beat_ignored", target=heartbeat.target, reason=mismatch)
+            return False, None
         change = self.target.apply_heartbeat(heartbeat, now)
         if change == "old":
             self.log("beat_late", target=heartbeat.target, sequence=heartbeat.sequence)
-            return None
+            return True, None
         if change == "life":
             self.admission.rate_limiter = RateLimiter()
             self.log(
@@ -895,10 +907,10 @@
         self.ownership.on_heartbeat(heartbeat, now)
         if self.grants_by_call:
             self.grant_caller.on_heartbeat()
-            return None
+            return True, None
         grant = self.ownership.grant(now)
         self.admission.dispatch()
-        return grant
+        return True, grant
 
     async def handle_deregister(self, target_id, started_ms=None):
         """Mark a target as leaving, and wait a little until that is in the store.
@@ -918,6 +930,14 @@
             False if it is not known which process of the target is to get no more
             requests.
         """
+        if started_ms is not None and not is_plausible_start(
+            started_ms, self._unix_time()
+        ):
+            self.log(
+                "deregister_ignored", target=f"{target_id}@{started_ms}",
+                reason="its start is later than now",
+            )  # fmt: skip
+            return False
         target = self.target
         known = (target.incarnation, target.leaving)
         if not target.apply_deregistration(target_id, started_ms):
--- a/packages/router/src/jujuberudder_router/_ownership.py
+++ b/packages/router/src/jujuberudder_router/_ownership.py
@@ -153,6 +153,8 @@
         Present era of the store.
     given_up : list of GivenUpRange
         Ranges of this VM whose release was reported.
+    earlier_held : list of (start, end)
+        Ranges that earlier incarnations of this VM's target may still hold.
     """
 
     now: float
@@ -169,6 +171,7 @@
     refused_fences: list = []
     era: EraState = EraState()
     given_up: list = []
+    earlier_held: list = []
 
 
 class KeyMapChange(NamedTuple):
@@ -219,18 +222,12 @@
     if handed_over != keymap:
         return KeyMapChange(handed_over, "key ranges were released")
     waits = waits_for_leases(view.era)
-    if (
-        view.owner
-        and not waits
-        and any(
-            r.vm == vm and r.target_incarnation != view.owner.target_incarnation
-            for r in keymap.ranges
-        )
-    ):
-        return KeyMapChange(
-            _keymap.assign_to_new_incarnation(keymap, view.owner),
-            "the target restarted",
+    if view.owner and not waits:
+        assigned = _keymap.assign_to_new_incarnation(
+            keymap, view.owner, view.earlier_held
         )
+        if assigned != keymap:
+            return KeyMapChange(assigned, "the target restarted")
     if view.owner and view.refused_fences:
         return KeyMapChange(
             _keymap.renew_fences(keymap, view.refused_fences),
@@ -456,7 +453,11 @@
     def on_heartbeat(self, heartbeat, now):
         """Record the ranges that a heartbeat reports as released, and plan moves."""
         for start, end, handover in heartbeat.released:
-            self.record_release(start, end, handover)
+            # It speaks for this incarnation of the target alone.
+            usable_at = self._node.target.held.earlier_expiry(start, end)
+            if usable_at:
+                usable_at += SAFETY_MARGIN_S
+            self.record_release(start, end, handover, usable_at)
         if self._may_move(now):
             self._plan_move(now)
 
@@ -914,6 +915,7 @@
             now - self._started - self._follower.batch_delay_s,
             sorted(self._refused_fences), self._era_state(now),
             self._given_up_keys.ranges,
+            [(r.start, r.end) for r in node.target.held.earlier(now)],
         )  # fmt: skip
 
     def _log_standing_suspicions(self, view):
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -22,6 +22,12 @@
 # Time without a heartbeat after which a target counts as failed: about the validity of
 # a grant, and three heartbeats.
 HEARTBEAT_TIMEOUT_S = 2.6
+# Greatest step of a VM's time of day, in seconds. The target reads it when it starts,
+# and the platform states that it jumps by seconds.
+CLOCK_STEP_S = 10.0
+# Heartbeats that a target has sent at most: per second since its start, ten times those
+# after a release, and in all before, as the time of day may have jumped.
+SEQUENCE_RATE, SEQUENCE_SLACK = 100.0, 1000
 # Time after a request's deadline at which its exchange with the target ends. The node
 # that sent the request cancels it at the deadline, unless that node was lost.
 DEADLINE_MARGIN_S = 0.3
@@ -59,6 +65,36 @@
     key_not_held: bool = False
 
 
+def find_mismatch(heartbeat, settings, unix_time_s):
+    """Return why a heartbeat is not one of the target beside this node, or None.
+
+    Parameters
+    ----------
+    heartbeat : Heartbeat
+    settings : Settings
+    unix_time_s : float
+        Time of day in seconds.
+    """
+    for name, stated, own in (
+        ("service", heartbeat.service, settings.service),
+        ("zone", heartbeat.zone, settings.zone),
+        ("address", heartbeat.address, settings.target_address),
+    ):
+        if stated != own:
+            return f"its {name} is {stated!r}, not {own!r}"
+    if not is_plausible_start(heartbeat.started_ms, unix_time_s):
+        return f"its start is {heartbeat.started_ms} ms, later than now"
+    age_s = max(0.0, unix_time_s - heartbeat.started_ms / 1000)
+    if heartbeat.sequence > SEQUENCE_SLACK + SEQUENCE_RATE * age_s:
+        return f"its sequence number is {heartbeat.sequence} after {age_s:.1f} s"
+    return None
+
+
+def is_plausible_start(started_ms, unix_time_s):
+    """Whether a target may have started at a Unix time in ms, as far as clocks tell."""
+    return started_ms / 1000 <= unix_time_s + CLOCK_STEP_S
+
+
 class Target:
     """State of the target beside the node.
 
@@ -126,7 +162,10 @@
         if (heartbeat.target, heartbeat.started_ms) != (self.id, self.started_ms):
             change = "life"
             self._begin_incarnation(heartbeat.target, heartbeat.started_ms)
-        if heartbeat.sequence < self.sequence:
+        # A sequence number that the target has not reached yet is not its own. Its
+        # grants have ended by the time when its heartbeats count as overdue, so that
+        # ranges in a late one are no longer held.
+        if heartbeat.sequence < self.sequence and not self.heartbeat_overdue(now):
             return "old"
         self.sequence = heartbeat.sequence
         self.heartbeat_at = now
--- a/packages/router/src/jujuberudder_router/_types.py
+++ b/packages/router/src/jujuberudder_router/_types.py
@@ -137,6 +137,8 @@
         Key ranges that the target may serve or still processes requests of.
     released : tuple of (start, end, handover)
         Key ranges released since the last acknowledged heartbeat.
+    address : str
+        Address at which the target serves requests.
     """
 
     target: str
@@ -149,6 +151,7 @@
     warm_up_remaining_s: float | None
     held: tuple = ()
     released: tuple = ()
+    address: str = ""
 
 
 class Grant(NamedTuple):
--- a/tests/router/test_deregistration.py
+++ b/tests/router/test_deregistration.py
@@ -19,11 +19,15 @@
 def call(verb, target, started_ms, sequence=0):
     """Return a heartbeat that says that the target is ready, or a deregistration."""
     body = {"born": started_ms}
+    if started_ms is None:
+        body = None
     if verb == "heartbeat":
+        body["address"] = "127.0.0.1:1"
         body["info"] = {"service": "orders", "zone": "z", "version": "v", "slots": 4}
         body["status"] = {"state": "ready", "sequence": sequence, "coldRemainingS": 0}
     path = f"/instances/{target}/{verb}".encode()
-    return HttpMessage(b"POST", path, 0, [], json.dumps(body).encode(), True)
+    data = b"" if body is None else json.dumps(body).encode()
+    return HttpMessage(b"POST", path, 0, [], data, True)
 
 
 @pytest.mark.parametrize(
--- a/tests/router/test_odd_records.py
+++ b/tests/router/test_odd_records.py
@@ -9,18 +9,24 @@
 from jujuberudder_emulator import run_deployment
 from jujuberudder_router import VM, ConnectionPool, KeyMap, KeyRange, Record
 from jujuberudder_router._frames import FrameBuffer, encode_frame
+from jujuberudder_router._http import dial
 
 from .test_store_out_of_reach import make_node
 
+ODD_ADDRESSES = [
+    "", "vm-9", "vm-9:", "vm-9:http", "127.0.0.1:0", "127.0.0.1:70000",
+    "127.0.0.1:-1", f"{'9' * 5000}:1", "\u00e9" * 70 + ":1", "a..b:1", "\0:1",
+]  # fmt: skip
 
-@pytest.mark.parametrize(
-    "address",
-    [
-        "", "vm-9", "vm-9:", "vm-9:http", "127.0.0.1:0", "127.0.0.1:70000",
-        "127.0.0.1:-1", f"{'9' * 5000}:1", "\u00e9" * 70 + ":1", "a..b:1", "\0:1",
-    ],
-    ids=lambda address: ascii(address)[:20],
-)  # fmt: skip
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES, ids=lambda a: ascii(a)[:20])
+async def test_odd_address_cannot_be_dialed(address):
+    """Guards against an address whose error ends the task that dials it."""
+    with pytest.raises(OSError):
+        await dial(address, 1.0, 1.0)
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES, ids=lambda a: ascii(a)[:20])
 async def test_odd_address_of_a_vm_does_not_end_the_node(address):
     """Guards against a membership entry that ends each node that dials its address."""
     async with run_deployment("orders") as deployment:
@@ -34,8 +40,10 @@
         value = msgspec.msgpack.encode(entry)
         deployment.store.put("keyed.fleet", "vm/vm-9", value)
         with trio.fail_after(5):
-            while not any("peer_connect_failed" in line for line in vm.lines):
+            while not any("record_unreadable" in line for line in vm.lines):
                 await trio.sleep(0.05)
+        await trio.sleep(0.5)
+        assert not any("peer_connect_failed" in line for line in vm.lines)
         assert await serves()
 
 
@@ -96,10 +104,17 @@
         body = json.dumps(
             {
                 "born": vm.target.started_ms,
-                "info": {"service": "orders", "zone": "z", "slots": counts["slots"]},
-                "status": {"state": "ready", "sequence": counts["sequence"]},
+                "address": vm.target_address,
+                "info": {
+                    "service": "orders", "version": "v1", "zone": "z",
+                    "slots": counts["slots"],
+                },
+                "status": {
+                    "state": "ready", "sequence": counts["sequence"],
+                    "coldRemainingS": 0,
+                },
             }
-        ).encode()
+        ).encode()  # fmt: skip
         pool = ConnectionPool(vm.heartbeat_address, 1.0, 1.0)
         await pool.exchange(
             b"POST /instances/%s/heartbeat HTTP/1.1\r\ncontent-length: %d\r\n\r\n%s"
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -62,6 +62,9 @@
     "calls ok", "calls unsent", "grants lost", "grants late", "releases lost",
     "releases late", "calls slow",
 )  # fmt: skip
+# Heartbeats of incarnations that no process is: one that is ready or leaves, and one
+# that reports all keys as released.
+CLAIM_EVENTS = ("claim start", "claim leaving", "claim releases")
 # Delay of a call that is applied late, in seconds, and of a slow one.
 LATE_CALL_S, SLOW_CALL_S = (2.0, 2.3, 5.0, 12.0), 0.25
 # Ways in which keys are granted.
@@ -593,6 +596,8 @@
                 node = self.nodes[vm][0]
                 node.target.evacuated = self.evacuated[vm]
                 node.grant_caller.check_now()
+        elif kind in CLAIM_EVENTS and self.nodes[vm] is not None:
+            self._claim_incarnation(vm, self.nodes[vm][0], kind)
         elif kind == "topic busy":
             self.nursery.start_soon(self.store.append_for_others)
         elif kind == "stop reports":
@@ -602,6 +607,17 @@
         elif kind == "move keys" and self.nodes[vm] is not None:
             self._start_move(self.nodes[vm][0], vm)
 
+    def _claim_incarnation(self, vm, node, kind):
+        """Send a heartbeat of another writer, which names a new incarnation."""
+        claimed, now = SimulatedTarget(vm), trio.current_time()
+        released = ((0, 65535, "claimed"),) if kind == "claim releases" else ()
+        heartbeat = Heartbeat(
+            f"other-{vm}", claimed.started_ms, 1, SERVICE, "z",
+            kind == "claim leaving", 4, 0.0, (), released,
+        )  # fmt: skip
+        node.target.apply_heartbeat(heartbeat, now)
+        node.ownership.on_heartbeat(heartbeat, now)
+
     def _start_move(self, node, vm):
         keymap = node.keymaps.get(SERVICE)
         ranges = [r for r in keymap.ranges if r.vm == vm] if keymap else []
@@ -672,6 +688,16 @@
     run(events, transport=transport)
 
 
+@pytest.mark.parametrize("transport", TRANSPORTS)
+@given(event_lists(EVENTS + CLAIM_EVENTS + CALL_EVENTS))
+def test_no_two_targets_serve_a_key_after_claims(transport, events):
+    """Guards against a new incarnation that frees keys which the last one still holds.
+
+    Heartbeats of another writer may name one while the present target serves.
+    """
+    run(events, transport=transport)
+
+
 # Seconds by which the heartbeats of each VM follow those of the first one.
 PHASES_S = [(0.0, 0.3, 0.6), (0.3, 0.6, 0.0)]
 # What keeps the writer's change from the node, until the evacuation has ended.
@@ -749,6 +775,11 @@
     return [release for release, _, _ in manager._reports.values()]
 
 
+def forget_grants(held):
+    """Forget what the previous incarnation of a target was granted."""
+    held._usable, held._possible = [], []
+
+
 # Rules of the protocol: the constant or function that implements each, a replacement
 # that disables it, events that need it, and in CALL_RULES those of grants by call. With
 # the replacement two targets must serve a key, or a fence must not rise; otherwise the
@@ -798,6 +829,14 @@
         (ownership_module, "LEASE_S", 1e6),
         [("partition", "a", 6), ("move keys", "b", 3)],
     ),
+    "keys wait for the grants to earlier incarnations": (
+        (HeldKeys, "reset", forget_grants),
+        [("claim leaving", "b", 3)],
+    ),
+    "a heartbeat releases no keys of earlier incarnations": (
+        (HeldKeys, "earlier_expiry", lambda held, start, end: 0.0),
+        [("claim releases", "b", 3)],
+    ),
 }
 # fmt: on
 
--- a/tests/router/test_reused_address.py
+++ b/tests/router/test_reused_address.py
@@ -52,26 +52,31 @@
 
 
 @pytest.mark.parametrize(
-    "target, body, leaves",
+    "target, body, status, leaves",
     [
-        ("i", b"", True),
-        ("i", b'{"born": 2000}', True),
-        ("i", b'{"born": 1000}', False),
-        ("j", b"", False),
-        ("i", b'{"born": "x"}', True),
-        ("i", b"not JSON", True),
+        ("i", b"", 200, True),
+        ("i", b'{"born": 2000}', 200, True),
+        ("i", b'{"born": 1000}', 200, False),
+        ("j", b"", 200, False),
+        ("i", b'{"born": "x"}', 503, False),
+        ("i", b"not JSON", 503, False),
     ],
-    ids=["no start", "present", "earlier start", "another", "no number", "no JSON"],
+    ids=["no body", "present", "earlier start", "another", "no number", "no JSON"],
 )
-async def test_deregistration_counts_for_the_process_that_sent_it(target, body, leaves):
-    """Guards against a target that stops when its predecessor's last call is late."""
+async def test_deregistration_counts_for_the_process_that_sent_it(
+    target, body, status, leaves
+):
+    """Guards against a target that stops when its predecessor's last call is late.
+
+    Nor does it stop for a call that another writer sent: it is not acknowledged.
+    """
     node = make_node()
     handle = ADAPTER.make_heartbeat_handler(node)
     node.target.id, node.target.started_ms = "i", 2000
     call = HttpMessage(
         b"POST", b"/instances/%s/deregister" % target.encode(), 0, [], body, True
     )
-    assert (await handle(call))[0] == 200
+    assert (await handle(call))[0] == status
     assert node.target.leaving == leaves
 
 
