Acknowledge that a target leaves only where a restart finds it

Cause: a deregistration was answered with 200 after 0.5 s, written or not (leaving_not_written); a heartbeat that says so was answered at once. Only this process knew it. The keys of a leaving target were released at once, though nobody could be given them while the store was away.

Change: both calls wait for the membership entry, 0.5 s at most. If the store does not take it, the node asks the VMs that it has links to: they keep the announcement, send the target nothing, and tell each later process of the node, which writes it. With neither the entry nor two keepers (one, if there is no other VM) the call gets 503, and the target calls again. Targets of keyed services keep and serve their keys until the entry is written.

Tests of deregistrations had a node without a store, which acknowledged them; they now write the entry, and a second run of the table without it expects 503.

--- a/packages/router/src/jujuberudder_router/_frames.py
+++ b/packages/router/src/jujuberudder_router/_frames.py
@@ -221,6 +221,18 @@
     ranges: list[tuple[int, int, int, str, str]]
 
 
+class LeavingNotice(msgspec.Struct, array_like=True, tag="l"):
+    """States that the target of a VM is about to stop, which the store may not have.
+
+    The VM sends it to others, and they send it back with their own name in ``keeper``:
+    at once, and to each later process of the VM's node.
+    """
+
+    vm: str
+    target_incarnation: str
+    keeper: str = ""
+
+
 class StoreCall(msgspec.Struct, array_like=True, tag="s"):
     """A store call to make on behalf of a node whose own calls the store refuses."""
 
@@ -248,6 +260,7 @@
     | Subscribe
     | Update
     | ReleaseReport
+    | LeavingNotice
     | StoreCall
     | StoreCallResult
 )
--- a/packages/router/src/jujuberudder_router/_membership.py
+++ b/packages/router/src/jujuberudder_router/_membership.py
@@ -78,8 +78,6 @@
         # Newest key map of the own service that was read in the present era.
         self.stored_keymap = None
         self._entry_changed = trio.Event()
-        # Set, and replaced, whenever ``_written_entry`` is.
-        self._written = trio.Event()
         self.started = trio.current_time()
 
     def hello(self, peer=""):
@@ -93,15 +91,23 @@
         incarnation, slots = target.incarnation, target.slots
         if not incarnation and previous is not None:
             incarnation, slots = previous.target_incarnation, previous.slots
-        target_leaving = target.leaving or self.was_leaving(incarnation)
+        target_leaving = target.leaving or self.known_leaving(incarnation)
         return VM(
             settings.vm, self.node_incarnation, settings.peer_address, settings.zone,
             settings.service, incarnation, slots, node.draining or target_leaving,
             target_leaving, settings.link_bytes_per_s * 8 / 1e6,
         )  # fmt: skip
 
-    def was_leaving(self, target_incarnation):
-        """Whether a target was about to stop in an earlier process of this node."""
+    def known_leaving(self, target_incarnation):
+        """Whether an earlier process of this node knew that a target is leaving.
+
+        The store has that, or other VMs keep it.
+        """
+        return self._was_leaving(target_incarnation) or bool(
+            self._node.leavings.keepers(target_incarnation)
+        )
+
+    def _was_leaving(self, target_incarnation):
         previous = self._previous_entry
         return (
             previous is not None
@@ -143,15 +149,18 @@
         if self.entry() != self._written_entry:
             self._entry_changed.set()
 
-    async def wait_written(self):
-        """Wait until the current entry is the last one written."""
-        while self.entry() != self._written_entry:
-            await self._written.wait()
+    def leaving_written(self, target_incarnation):
+        """Whether the newest entry says that a target is about to stop."""
+        entry = self._written_entry
+        return self._was_leaving(target_incarnation) or (
+            entry is not None
+            and entry.target_leaving
+            and entry.target_incarnation == target_incarnation
+        )
 
     def _record_written(self, entry):
         self._written_entry = entry
-        self._written.set()
-        self._written = trio.Event()
+        self._node.on_entry_written()
 
     def apply(self, record):
         """Apply a record of the topic: an entry of a VM or a key map."""
@@ -206,6 +215,8 @@
             return
         vm = _vm_decoder.decode(value)
         check_vm(vm, name)
+        self._node.leavings.apply_entry(vm)
+        vm = self._node.with_kept_leaving(vm)
         previous = vms.get(name)
         vms.put(vm)
         if name == self._node.settings.vm:
--- a/packages/router/src/jujuberudder_router/_metrics.py
+++ b/packages/router/src/jujuberudder_router/_metrics.py
@@ -55,6 +55,8 @@
     "store_era": "topics read anew because the store came back from an older copy",
     "heartbeats_ignored": "readable heartbeats that are not of the target beside the "
     "node",
+    "leaving_not_written": "calls of a leaving target that were not acknowledged "
+    "because the store did not take its entry in time",
     "key_map_old": "key maps read that are older than the known one",
     "key_map_restored": "key maps appended because the store lacked them in a new era",
     "key_map_settled": "key maps appended that end the wait after a new era",
--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -26,10 +26,11 @@
 from ._evacuation import Evacuations, watch_evacuations
 from ._explain import explain, parse_query, take_view
 from ._follower import Follower
-from ._frames import Ping, ReadProgress
+from ._frames import LeavingNotice, Ping, ReadProgress
 from ._grant_calls import GrantCaller
 from ._hedging import Hedging
 from ._http import parse_address
+from ._kept_leavings import KeptLeavings, enough_keepers
 from ._keymap import Owner, locate, suspicion_of
 from ._link_pacing import LinkPacer
 from ._loads import LoadTable
@@ -92,9 +93,12 @@
 # Limits on requests of the target's heartbeats and of readiness probes. A heartbeat
 # lists at most a few key ranges of 30 bytes each.
 CONTROL_LIMITS = Limits(body_bytes=1048576)
-# Longest wait of a deregistration for the write of the membership entry that says so: a
-# target counts a response after 1 s as none.
+# Longest wait of a target that is leaving for the write of the membership entry that
+# says so: it counts a response after 1 s as none.
 LEAVING_WRITE_S = 0.5
+# Part of that time in which other VMs may say that they keep it, while the store does
+# not take the entry.
+LEAVING_KEEP_S = 0.3
 # Share of the retry budget that the nodes use: one that starts again does not know what
 # its earlier process spent in the window.
 RETRY_BUDGET_SHARE = 0.9
@@ -180,6 +184,8 @@
         Bytes held for clients, other nodes and the target.
     pacer : LinkPacer
         Rate at which long bodies are sent to other nodes.
+    leavings : KeptLeavings
+        Leaving targets that the store may not have yet.
     store, direct_store : Store
         Store whose calls may be relayed through another node, and without relays.
     active_scopes : set of trio.CancelScope
@@ -233,6 +239,7 @@
         self._ignored_operator_keys = set()
         self.stopping = False
         self.store = with_relays(store, self)
+        self.leavings = KeptLeavings()
         self.membership = Membership(self, self.store)
         self.peers = Peers(
             settings.vm, settings.zone, settings.service, self.vms, self._make_link,
@@ -300,7 +307,7 @@
             vm,
             self.membership.hello(vm.name),
             LinkCallbacks(
-                self.peers.ping_interval_s, self._make_ping, self.sharing.on_connect,
+                self.peers.ping_interval_s, self._make_ping, self._on_connect,
                 self.on_pong, self.sharing.on_update, self._on_load, self.log,
                 self.account, self.pacer,
             ),
@@ -576,6 +583,7 @@
         """Apply the ping of a VM and return the read progress of this node."""
         now = trio.current_time()
         self._observe_ends(ping.progress)
+        self._tell_kept_leaving(vm)
         if ping.load is not None:
             self.loads.record(vm, ping.load, now)
         self.loads.apply_reports(ping.reports, now, self.settings.vm)
@@ -876,13 +884,17 @@
             run_s * factor, load.cold,
         )  # fmt: skip
 
-    def handle_heartbeat(self, heartbeat):
+    async def handle_heartbeat(self, heartbeat):
         """Apply a heartbeat of the target on this VM.
 
+        One that says that the target is leaving is acknowledged once that is in the
+        store.
+
         Returns
         -------
         acknowledged : bool
-            False if the heartbeat is not one of the target on this VM.
+            False if the heartbeat is not one of the target on this VM, or if a later
+            process of this node would not know what it says.
         grant : Grant or None
         """
         now = trio.current_time()
@@ -891,20 +903,29 @@
             self.metrics.count("heartbeats_ignored")
             self.log("beat_ignored", target=heartbeat.target, reason=mismatch)
             return False, None
-        change = self.target.apply_heartbeat(heartbeat, now)
+        target = self.target
+        known = (target.incarnation, target.leaving)
+        change = target.apply_heartbeat(heartbeat, now)
         if change == "old":
             self.log("beat_late", target=heartbeat.target, sequence=heartbeat.sequence)
-            return True, None
+            written = self.membership.leaving_written(target.incarnation)
+            return written or not heartbeat.leaving, None
         if change == "life":
             self.admission.rate_limiter = RateLimiter()
-            self.log(
-                "target_life", target=self.target.incarnation, slots=heartbeat.slots
-            )
+            self.log("target_life", target=target.incarnation, slots=heartbeat.slots)
             self.check_leaving()
+        if heartbeat.leaving and known != (target.incarnation, True):
+            self._handle_leaving("stated in a heartbeat")
         self.cold_target.on_heartbeat(heartbeat, now)
         self.update_admission()
         self.membership.announce()
         self.ownership.on_heartbeat(heartbeat, now)
+        if heartbeat.leaving:
+            incarnation = target.incarnation
+            if not await self._write_leaving():
+                return False, None
+            if incarnation != target.incarnation:
+                return True, None
         if self.grants_by_call:
             self.grant_caller.on_heartbeat()
             return True, None
@@ -913,9 +934,9 @@
         return True, grant
 
     async def handle_deregister(self, target_id, started_ms=None):
-        """Mark a target as leaving, and wait a little until that is in the store.
+        """Mark a target as leaving.
 
-        Otherwise the next process of this node would not know of it.
+        The call is acknowledged once that is in the store.
 
         Parameters
         ----------
@@ -928,7 +949,7 @@
         -------
         acknowledged : bool
             False if it is not known which process of the target is to get no more
-            requests.
+            requests, or if a later process of this node would not know it.
         """
         if started_ms is not None and not is_plausible_start(
             started_ms, self._unix_time()
@@ -948,23 +969,118 @@
             return bool(target.id)
         if known != (target.incarnation, target.leaving):
             self._handle_leaving("deregistered")
-        with trio.move_on_after(LEAVING_WRITE_S) as scope:
-            await self.membership.wait_written()
-        if scope.cancelled_caught:
-            self.log("leaving_not_written", target=target.incarnation)
-        return True
+        return await self._write_leaving()
+
+    async def _write_leaving(self):
+        """Wait a little until the store has that the target leaves, or others keep it.
+
+        Returns
+        -------
+        bool
+            Whether the next process of this node will know it.
+        """
+        incarnation = self.target.incarnation
+        with trio.move_on_after(LEAVING_WRITE_S - LEAVING_KEEP_S):
+            await self._wait_until(lambda: self.membership.leaving_written(incarnation))
+            return True
+        self._ask_to_keep(incarnation)
+        with trio.move_on_after(LEAVING_KEEP_S):
+            await self._wait_until(lambda: self._leaving_kept(incarnation))
+            return True
+        self.metrics.count("leaving_not_written")
+        self.log("leaving_not_written", target=incarnation)
+        return False
+
+    async def _wait_until(self, holds):
+        while not holds():
+            await self.leavings.changed.wait()
+
+    def _ask_to_keep(self, incarnation):
+        """Ask other VMs to keep that the target leaves.
+
+        Not for keys: a target that counts on it releases them, and while the store does
+        not take a change of the key map nobody else can serve them.
+        """
+        if self.is_keyed(self.settings.service):
+            return
+        notice = LeavingNotice(self.settings.vm, incarnation)
+        keepers = self.leavings.keepers(incarnation)
+        for vm, link in list(self.links.items()):
+            if not link.lost and vm not in keepers:
+                self.peers.send_soon(vm, notice)
+
+    def _leaving_kept(self, incarnation):
+        """Whether the store has that a target leaves, or enough other VMs keep it."""
+        others = len(self.vms) - (self.settings.vm in self.vms)
+        return self.membership.leaving_written(incarnation) or (
+            not self.is_keyed(self.settings.service)
+            and enough_keepers(len(self.leavings.keepers(incarnation)), others)
+        )
+
+    def on_leaving_notice(self, notice):
+        """Apply a ``LeavingNotice``: keep that of another VM, or learn the own one."""
+        own, incarnation = self.settings.vm, notice.target_incarnation
+        if notice.vm == own:
+            if notice.keeper:
+                self.leavings.add_keeper(incarnation, notice.keeper)
+                self.check_leaving()
+                self.membership.announce()
+            return
+        entry = self.vms.get(notice.vm)
+        if entry is None or notice.keeper:
+            return
+        self.leavings.keep(notice.vm, incarnation)
+        self.vms.put(self.with_kept_leaving(entry))
+        self.log("leaving_kept", peer=notice.vm, target=incarnation)
+        self._tell_kept_leaving(notice.vm)
+
+    def with_kept_leaving(self, vm):
+        """Return a membership entry with what is kept for its VM."""
+        if self.leavings.kept(vm.name) != vm.target_incarnation:
+            return vm
+        return msgspec.structs.replace(vm, leaving=True, target_leaving=True)
+
+    def _tell_kept_leaving(self, vm):
+        """Tell a VM what is kept for it, if anything is."""
+        incarnation = self.leavings.kept(vm)
+        if incarnation is not None:
+            notice = LeavingNotice(vm, incarnation, self.settings.vm)
+            self.peers.send_soon(vm, notice)
+
+    def _on_connect(self, vm):
+        self._tell_kept_leaving(vm)
+        self.sharing.on_connect(vm)
+
+    def on_entry_written(self):
+        """Release the keys of a leaving target once the store has that it leaves."""
+        self.leavings.notify()
+        target = self.target
+        if target.leaving_binds or not target.leaving:
+            return
+        if self.membership.leaving_written(target.incarnation):
+            target.leaving_binds = True
+            self.update_admission()
+            self.grant_caller.check_now()
 
     def check_leaving(self):
         """Mark the target as leaving if an earlier process of this node knew that."""
         target = self.target
-        if not target.leaving and self.membership.was_leaving(target.incarnation):
+        if target.leaving_binds or not self.membership.known_leaving(
+            target.incarnation
+        ):
+            return
+        target.leaving_binds = True
+        if not target.leaving:
             self._handle_leaving("known to an earlier process of this node")
+        self.update_admission()
 
     def _handle_leaving_response(self, request_id):
+        # The client gets the response, whether or not the store takes the entry.
+        self.target.leaving_binds = True
         self._handle_leaving(f"stated in the response to {request_id}")
 
     def _handle_leaving(self, reason):
-        """Send no more to the present start of the target, and release its keys."""
+        """Send no more to the present start of the target, and announce that."""
         self.target.leaving = True
         self.log("target_leaves", target=self.target.incarnation, reason=reason)
         self.update_admission()
@@ -980,7 +1096,9 @@
             if admission.closed_reason != EVACUATED:
                 self.log("gate_closed", target=target.incarnation, reason=EVACUATED)
             admission.close(EVACUATED)
-        elif target.leaving:
+        elif target.leaving and (
+            target.leaving_binds or not self.is_keyed(self.settings.service)
+        ):
             if not admission.closed_reason:
                 self.log(
                     "gate_closed", target=target.incarnation, reason="target is leaving"
@@ -1030,7 +1148,7 @@
         handlers = PeerHandlers(
             node.serve, make_relay_handler(node), node.admission.load, node.on_ping,
             node.ownership.on_releases, node.sharing.on_subscribe,
-            node.sharing.on_update,
+            node.sharing.on_update, node.on_leaving_notice,
         )  # fmt: skip
         nursery.start_soon(
             serve_links, parse_address(settings.peer_address), node.membership.hello(),
--- a/packages/router/src/jujuberudder_router/_peer_server.py
+++ b/packages/router/src/jujuberudder_router/_peer_server.py
@@ -16,6 +16,7 @@
     ForwardReply,
     ForwardRequest,
     FrameError,
+    LeavingNotice,
     Ping,
     Pong,
     ReleaseReport,
@@ -60,6 +61,8 @@
         ``send(frame)`` sends on it.
     update : callable
         ``update(frame)`` applies an ``Update``.
+    leaving : callable
+        ``leaving(notice)`` applies a ``LeavingNotice``.
     """
 
     request: Callable
@@ -69,6 +72,7 @@
     releases: Callable
     subscribe: Callable
     update: Callable
+    leaving: Callable = lambda notice: None
 
 
 class _Call:
@@ -276,6 +280,10 @@
                         stream.send(Pong(frame.sent_at, handlers.load(), progress))
                     elif isinstance(frame, ReleaseReport):
                         apply_releases(frame, hello)
+                    elif isinstance(frame, LeavingNotice):
+                        # The VM itself, or one that keeps what it said.
+                        if (frame.keeper or frame.vm) == hello.vm:
+                            handlers.leaving(frame)
                     elif isinstance(frame, Subscribe):
                         handlers.subscribe(number, frame, stream.send)
                     elif isinstance(frame, Update):
--- a/packages/router/src/jujuberudder_router/_target.py
+++ b/packages/router/src/jujuberudder_router/_target.py
@@ -113,6 +113,9 @@
         Time of the last heartbeat on the node's clock, in seconds.
     leaving : bool
         Whether the target announced that it is about to stop.
+    leaving_binds : bool
+        Whether it may count on that: the store has it, or a client has received the
+        response that states it.
     evacuated : bool
         Whether the availability zone of the target is evacuated.
     held : HeldKeys
@@ -127,7 +130,7 @@
         self.started_ms = -1
         self.sequence = -1
         self.slots = 0
-        self.leaving = self.evacuated = False
+        self.leaving = self.leaving_binds = self.evacuated = False
         self.heartbeat_at = None
         self.held = HeldKeys()
 
@@ -138,8 +141,12 @@
 
     @property
     def gives_up_keys(self):
-        """Whether all keys leave the target."""
-        return self.leaving or self.evacuated
+        """Whether all keys leave the target.
+
+        Other VMs get them by a change in the store. A target that is leaving keeps
+        them while the store does not take even its announcement.
+        """
+        return self.leaving_binds or self.evacuated
 
     def heartbeat_overdue(self, now):
         """Whether no heartbeat has arrived for ``HEARTBEAT_TIMEOUT_S``."""
@@ -206,7 +213,7 @@
             self.held.reset()
         self.id, self.started_ms, self.sequence = target_id, started_ms, -1
         self.heartbeat_at = None
-        self.leaving = False
+        self.leaving = self.leaving_binds = False
         self.pool.close()
 
 
@@ -379,7 +386,7 @@
         if incarnation == target.incarnation:
             if result.rate_limit is not None:
                 record_rate_limit(result.rate_limit, sent_at, request.request_id)
-            if result.leaving and not target.leaving:
+            if result.leaving and not target.leaving_binds:
                 on_leaving(request.request_id)
         if result.load is not None:
             admission.record_target_load(result.load, trio.current_time())
--- a/tests/router/test_deregistration.py
+++ b/tests/router/test_deregistration.py
@@ -30,6 +30,13 @@
     return HttpMessage(b"POST", path, 0, [], data, True)
 
 
+def write_entries_at_once(node):
+    """Let a node without a store write its membership entry when it changes."""
+    membership = node.membership
+    membership.announce = lambda: membership._record_written(membership.entry())
+
+
+@pytest.mark.parametrize("written", [True, False])
 @pytest.mark.parametrize(
     "calls, incarnation, leaving",
     [
@@ -59,9 +66,12 @@
     ],
 )  # fmt: skip
 async def test_target_that_deregistered_stays_out_of_use(
-    autojump_clock, calls, incarnation, leaving
+    autojump_clock, calls, incarnation, leaving, written
 ):
-    """Guards against a late heartbeat that brings back a target that deregistered."""
+    """Guards against a late heartbeat that brings back a target that deregistered.
+
+    Nor is a deregistration acknowledged that is not written.
+    """
     left = []
 
     def log(event, **fields):
@@ -69,11 +79,15 @@
             left.append(fields["target"])
 
     node = make_node("vm-0", None, log)
+    if written:
+        write_entries_at_once(node)
     handle = ADAPTER.make_heartbeat_handler(node)
     for verb, target, started_ms, *rest in calls:
         status, _, _ = await handle(call(verb, target, started_ms, *rest))
         # A call that identifies no process is not acknowledged.
-        assert status == (503 if started_ms is None else 200)
+        applied = f"{target}@{started_ms}" == node.target.incarnation
+        refused = verb == "deregister" and applied and not written
+        assert status == (503 if started_ms is None or refused else 200)
     assert (node.target.incarnation, node.target.leaving) == (incarnation, leaving)
     assert (left[-1:] == [incarnation]) == leaving
     assert bool(node.admission.closed_reason) == leaving
--- a/tests/router/test_era.py
+++ b/tests/router/test_era.py
@@ -46,6 +46,7 @@
 from jujuberudder_router._frames import ReadProgress, Update
 from jujuberudder_router._given_up import GivenUpKeys
 from jujuberudder_router._grant_calls import GrantCaller
+from jujuberudder_router._kept_leavings import KeptLeavings
 from jujuberudder_router._membership import Membership
 from jujuberudder_router._ownership import TAKEOVER_DELAY_S, OwnershipManager
 from jujuberudder_router._placement import SuddenDemand
@@ -125,7 +126,7 @@
             return
         scope, node, store = trio.CancelScope(), self._make_node(vm), None
         node.draining, node.vms = False, Directory()
-        node.settings.peer_address, node.settings.zone = f"{vm}:1", "z"
+        node.settings.peer_address, node.settings.zone = "127.0.0.1:1", "z"
         node.settings.link_bytes_per_s = 1e6
 
         def log(event, **fields):
@@ -136,7 +137,8 @@
         node.log = log
         node.peers.drop = lambda name: None
         node.on_own_keymap = lambda: node.grant_caller.check_now()
-        node.check_leaving = lambda: None
+        node.check_leaving = node.on_entry_written = lambda: None
+        node.leavings, node.with_kept_leaving = KeptLeavings(), lambda entry: entry
         store = self.store.store_of(vm)
         node.membership = Membership(node, store)
         node.node_incarnation = node.membership.node_incarnation
--- a/tests/router/test_other_writers.py
+++ b/tests/router/test_other_writers.py
@@ -12,6 +12,7 @@
 from jujuberudder_router import VM, ConnectionPool, HttpMessage, KeyMap, Record
 from jujuberudder_router._ownership import SAFETY_MARGIN_S
 
+from .test_deregistration import write_entries_at_once
 from .test_reused_address import make_node
 
 MISSING = object()
@@ -178,10 +179,12 @@
 async def test_new_incarnation_frees_no_keys(autojump_clock, released, state):
     """Guards against keys for others while the last incarnation may hold them."""
     node, handle, address = await make_node_with_target()
+    write_entries_at_once(node)
+    ownership, ends_at = node.ownership, trio.current_time() + 2.5
     document = heartbeat(address, LATER_MS, 1, state, freed=released)
     await handle(call("heartbeat", "i-other", document))
     assert node.target.incarnation == f"i-other@{LATER_MS}"
-    ownership, ends_at = node.ownership, trio.current_time() + 2.5
+    assert node.target.gives_up_keys == (state == "draining")
     assert node.target.held.expiry(0, 99) == ends_at
     assert not node.target.held.covers(50, trio.current_time())
     for now in (trio.current_time(), ends_at - 0.01):
--- a/tests/router/test_ownership_protocol.py
+++ b/tests/router/test_ownership_protocol.py
@@ -457,6 +457,8 @@
         now = trio.current_time()
         if node.target.apply_heartbeat(heartbeat, now) == "old":
             return
+        # The membership entry is written at once here.
+        node.target.leaving_binds = node.target.leaving
         node.ownership.on_heartbeat(heartbeat, now)
         if self.transport == "call":
             node.grant_caller.on_heartbeat()
@@ -616,6 +618,7 @@
             kind == "claim leaving", 4, 0.0, (), released,
         )  # fmt: skip
         node.target.apply_heartbeat(heartbeat, now)
+        node.target.leaving_binds = node.target.leaving
         node.ownership.on_heartbeat(heartbeat, now)
 
     def _start_move(self, node, vm):
--- a/tests/router/test_reused_address.py
+++ b/tests/router/test_reused_address.py
@@ -9,6 +9,8 @@
 from jujuberudder_router import HttpMessage, KeyMap, KeyRange, Node, Service
 from jujuberudder_router._frames import NOT_RUN, ForwardRequest
 
+from .test_deregistration import write_entries_at_once
+
 
 def make_node():
     """Return a node of the keyed service ``jobs`` that owns the keys 0 to 99."""
@@ -71,6 +73,7 @@
     Nor does it stop for a call that another writer sent: it is not acknowledged.
     """
     node = make_node()
+    write_entries_at_once(node)
     handle = ADAPTER.make_heartbeat_handler(node)
     node.target.id, node.target.started_ms = "i", 2000
     call = HttpMessage(
