Ask new processes of other VMs to keep that a target leaves

Cause: a VM that kept the announcement forgot it when its own node was started again, and the leaving VM did not ask it again. If all nodes were restarted in turn while the store was away, the announcement was lost, and a late heartbeat brought the target back. Beside it: a deregistration as the first call of a target of a keyed service opened the queue without slots.

Change: a node whose target is leaving asks again whenever a connection to another VM is made, until the entry is written; the other VM keeps it also if it has not read the entries yet. The queue stays closed until slots are known.

--- a/packages/router/src/jujuberudder_router/_node.py
+++ b/packages/router/src/jujuberudder_router/_node.py
@@ -887,8 +887,8 @@
     async def handle_heartbeat(self, heartbeat):
         """Apply a heartbeat of the target on this VM.
 
-        One that says that the target is leaving is acknowledged once that is in the
-        store.
+        One that says that the target is leaving is acknowledged once the next process
+        of this node will know it.
 
         Returns
         -------
@@ -936,7 +936,7 @@
     async def handle_deregister(self, target_id, started_ms=None):
         """Mark a target as leaving.
 
-        The call is acknowledged once that is in the store.
+        The call is acknowledged once the next process of this node will know it.
 
         Parameters
         ----------
@@ -983,7 +983,15 @@
         with trio.move_on_after(LEAVING_WRITE_S - LEAVING_KEEP_S):
             await self._wait_until(lambda: self.membership.leaving_written(incarnation))
             return True
-        self._ask_to_keep(incarnation)
+        keepers = self.leavings.keepers(incarnation)
+        self._ask_to_keep(
+            incarnation,
+            [
+                vm
+                for vm, link in self.links.items()
+                if not link.lost and vm not in keepers
+            ],
+        )
         with trio.move_on_after(LEAVING_KEEP_S):
             await self._wait_until(lambda: self._leaving_kept(incarnation))
             return True
@@ -995,8 +1003,8 @@
         while not holds():
             await self.leavings.changed.wait()
 
-    def _ask_to_keep(self, incarnation):
-        """Ask other VMs to keep that the target leaves.
+    def _ask_to_keep(self, incarnation, vms):
+        """Ask VMs to keep that the target leaves.
 
         Not for keys: a target that counts on it releases them, and while the store does
         not take a change of the key map nobody else can serve them.
@@ -1004,10 +1012,8 @@
         if self.is_keyed(self.settings.service):
             return
         notice = LeavingNotice(self.settings.vm, incarnation)
-        keepers = self.leavings.keepers(incarnation)
-        for vm, link in list(self.links.items()):
-            if not link.lost and vm not in keepers:
-                self.peers.send_soon(vm, notice)
+        for vm in vms:
+            self.peers.send_soon(vm, notice)
 
     def _leaving_kept(self, incarnation):
         """Whether the store has that a target leaves, or enough other VMs keep it."""
@@ -1026,11 +1032,12 @@
                 self.check_leaving()
                 self.membership.announce()
             return
-        entry = self.vms.get(notice.vm)
-        if entry is None or notice.keeper:
+        if notice.keeper:
             return
         self.leavings.keep(notice.vm, incarnation)
-        self.vms.put(self.with_kept_leaving(entry))
+        entry = self.vms.get(notice.vm)
+        if entry is not None:
+            self.vms.put(self.with_kept_leaving(entry))
         self.log("leaving_kept", peer=notice.vm, target=incarnation)
         self._tell_kept_leaving(notice.vm)
 
@@ -1049,6 +1056,10 @@
 
     def _on_connect(self, vm):
         self._tell_kept_leaving(vm)
+        incarnation = self.target.incarnation
+        if self.target.leaving and not self.membership.leaving_written(incarnation):
+            # The process there may be a new one, which keeps nothing.
+            self._ask_to_keep(incarnation, [vm])
         self.sharing.on_connect(vm)
 
     def on_entry_written(self):
@@ -1097,7 +1108,9 @@
                 self.log("gate_closed", target=target.incarnation, reason=EVACUATED)
             admission.close(EVACUATED)
         elif target.leaving and (
-            target.leaving_binds or not self.is_keyed(self.settings.service)
+            target.leaving_binds
+            or not self.is_keyed(self.settings.service)
+            or not target.slots
         ):
             if not admission.closed_reason:
                 self.log(
--- a/tests/router/test_leaving_written.py
+++ b/tests/router/test_leaving_written.py
@@ -10,6 +10,7 @@
 from jujuberudder_router._kept_leavings import enough_keepers
 
 from .test_deregistration import DRAIN_S
+from .test_reused_address import make_node as make_keyed_node
 from .test_store_out_of_reach import make_node
 
 # Time after the end of an outage within which a call that was not acknowledged is, in
@@ -105,6 +106,42 @@
         await deployment.wait_until(written, WRITTEN_S)
 
 
+async def test_leaving_is_kept_when_all_nodes_restart_in_turn():
+    """Guards against an announcement that is lost when its keeper has restarted."""
+    async with run_deployment("orders", "orders") as deployment:
+        vm, other = deployment.vms.values()
+
+        async def linked():
+            return all("peer_link_up" in "".join(v.lines) for v in (vm, other))
+
+        await deployment.wait_until(linked)
+        vm.target.stop_heartbeats()
+        set_store(deployment, "silent")
+        assert await say_leaving(vm, "deregister")
+        acknowledged_at = trio.current_time()
+        for restarted in (other, vm):
+            await end_node(restarted, "kill")
+            restarted.start_node()
+            await trio.sleep(2.5)
+        set_store(deployment, "")
+        await trio.sleep(3.0)
+        await vm.target.send_heartbeat()
+        assert trio.current_time() > acknowledged_at + DRAIN_S
+        count = len(vm.target.arrivals)
+        await send_until([vm, other], trio.current_time() + 1.5)
+        assert len(vm.target.arrivals) == count
+
+
+async def test_deregistration_at_a_new_node_of_a_keyed_service(autojump_clock):
+    """Guards against a queue that is opened without slots.
+
+    The first call that the node gets from its target says that it is leaving.
+    """
+    node = make_keyed_node()
+    assert not await node.handle_deregister("i", 5)
+    assert node.admission.closed_reason
+
+
 @pytest.mark.parametrize("mode", AWAY)
 @pytest.mark.parametrize("verb", ["deregister", "heartbeat"])
 async def test_leaving_that_nobody_keeps_is_not_acknowledged(verb, mode):
